Lay down the folders, core types and the link between processes

The repository is new. This sets the shape for all later code: folders by lifetime (request, version, connection, process), strong ids and std::chrono times, bounded rings between threads, messages as a std::variant with the Thrift codec behind it, and a link thread that redials, sends heartbeats and stops reading when its receiver is full.

Ruled out: TCP keepalive for noticing frozen peers, because a stopped process still acknowledges at TCP level.

--- /dev/null
+++ b/include/carawayrelay/connection.h
@@ -0,0 +1,6 @@
+#pragma once
+
+// Public header of the connection library: what lives for one connection.
+
+#include "connection/message.h"
+#include "connection/wire_codec.h"
--- /dev/null
+++ b/src/connection/link.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <array>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <chrono>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "carawayrelay/request.h"
+#include "connection/message.h"
+
+namespace carawayrelay {
+
+// One framed connection between two processes of the system. All calls and
+// callbacks run on the thread of the socket's io_context.
+//
+// A frame is a 4-byte big-endian length and a payload; an empty frame is a
+// heartbeat. The link closes when nothing arrives for kSilenceLimit, so that a
+// frozen or cut-off peer is noticed although its socket stays open.
+class Link : public std::enable_shared_from_this<Link> {
+ public:
+  static constexpr std::chrono::milliseconds kHeartbeatInterval{500};
+  static constexpr std::chrono::milliseconds kSilenceLimit{2500};
+  static constexpr size_t kMaxFrameBytes = size_t{32} << 20;
+  // A peer that does not read may hold at most this much memory.
+  static constexpr size_t kMaxQueuedBytes = size_t{64} << 20;
+
+  // Returns false when the receiver has no room. The link then keeps the
+  // message and stops reading until ResumeReading().
+  using OnMessage = std::function<bool(Message& message)>;
+  // Called once, with the reason.
+  using OnClosed = std::function<void(const std::string& reason)>;
+
+  static std::shared_ptr<Link> Make(asio::ip::tcp::socket socket);
+
+  void Start(OnMessage on_message, OnClosed on_closed);
+  // Queues a message. Closes the link when the queue holds too many bytes.
+  void Send(const Message& message);
+  void ResumeReading();
+  void Close(const std::string& reason);
+
+ private:
+  explicit Link(asio::ip::tcp::socket socket);
+
+  void ReadHeader();
+  void ReadPayload(size_t size);
+  void HandlePayload();
+  void Deliver(Message message);
+  void Enqueue(std::string frame);
+  void WriteQueued();
+  void ScheduleHeartbeat();
+
+  asio::ip::tcp::socket socket_;
+  asio::steady_timer timer_;
+  OnMessage on_message_;
+  OnClosed on_closed_;
+  std::array<unsigned char, 4> header_{};
+  std::string payload_;
+  std::optional<Message> undelivered_;
+  std::deque<std::string> outgoing_;
+  std::string writing_;
+  size_t queued_bytes_ = 0;
+  TimePoint last_read_;
+  bool closed_ = false;
+};
+
+}  // namespace carawayrelay
--- /dev/null
+++ b/src/connection/wire.thrift
@@ -0,0 +1,123 @@
+namespace cpp carawayrelay.wire
+
+struct Hello {
+  1: i32 protocol_version
+  2: string node
+  3: string role
+  4: string zone
+  5: string link_class
+  6: i64 config_version
+  7: list<string> routes
+}
+
+struct Submit {
+  1: i64 attempt
+  2: string workspace
+  3: string route
+  4: string method
+  5: string path
+  6: string body
+  7: bool stream
+  8: bool repeatable
+  9: i64 config_version
+  10: string traceparent
+  11: bool batch
+  12: string job
+  13: i64 chunk
+  14: i64 fence
+  15: string idempotency_key
+}
+
+struct Part {
+  1: i64 attempt
+  2: i64 sequence
+  3: binary data
+}
+
+struct End {
+  1: i64 attempt
+  2: i64 parts
+  3: i32 http_status
+  4: string content_type
+  5: i64 tokens
+}
+
+struct Refused {
+  1: i64 attempt
+  2: i32 code
+  3: i32 run_state
+  4: string reason
+  5: optional i64 retry_after_ms
+}
+
+struct Cancel {
+  1: i64 attempt
+}
+
+struct Status {
+  1: i32 window
+  2: i32 running_online
+  3: i32 running_batch
+  4: bool leaving
+  5: bool cold
+  6: i64 config_version
+  7: bool zone_out
+}
+
+struct BatchRoom {
+  1: i32 items
+}
+
+struct ConfigUpdate {
+  1: i64 version
+  2: string content_hash
+  3: string document
+}
+
+struct LimitDemand {
+  1: string workspace
+  2: double spent
+  3: double wanted
+}
+
+struct LimitAsk {
+  1: i32 shard
+  2: i64 fence
+  3: string member
+  4: list<LimitDemand> demands
+}
+
+struct LimitAllowance {
+  1: string workspace
+  2: double tokens
+  3: i64 lifetime_ms
+}
+
+struct LimitShare {
+  1: string member
+  2: double share
+}
+
+struct LimitGrant {
+  1: i32 shard
+  2: i64 fence
+  3: list<LimitAllowance> allowances
+  4: i64 lease_left_ms
+  5: list<LimitShare> shares
+  6: bool accepted
+}
+
+struct Envelope {
+  1: i32 protocol_version
+  2: optional Hello hello
+  3: optional Submit submit
+  4: optional Part part
+  5: optional End completed
+  6: optional Refused refused
+  7: optional Cancel cancel
+  8: optional Status status
+  9: optional BatchRoom batch_room
+  10: optional ConfigUpdate config_update
+  11: optional LimitAsk limit_ask
+  12: optional LimitGrant limit_grant
+}
--- /dev/null
+++ b/src/main.cc
@@ -0,0 +1,6 @@
+#include <cstdio>
+
+int main() {
+  std::puts("carawayrelay " RELAY_VERSION);
+  return 0;
+}
--- /dev/null
+++ b/src/process/link_thread.cc
@@ -0,0 +1,429 @@
+#include "process/link_thread.h"
+
+#include <asio/connect.hpp>
+#include <asio/executor_work_guard.hpp>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
+#include <map>
+#include <set>
+#include <thread>
+#include <utility>
+
+#include "carawayrelay/request.h"
+#include "connection/link.h"
+#include "process/endpoint.h"
+#include "process/log.h"
+#include "process/ring.h"
+
+namespace carawayrelay {
+namespace {
+
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kMinRedialDelay{50};
+constexpr milliseconds kMaxRedialDelay{1000};
+constexpr milliseconds kDialTimeout{1000};
+// Retry of an event that has no connection to pause, such as LinkDown.
+constexpr milliseconds kRedeliverDelay{5};
+
+struct SendCommand {
+  ConnectionId connection;
+  Message message;
+};
+struct CloseCommand {
+  ConnectionId connection;
+};
+struct TargetsCommand {
+  std::vector<DialTarget> targets;
+};
+struct VersionCommand {
+  ConfigVersion version;
+};
+using Command =
+    std::variant<SendCommand, CloseCommand, TargetsCommand, VersionCommand>;
+
+}  // namespace
+
+class LinkThread::Impl {
+ public:
+  Impl(Options options, Deliver deliver)
+      : hello_(std::move(options.hello)),
+        deliver_(std::move(deliver)),
+        commands_(options.command_capacity),
+        acceptor_(io_),
+        redeliver_timer_(io_) {
+    commands_.SetWake([this] { asio::post(io_, [this] { RunCommands(); }); });
+  }
+
+  Result<void> Listen(const std::string& address) {
+    BOOST_OUTCOME_TRY(const tcp::endpoint endpoint, ParseEndpoint(address));
+    asio::error_code error;
+    acceptor_.open(endpoint.protocol(), error);
+    if (!error) {
+      acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
+    }
+    if (!error) {
+      acceptor_.bind(endpoint, error);
+    }
+    if (!error) {
+      acceptor_.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+      return Error{ErrorCode::kUnavailable,
+                   "cannot listen on " + address + ": " + error.message()};
+    }
+    Accept();
+    return Success();
+  }
+
+  void Start() {
+    thread_ = std::thread([this] { io_.run(); });
+  }
+
+  void Push(Command command) { commands_.Push(std::move(command)); }
+  bool TryPush(Command command) { return commands_.TryPush(command); }
+
+  void PostResume() {
+    asio::post(io_, [this] { ResumeAll(); });
+  }
+
+  void Stop() {
+    if (!thread_.joinable()) {
+      return;
+    }
+    asio::post(io_, [this] { Shutdown(); });
+    commands_.Close();
+    thread_.join();
+  }
+
+ private:
+  struct Connection {
+    std::shared_ptr<Link> link;
+    std::optional<DialTarget> target;
+    bool is_up = false;
+  };
+
+  // Dialling state of one target; a target is idle, dialling or connected.
+  struct Dial {
+    milliseconds delay = kMinRedialDelay;
+    std::shared_ptr<tcp::socket> socket;
+    std::shared_ptr<asio::steady_timer> timer;
+    std::optional<ConnectionId> connection;
+  };
+
+  void RunCommands() {
+    while (std::optional<Command> command = commands_.TryPop()) {
+      std::visit(
+          Overloaded{
+              [&](SendCommand& c) { RunSend(c); },
+              [&](CloseCommand& c) { RunClose(c.connection); },
+              [&](TargetsCommand& c) { RunTargets(c.targets); },
+              [&](VersionCommand& c) { hello_.config_version = c.version; },
+          },
+          *command);
+    }
+  }
+
+  void RunSend(SendCommand& command) {
+    const auto it = connections_.find(command.connection);
+    if (it != connections_.end()) {
+      const std::shared_ptr<Link> link = it->second.link;
+      link->Send(command.message);
+    }
+  }
+
+  void RunClose(ConnectionId id) {
+    const auto it = connections_.find(id);
+    if (it != connections_.end()) {
+      const std::shared_ptr<Link> link = it->second.link;
+      link->Close("closed by this process");
+    }
+  }
+
+  void RunTargets(const std::vector<DialTarget>& targets) {
+    const std::set<DialTarget> wanted(targets.begin(), targets.end());
+    std::vector<DialTarget> dropped;
+    for (const auto& [target, dial] : dials_) {
+      if (!wanted.contains(target)) {
+        dropped.push_back(target);
+      }
+    }
+    for (const DialTarget& target : dropped) {
+      const Dial dial = dials_.extract(target).mapped();
+      CancelDial(dial);
+      if (dial.connection) {
+        RunClose(*dial.connection);
+      }
+    }
+    for (const DialTarget& target : wanted) {
+      if (dials_.try_emplace(target).second) {
+        StartDial(target);
+      }
+    }
+  }
+
+  static void CancelDial(const Dial& dial) {
+    asio::error_code ignored;
+    if (dial.timer) {
+      dial.timer->cancel(ignored);
+    }
+    if (dial.socket) {
+      dial.socket->close(ignored);
+    }
+  }
+
+  void Accept() {
+    acceptor_.async_accept(
+        [this](const asio::error_code& error, tcp::socket socket) {
+          if (error == asio::error::operation_aborted || stopping_) {
+            return;
+          }
+          if (!error) {
+            AddConnection(std::move(socket), std::nullopt);
+          }
+          Accept();
+        });
+  }
+
+  void StartDial(const DialTarget& target) {
+    const Result<tcp::endpoint> endpoint = ParseEndpoint(target.address);
+    if (!endpoint) {
+      return;
+    }
+    Dial& dial = dials_.at(target);
+    dial.socket = std::make_shared<tcp::socket>(io_);
+    dial.timer = std::make_shared<asio::steady_timer>(io_, kDialTimeout);
+    dial.timer->async_wait([socket = dial.socket](asio::error_code error) {
+      if (!error) {
+        asio::error_code ignored;
+        socket->close(ignored);
+      }
+    });
+    dial.socket->async_connect(
+        endpoint.value(),
+        [this, target, socket = dial.socket](const asio::error_code& error) {
+          const auto it = dials_.find(target);
+          if (it == dials_.end() || it->second.socket != socket || stopping_) {
+            return;
+          }
+          it->second.timer->cancel();
+          it->second.socket.reset();
+          if (error || !socket->is_open()) {
+            ScheduleRedial(target);
+            return;
+          }
+          it->second.connection = AddConnection(std::move(*socket), target);
+        });
+  }
+
+  void ScheduleRedial(const DialTarget& target) {
+    const auto it = dials_.find(target);
+    if (it == dials_.end() || stopping_) {
+      return;
+    }
+    Dial& dial = it->second;
+    dial.connection.reset();
+    dial.timer = std::make_shared<asio::steady_timer>(io_, dial.delay);
+    dial.delay = std::min(dial.delay * 2, kMaxRedialDelay);
+    dial.timer->async_wait(
+        [this, target, timer = dial.timer](const asio::error_code& error) {
+          const auto found = dials_.find(target);
+          if (!error && found != dials_.end() && found->second.timer == timer) {
+            StartDial(target);
+          }
+        });
+  }
+
+  ConnectionId AddConnection(tcp::socket socket,
+                             std::optional<DialTarget> target) {
+    const ConnectionId id{next_connection_++};
+    std::shared_ptr<Link> link = Link::Make(std::move(socket));
+    Hello hello = hello_;
+    if (target) {
+      hello.link_class = target->link_class;
+    }
+    connections_[id] = {.link = link, .target = target, .is_up = false};
+    link->Start(
+        [this, id](Message& message) { return OnMessage(id, message); },
+        [this, id](const std::string& reason) { OnClosed(id, reason); });
+    // An accepted connection answers once it knows the class of the caller.
+    if (target) {
+      link->Send(hello);
+    }
+    return id;
+  }
+
+  bool OnMessage(ConnectionId id, Message& message) {
+    Connection& connection = connections_.at(id);
+    if (!connection.is_up) {
+      return OnFirstMessage(id, connection, message);
+    }
+    LinkEvent event =
+        LinkMessage{.connection = id, .message = std::move(message)};
+    if (deliver_(event)) {
+      return true;
+    }
+    message = std::move(std::get<LinkMessage>(event).message);
+    return false;
+  }
+
+  bool OnFirstMessage(ConnectionId id,
+                      Connection& connection,
+                      Message& message) {
+    const auto* hello = std::get_if<Hello>(&message);
+    if (hello == nullptr) {
+      const std::shared_ptr<Link> link = connection.link;
+      link->Close("first message is not Hello");
+      return true;
+    }
+    LinkEvent event =
+        LinkUp{.connection = id,
+               .dialled_address = connection.target ? connection.target->address
+                                                    : std::string(),
+               .peer = *hello};
+    if (!deliver_(event)) {
+      return false;
+    }
+    connection.is_up = true;
+    LogInfo(LogEvent::kLinkUp, "connected to {} in zone {}", hello->node,
+            hello->zone);
+    if (connection.target) {
+      const auto dial = dials_.find(*connection.target);
+      if (dial != dials_.end()) {
+        dial->second.delay = kMinRedialDelay;
+      }
+    } else {
+      Hello reply = hello_;
+      reply.link_class = hello->link_class;
+      connection.link->Send(reply);
+    }
+    return true;
+  }
+
+  void OnClosed(ConnectionId id, const std::string& reason) {
+    auto node = connections_.extract(id);
+    if (node.empty()) {
+      return;
+    }
+    if (node.mapped().is_up) {
+      LogWarning(LogEvent::kLinkDown, "connection {} closed: {}", ToInt(id),
+                 reason);
+      undelivered_.push_back(LinkDown{.connection = id, .reason = reason});
+      Redeliver();
+    }
+    if (node.mapped().target) {
+      ScheduleRedial(*node.mapped().target);
+    }
+  }
+
+  // Delivers the events that no paused connection can hold.
+  void Redeliver() {
+    while (!undelivered_.empty()) {
+      if (!deliver_(undelivered_.front())) {
+        redeliver_timer_.expires_after(kRedeliverDelay);
+        redeliver_timer_.async_wait([this](const asio::error_code& error) {
+          if (!error) {
+            Redeliver();
+          }
+        });
+        return;
+      }
+      undelivered_.pop_front();
+    }
+  }
+
+  void ResumeAll() {
+    std::vector<std::shared_ptr<Link>> links;
+    links.reserve(connections_.size());
+    for (const auto& [id, connection] : connections_) {
+      links.push_back(connection.link);
+    }
+    for (const std::shared_ptr<Link>& link : links) {
+      link->ResumeReading();
+    }
+  }
+
+  void Shutdown() {
+    RunCommands();
+    stopping_ = true;
+    asio::error_code ignored;
+    acceptor_.close(ignored);
+    redeliver_timer_.cancel(ignored);
+    for (const auto& [target, dial] : dials_) {
+      CancelDial(dial);
+    }
+    dials_.clear();
+    std::vector<std::shared_ptr<Link>> links;
+    for (const auto& [id, connection] : connections_) {
+      links.push_back(connection.link);
+    }
+    for (const std::shared_ptr<Link>& link : links) {
+      link->Close("process stops");
+    }
+    work_.reset();
+  }
+
+  asio::io_context io_{1};
+  asio::executor_work_guard<asio::io_context::executor_type> work_ =
+      asio::make_work_guard(io_);
+  Hello hello_;
+  Deliver deliver_;
+  Ring<Command> commands_;
+  tcp::acceptor acceptor_;
+  asio::steady_timer redeliver_timer_;
+  std::map<ConnectionId, Connection> connections_;
+  std::map<DialTarget, Dial> dials_;
+  std::deque<LinkEvent> undelivered_;
+  std::uint64_t next_connection_ = 1;
+  bool stopping_ = false;
+  std::thread thread_;
+};
+
+Result<std::unique_ptr<LinkThread>> LinkThread::Make(Options options,
+                                                     Deliver deliver) {
+  const std::string listen_address = options.listen_address;
+  auto impl = std::make_unique<Impl>(std::move(options), std::move(deliver));
+  if (!listen_address.empty()) {
+    BOOST_OUTCOME_TRY(impl->Listen(listen_address));
+  }
+  impl->Start();
+  return std::unique_ptr<LinkThread>(new LinkThread(std::move(impl)));
+}
+
+LinkThread::LinkThread(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
+
+LinkThread::~LinkThread() {
+  Stop();
+}
+
+void LinkThread::Send(ConnectionId connection, Message message) {
+  impl_->Push(SendCommand{connection, std::move(message)});
+}
+
+bool LinkThread::TrySend(ConnectionId connection, Message message) {
+  return impl_->TryPush(SendCommand{connection, std::move(message)});
+}
+
+void LinkThread::CloseConnection(ConnectionId connection) {
+  impl_->Push(CloseCommand{connection});
+}
+
+void LinkThread::SetDialTargets(std::vector<DialTarget> targets) {
+  impl_->Push(TargetsCommand{std::move(targets)});
+}
+
+void LinkThread::SetConfigVersion(ConfigVersion version) {
+  impl_->Push(VersionCommand{version});
+}
+
+void LinkThread::ResumeReading() {
+  impl_->PostResume();
+}
+
+void LinkThread::Stop() {
+  impl_->Stop();
+}
+
+}  // namespace carawayrelay
--- /dev/null
+++ b/src/process/platform_client.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "carawayrelay/request.h"
+
+namespace carawayrelay {
+
+struct Row {
+  std::string value;
+  std::string etag;
+};
+
+struct KeyedRow {
+  std::string key;
+  Row row;
+};
+
+// One entry of the platform's lagging list of VMs.
+struct VmInfo {
+  std::string node;
+  std::string role;  // "entry" or "agent"
+  std::string zone;
+  std::string address;  // "IP:port" of the link listener
+  bool leaving = false;
+};
+
+// Client of the platform's table service, object store and VM list. Blocking;
+// each thread that needs the platform owns a client. The only place that knows
+// the platform's protocol.
+//
+// Errors: kNotFound, kConflict (the precondition failed), kUnavailable (nothing
+// was written), kUnknown (a write may or may not have taken effect). When the
+// response to a write is lost, the client reads the row back and compares the
+// value, so values must differ between writers; kUnknown is returned only when
+// that read fails as well.
+class PlatformClient {
+ public:
+  struct Options {
+    std::string base_url;  // "http://IP:port"
+    std::chrono::milliseconds connect_timeout{500};
+    std::chrono::milliseconds request_timeout{2000};
+  };
+
+  static Result<std::unique_ptr<PlatformClient>> Make(Options options);
+  ~PlatformClient();
+
+  Result<Row> ReadRow(const std::string& table, const std::string& key);
+  // Rows whose key starts with `prefix` and is greater than `after`, in the
+  // order of keys.
+  Result<std::vector<KeyedRow>> ListRows(const std::string& table,
+                                         const std::string& prefix,
+                                         const std::string& after,
+                                         size_t limit);
+  // Both return the new ETag.
+  Result<std::string> CreateRow(const std::string& table,
+                                const std::string& key,
+                                const std::string& value);
+  Result<std::string> UpdateRow(const std::string& table,
+                                const std::string& key,
+                                const std::string& value,
+                                const std::string& etag);
+  Result<void> DeleteRow(const std::string& table,
+                         const std::string& key,
+                         const std::string& etag);
+
+  // Objects are written once. Writing the same data again succeeds.
+  Result<void> WriteObject(const std::string& name, const std::string& data);
+  Result<std::string> ReadObject(const std::string& name);
+
+  Result<std::vector<VmInfo>> ListVms();
+
+ private:
+  class Impl;
+  explicit PlatformClient(std::unique_ptr<Impl> impl);
+
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace carawayrelay
--- /dev/null
+++ b/src/process/ring.h
@@ -0,0 +1,142 @@
+#pragma once
+
+#include <boost/circular_buffer.hpp>
+#include <condition_variable>
+#include <cstddef>
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <utility>
+
+#include "carawayrelay/request.h"
+
+namespace carawayrelay {
+
+// Bounded queue that joins two threads. Any number of producers, one consumer.
+// The consumer either waits in Pop() or, when it waits elsewhere (Asio,
+// libcurl), registers a wake function and drains with TryPop().
+template <class T>
+class Ring {
+ public:
+  explicit Ring(size_t capacity) : items_(capacity) {}
+  Ring(const Ring&) = delete;
+  Ring& operator=(const Ring&) = delete;
+
+  // Called from the producer's thread after a push into an empty ring and on
+  // Close(). Set it before the first push.
+  void SetWake(std::function<void()> wake) { wake_ = std::move(wake); }
+
+  // Called from the consumer's thread after a pop, when a TryPush() had failed
+  // before. Set it before the first push.
+  void SetSpaceCallback(std::function<void()> on_space) {
+    on_space_ = std::move(on_space);
+  }
+
+  // Moves from `item` and returns true, or leaves it untouched and returns
+  // false when the ring is full or closed.
+  bool TryPush(T& item) {
+    {
+      std::lock_guard lock(mutex_);
+      if (closed_) {
+        return false;
+      }
+      if (items_.full()) {
+        push_failed_ = true;
+        return false;
+      }
+      items_.push_back(std::move(item));
+    }
+    NotifyConsumer();
+    return true;
+  }
+  bool TryPush(T&& item) { return TryPush(item); }
+
+  // Waits for room. Returns false when the ring is closed.
+  bool Push(T item) {
+    {
+      std::unique_lock lock(mutex_);
+      has_room_.wait(lock, [&] { return closed_ || !items_.full(); });
+      if (closed_) {
+        return false;
+      }
+      items_.push_back(std::move(item));
+    }
+    NotifyConsumer();
+    return true;
+  }
+
+  // Waits for an item until `deadline`. Returns nothing at the deadline, or
+  // when the ring is closed and empty.
+  std::optional<T> PopUntil(TimePoint deadline) {
+    std::unique_lock lock(mutex_);
+    const Duration wait = deadline - BootClock::now();
+    has_items_.wait_for(lock, wait, [&] { return closed_ || !items_.empty(); });
+    return TakeFront(lock);
+  }
+
+  // Waits for an item. Returns nothing when the ring is closed and empty.
+  std::optional<T> Pop() {
+    std::unique_lock lock(mutex_);
+    has_items_.wait(lock, [&] { return closed_ || !items_.empty(); });
+    return TakeFront(lock);
+  }
+
+  std::optional<T> TryPop() {
+    std::unique_lock lock(mutex_);
+    return TakeFront(lock);
+  }
+
+  // Fails all later pushes; items already in the ring can still be popped.
+  void Close() {
+    {
+      std::lock_guard lock(mutex_);
+      closed_ = true;
+    }
+    has_room_.notify_all();
+    NotifyConsumer();
+  }
+
+  bool IsClosed() const {
+    std::lock_guard lock(mutex_);
+    return closed_;
+  }
+
+  size_t size() const {
+    std::lock_guard lock(mutex_);
+    return items_.size();
+  }
+
+ private:
+  void NotifyConsumer() {
+    has_items_.notify_one();
+    if (wake_) {
+      wake_();
+    }
+  }
+
+  std::optional<T> TakeFront(std::unique_lock<std::mutex>& lock) {
+    if (items_.empty()) {
+      return std::nullopt;
+    }
+    std::optional<T> item(std::move(items_.front()));
+    items_.pop_front();
+    const bool tell_space = std::exchange(push_failed_, false);
+    lock.unlock();
+    has_room_.notify_one();
+    if (tell_space && on_space_) {
+      on_space_();
+    }
+    return item;
+  }
+
+  mutable std::mutex mutex_;
+  std::condition_variable has_items_;
+  std::condition_variable has_room_;
+  boost::circular_buffer<T> items_;
+  std::function<void()> wake_;
+  std::function<void()> on_space_;
+  bool closed_ = false;
+  bool push_failed_ = false;
+};
+
+}  // namespace carawayrelay
--- /dev/null
+++ b/src/version/secret_hash.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace carawayrelay {
+
+// Lower-case hexadecimal SHA-256.
+std::string Sha256Hex(std::string_view data);
+
+// Compares in a time that depends only on the lengths.
+bool EqualConstantTime(std::string_view a, std::string_view b);
+
+}  // namespace carawayrelay
--- /dev/null
+++ b/tests/property.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <string>
+#include <utility>
+
+namespace carawayrelay {
+
+// Runs a rapidcheck property inside a doctest case. On failure the report
+// holds the seed; RC_PARAMS="seed=N" repeats the run.
+template <class Property>
+void CheckProperty(const std::string& name, Property&& property) {
+  CHECK_MESSAGE(rc::check(name, std::forward<Property>(property)), name);
+}
+
+}  // namespace carawayrelay
--- /dev/null
+++ b/tools/lib.sh
@@ -0,0 +1,26 @@
+# Shell functions shared by the scripts in tools/. Source it from the repository root.
+
+# Installs the Debian packages in tools/packages.txt that are missing. Without
+# recommends, because libasio-dev recommends a Boost that replaces 1.81.
+install_packages() {
+  local missing=() package
+  while read -r package; do
+    dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'install ok installed' || missing+=("$package")
+  done <tools/packages.txt
+  [ ${#missing[@]} -eq 0 ] && return 0
+  echo "installing: ${missing[*]}"
+  if ! apt-get update -qq || ! DEBIAN_FRONTEND=noninteractive apt-get install -y -qq --no-install-recommends "${missing[@]}" >/dev/null; then
+    echo "could not install ${missing[*]}; install them and run again" >&2
+    return 1
+  fi
+}
+
+# Builds everything into the directory $1 with the extra CMake options $2...
+build_all() {
+  local dir=$1
+  shift
+  # Relative paths let checkouts in different folders share the compiler cache.
+  export CCACHE_BASEDIR=$PWD CCACHE_NOHASHDIR=1
+  cmake -S . -B "$dir" -G Ninja -DCMAKE_CXX_COMPILER_LAUNCHER=ccache "$@" >/dev/null &&
+    cmake --build "$dir" -j "${RELAY_JOBS:-$(nproc)}"
+}
