Add the HTTP server adapter over RESTinio

Callers, operators and the stand-ins all need HTTP with streams that can be aborted so that a broken answer cannot pass as complete. RESTinio has no call for that, so the adapter ends the response group without the terminating chunk and closes the connection. Its default time limit of 10 s for a handler would cut long streams and is raised; requests have their own limits.

Ruled out: user-controlled output, because it needs Connection: close on every stream.

--- /dev/null
+++ b/src/process/http_server.cc
@@ -0,0 +1,326 @@
+#include "process/http_server.h"
+
+#include <algorithm>
+#include <atomic>
+#include <cctype>
+#include <mutex>
+#include <restinio/all.hpp>
+#include <thread>
+#include <utility>
+
+#include "process/endpoint.h"
+
+namespace carawayrelay {
+namespace {
+
+// A caller that does not read may hold at most this much memory of a stream.
+constexpr size_t kMaxUnsentBytes = size_t{4} << 20;
+// RESTinio closes a connection without a reply when a body exceeds its limit;
+// the margin lets bodies slightly over ours get a 413 response.
+constexpr size_t kBodyMargin = size_t{16} << 20;
+// Requests have their own time limits, so RESTinio's must not cut a stream.
+constexpr std::chrono::hours kHandlerTimeLimit{24};
+constexpr std::chrono::seconds kWriteTimeLimit{30};
+// Two, so that RESTinio keeps reading and notices a caller that disconnects.
+constexpr size_t kMaxPipelined = 2;
+
+using Traits =
+    restinio::traits_t<restinio::asio_timer_manager_t, restinio::null_logger_t>;
+using ChunkedBuilder = restinio::response_builder_t<restinio::chunked_output_t>;
+
+const char* ReasonPhrase(int status) {
+  switch (status) {
+    case 200:
+      return "OK";
+    case 201:
+      return "Created";
+    case 202:
+      return "Accepted";
+    case 204:
+      return "No Content";
+    case 400:
+      return "Bad Request";
+    case 401:
+      return "Unauthorized";
+    case 403:
+      return "Forbidden";
+    case 404:
+      return "Not Found";
+    case 405:
+      return "Method Not Allowed";
+    case 409:
+      return "Conflict";
+    case 412:
+      return "Precondition Failed";
+    case 413:
+      return "Content Too Large";
+    case 429:
+      return "Too Many Requests";
+    case 499:
+      return "Client Closed Request";
+    case 500:
+      return "Internal Server Error";
+    case 502:
+      return "Bad Gateway";
+    case 503:
+      return "Service Unavailable";
+    case 504:
+      return "Gateway Timeout";
+    default:
+      return "Status";
+  }
+}
+
+restinio::http_status_line_t StatusLine(int status) {
+  return {restinio::http_status_code_t{static_cast<std::uint16_t>(status)},
+          ReasonPhrase(status)};
+}
+
+std::string LowerCase(std::string text) {
+  std::transform(text.begin(), text.end(), text.begin(),
+                 [](unsigned char c) { return std::tolower(c); });
+  return text;
+}
+
+HttpRequest ToHttpRequest(const restinio::request_t& request) {
+  HttpRequest result;
+  const auto& header = request.header();
+  result.method = header.method().c_str();
+  result.path = std::string(header.path());
+  result.query = std::string(header.query());
+  header.for_each_field([&](const auto& field) {
+    result.headers[LowerCase(std::string(field.name()))] =
+        std::string(field.value());
+  });
+  result.body = request.body();
+  return result;
+}
+
+}  // namespace
+
+class HttpExchange::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  explicit Impl(restinio::request_handle_t request)
+      : request_(std::move(request)),
+        connection_(restinio::impl::access_req_connection(*request_)),
+        request_id_(request_->request_id()) {}
+
+  void Reply(int status, const HttpHeaders& headers, std::string body) {
+    std::lock_guard lock(mutex_);
+    if (std::exchange(replied_, true)) {
+      return;
+    }
+    auto response = request_->create_response(StatusLine(status));
+    for (const auto& [name, value] : headers) {
+      response.append_header(name, value);
+    }
+    response.set_body(std::move(body));
+    response.done();
+    finished_ = true;
+  }
+
+  void StartStream(int status, const HttpHeaders& headers) {
+    std::lock_guard lock(mutex_);
+    if (std::exchange(replied_, true)) {
+      return;
+    }
+    stream_.emplace(request_->create_response<restinio::chunked_output_t>(
+        StatusLine(status)));
+    for (const auto& [name, value] : headers) {
+      stream_->append_header(name, value);
+    }
+    stream_->flush();
+  }
+
+  bool SendPart(std::string data) {
+    std::lock_guard lock(mutex_);
+    if (!stream_ || finished_ || gone_) {
+      return false;
+    }
+    const size_t size = data.size();
+    if (unsent_bytes_.fetch_add(size) + size > kMaxUnsentBytes) {
+      AbortLocked();
+      return false;
+    }
+    stream_->append_chunk(std::move(data));
+    stream_->flush([self = shared_from_this(), size](const auto& error) {
+      self->unsent_bytes_ -= size;
+      if (error) {
+        self->gone_ = true;
+      }
+    });
+    return true;
+  }
+
+  void EndStream() {
+    std::lock_guard lock(mutex_);
+    if (stream_ && !std::exchange(finished_, true)) {
+      stream_->done();
+    }
+  }
+
+  void Abort() {
+    std::lock_guard lock(mutex_);
+    AbortLocked();
+  }
+
+  bool IsGone() const { return gone_; }
+
+ private:
+  // Ends the response without the terminating chunk and closes the connection.
+  void AbortLocked() {
+    if (std::exchange(finished_, true)) {
+      return;
+    }
+    replied_ = true;
+    gone_ = true;
+    connection_->write_response_parts(
+        request_id_,
+        {restinio::response_parts_attr_t::final_parts,
+         restinio::response_connection_attr_t::connection_close},
+        restinio::write_group_t{restinio::writable_items_container_t{}});
+  }
+
+  std::mutex mutex_;
+  restinio::request_handle_t request_;
+  restinio::impl::connection_handle_t connection_;
+  restinio::request_id_t request_id_;
+  std::optional<ChunkedBuilder> stream_;
+  std::atomic<size_t> unsent_bytes_ = 0;
+  std::atomic<bool> gone_ = false;
+  bool replied_ = false;
+  bool finished_ = false;
+};
+
+HttpExchange::HttpExchange(std::shared_ptr<Impl> impl)
+    : impl_(std::move(impl)) {}
+
+HttpExchange::~HttpExchange() {
+  Abort();
+}
+
+void HttpExchange::Reply(int status,
+                         const HttpHeaders& headers,
+                         std::string body) {
+  impl_->Reply(status, headers, std::move(body));
+}
+
+void HttpExchange::StartStream(int status, const HttpHeaders& headers) {
+  impl_->StartStream(status, headers);
+}
+
+bool HttpExchange::SendPart(std::string data) {
+  return impl_->SendPart(std::move(data));
+}
+
+void HttpExchange::EndStream() {
+  impl_->EndStream();
+}
+
+void HttpExchange::Abort() {
+  impl_->Abort();
+}
+
+bool HttpExchange::IsGone() const {
+  return impl_->IsGone();
+}
+
+class HttpServer::Impl {
+ public:
+  Impl(const Options& options,
+       const asio::ip::tcp::endpoint& endpoint,
+       Handler handler)
+      : server_(restinio::run_async<Traits>(
+            restinio::own_io_context(),
+            MakeSettings(options, endpoint, std::move(handler)),
+            kThreads)) {}
+
+  void Stop() {
+    if (server_) {
+      server_->stop();
+      server_->wait();
+      server_.reset();
+    }
+  }
+
+ private:
+  static constexpr size_t kThreads = 1;
+
+  static restinio::server_settings_t<Traits> MakeSettings(
+      const Options& options,
+      const asio::ip::tcp::endpoint& endpoint,
+      Handler handler) {
+    restinio::server_settings_t<Traits> settings;
+    settings.port(endpoint.port())
+        .protocol(endpoint.protocol())
+        .address(endpoint.address())
+        .read_next_http_message_timelimit(options.read_timeout)
+        .handle_request_timeout(kHandlerTimeLimit)
+        .write_http_response_timelimit(kWriteTimeLimit)
+        .max_pipelined_requests(kMaxPipelined)
+        .socket_options_setter([](auto& socket_options) {
+          socket_options.set_option(asio::ip::tcp::no_delay(true));
+        })
+        .acceptor_options_setter([](auto& acceptor_options) {
+          acceptor_options.set_option(
+              asio::ip::tcp::acceptor::reuse_address(true));
+        })
+        .incoming_http_msg_limits(
+            restinio::incoming_http_msg_limits_t{}.max_body_size(
+                options.max_body_bytes + kBodyMargin))
+        .request_handler(
+            [handler = std::move(handler), max_body = options.max_body_bytes](
+                const restinio::request_handle_t& request) {
+              return Handle(handler, max_body, request);
+            });
+    return settings;
+  }
+
+  static restinio::request_handling_status_t Handle(
+      const Handler& handler,
+      size_t max_body,
+      const restinio::request_handle_t& request) {
+    HttpRequest http_request = ToHttpRequest(*request);
+    HttpExchangePtr exchange(
+        new HttpExchange(std::make_shared<HttpExchange::Impl>(request)));
+    if (http_request.body.size() > max_body) {
+      exchange->Reply(
+          HttpStatus(RefusalCode::kTooLarge),
+          {{"Content-Type", "application/json"}},
+          R"({"error":{"message":"request body over the limit of )" +
+              std::to_string(max_body) +
+              R"( bytes","type":"invalid_request_error","code":"too_large",)"
+              R"("run_state":"not_run"}})");
+    } else {
+      handler(std::move(http_request), std::move(exchange));
+    }
+    return restinio::request_accepted();
+  }
+
+  restinio::running_server_handle_t<Traits> server_;
+};
+
+Result<std::unique_ptr<HttpServer>> HttpServer::Make(Options options,
+                                                     Handler handler) {
+  BOOST_OUTCOME_TRY(const auto endpoint, ParseEndpoint(options.listen_address));
+  try {
+    return std::unique_ptr<HttpServer>(new HttpServer(
+        std::make_unique<Impl>(options, endpoint, std::move(handler))));
+  } catch (const std::exception& e) {
+    return Error{
+        ErrorCode::kUnavailable,
+        "cannot listen on " + options.listen_address + ": " + e.what()};
+  }
+}
+
+HttpServer::HttpServer(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
+
+HttpServer::~HttpServer() {
+  Stop();
+}
+
+void HttpServer::Stop() {
+  impl_->Stop();
+}
+
+}  // namespace carawayrelay
--- a/src/process/http_server.h
+++ b/src/process/http_server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
@@ -46,9 +47,9 @@
  private:
   friend class HttpServer;
   class Impl;
-  explicit HttpExchange(std::unique_ptr<Impl> impl);
+  explicit HttpExchange(std::shared_ptr<Impl> impl);
 
-  std::unique_ptr<Impl> impl_;
+  std::shared_ptr<Impl> impl_;
 };
 
 using HttpExchangePtr = std::shared_ptr<HttpExchange>;
@@ -70,6 +71,7 @@
                                                   Handler handler);
   ~HttpServer();
   // Closes the listening socket and all connections and joins the thread.
+  // Exchanges must not be used after it.
   void Stop();
 
  private:
