--- a/src/process/http_server.cc
+++ b/src/process/http_server.cc
@@ -300,7 +300,7 @@
   restinio::running_server_handle_t<Traits> server_;
 };
 
-Result<std::unique_ptr<HttpServer>> HttpServer::Make(Options options,
+Result<std::unique_ptr<HttpServer>> HttpServer::Make(const Options& options,
                                                      Handler handler) {
   BOOST_OUTCOME_TRY(const auto endpoint, ParseEndpoint(options.listen_address));
   try {
--- a/src/process/http_server.h
+++ b/src/process/http_server.h
@@ -67,7 +67,7 @@
 
   // Fails with kInvalid for a malformed address and kUnavailable when it
   // cannot be bound.
-  static Result<std::unique_ptr<HttpServer>> Make(Options options,
+  static Result<std::unique_ptr<HttpServer>> Make(const Options& options,
                                                   Handler handler);
   ~HttpServer();
   // Closes the listening socket and all connections and joins the thread.
