Add the platform client over libcurl

libcurl silently repeats a request whose reused connection closed before the first byte of a response. Turning off keep-alive was ruled out because each entry renews leases several times a second.

--- /dev/null
+++ b/src/process/http_client.cc
@@ -0,0 +1,178 @@
+#include "process/http_client.h"
+
+#include <curl/curl.h>
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+#include "process/endpoint.h"
+
+namespace carawayrelay {
+namespace {
+
+constexpr std::string_view kScheme = "http://";
+
+using CurlPtr = std::unique_ptr<CURL, decltype(&curl_easy_cleanup)>;
+using HeaderListPtr =
+    std::unique_ptr<curl_slist, decltype(&curl_slist_free_all)>;
+
+void InitCurl() {
+  static const CURLcode kInitialised = curl_global_init(CURL_GLOBAL_DEFAULT);
+  (void)kInitialised;
+}
+
+size_t AppendBody(char* data, size_t size, size_t count, void* reply) {
+  static_cast<HttpReply*>(reply)->body.append(data, size * count);
+  return size * count;
+}
+
+std::string_view Trim(std::string_view text) {
+  constexpr std::string_view kSpace = " \t\r\n";
+  const size_t begin = text.find_first_not_of(kSpace);
+  if (begin == std::string_view::npos) {
+    return {};
+  }
+  return text.substr(begin, text.find_last_not_of(kSpace) - begin + 1);
+}
+
+size_t AppendHeader(char* data, size_t size, size_t count, void* reply) {
+  const std::string_view line(data, size * count);
+  const size_t colon = line.find(':');
+  if (colon != std::string_view::npos) {
+    std::string name(line.substr(0, colon));
+    std::transform(name.begin(), name.end(), name.begin(),
+                   [](unsigned char c) { return std::tolower(c); });
+    static_cast<HttpReply*>(reply)->headers[std::move(name)] =
+        Trim(line.substr(colon + 1));
+  }
+  return line.size();
+}
+
+}  // namespace
+
+std::string HttpReply::Header(const std::string& name) const {
+  const auto it = headers.find(name);
+  return it == headers.end() ? std::string() : it->second;
+}
+
+std::string PercentEncode(std::string_view text) {
+  constexpr std::string_view kDigits = "0123456789ABCDEF";
+  constexpr std::string_view kUnreserved =
+      "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~";
+  std::string encoded;
+  for (char c : text) {
+    if (kUnreserved.find(c) != std::string_view::npos) {
+      encoded.push_back(c);
+      continue;
+    }
+    const auto byte = static_cast<unsigned char>(c);
+    encoded.push_back('%');
+    encoded.push_back(kDigits[byte >> 4]);
+    encoded.push_back(kDigits[byte & 0xF]);
+  }
+  return encoded;
+}
+
+class HttpClient::Impl {
+ public:
+  Impl(Options options, CurlPtr curl)
+      : options_(std::move(options)), curl_(std::move(curl)) {}
+
+  Result<HttpReply> Send(const HttpCall& call) {
+    HttpReply reply;
+    HeaderListPtr headers(nullptr, &curl_slist_free_all);
+    // Waiting for "100 Continue" would add a round trip to each large write.
+    AddHeader(headers, "Expect:");
+    for (const std::string& header : call.headers) {
+      AddHeader(headers, header);
+    }
+    Prepare(call, headers.get(), reply);
+    const CURLcode code = curl_easy_perform(curl_.get());
+    if (code != CURLE_OK) {
+      return Error{
+          WasSent(code) ? ErrorCode::kUnknown : ErrorCode::kUnavailable,
+          options_.base_url + ": " + curl_easy_strerror(code)};
+    }
+    long status = 0;
+    long connects = 0;
+    curl_easy_getinfo(curl_.get(), CURLINFO_RESPONSE_CODE, &status);
+    curl_easy_getinfo(curl_.get(), CURLINFO_NUM_CONNECTS, &connects);
+    reply.status = static_cast<int>(status);
+    reply.maybe_repeated = connects > 0;
+    return reply;
+  }
+
+ private:
+  static void AddHeader(HeaderListPtr& headers, const std::string& header) {
+    headers.reset(curl_slist_append(headers.release(), header.c_str()));
+  }
+
+  void Prepare(const HttpCall& call, curl_slist* headers, HttpReply& reply) {
+    CURL* curl = curl_.get();
+    // Keeps the open connections.
+    curl_easy_reset(curl);
+    const std::string url = options_.base_url + call.target;
+    curl_easy_setopt(curl, CURLOPT_URL, url.c_str());
+    curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, call.method.c_str());
+    curl_easy_setopt(curl, CURLOPT_HTTP_VERSION,
+                     static_cast<long>(CURL_HTTP_VERSION_1_1));
+    curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers);
+    curl_easy_setopt(curl, CURLOPT_NOPROXY, "*");
+    curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(curl, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS,
+                     static_cast<long>(options_.connect_timeout.count()));
+    curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS,
+                     static_cast<long>(options_.request_timeout.count()));
+    curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, &AppendBody);
+    curl_easy_setopt(curl, CURLOPT_WRITEDATA, &reply);
+    curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, &AppendHeader);
+    curl_easy_setopt(curl, CURLOPT_HEADERDATA, &reply);
+    if (call.method == "PUT" || call.method == "POST") {
+      curl_easy_setopt(curl, CURLOPT_POSTFIELDSIZE_LARGE,
+                       static_cast<curl_off_t>(call.body.size()));
+      curl_easy_setopt(curl, CURLOPT_POSTFIELDS, call.body.data());
+    }
+  }
+
+  bool WasSent(CURLcode code) const {
+    if (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST) {
+      return false;
+    }
+    long request_bytes = 0;
+    curl_easy_getinfo(curl_.get(), CURLINFO_REQUEST_SIZE, &request_bytes);
+    return request_bytes > 0;
+  }
+
+  Options options_;
+  CurlPtr curl_;
+};
+
+Result<std::unique_ptr<HttpClient>> HttpClient::Make(Options options) {
+  while (options.base_url.ends_with('/')) {
+    options.base_url.pop_back();
+  }
+  if (!options.base_url.starts_with(kScheme)) {
+    return Error{ErrorCode::kInvalid,
+                 "'" + options.base_url + "' is not http://IP:port"};
+  }
+  BOOST_OUTCOME_TRY(ParseEndpoint(options.base_url.substr(kScheme.size())));
+  InitCurl();
+  CurlPtr curl(curl_easy_init(), &curl_easy_cleanup);
+  if (curl == nullptr) {
+    return Error{ErrorCode::kInternal, "curl_easy_init failed"};
+  }
+  auto impl = std::make_unique<Impl>(std::move(options), std::move(curl));
+  return std::unique_ptr<HttpClient>(new HttpClient(std::move(impl)));
+}
+
+HttpClient::HttpClient(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
+
+HttpClient::~HttpClient() = default;
+
+Result<HttpReply> HttpClient::Send(const HttpCall& call) {
+  return impl_->Send(call);
+}
+
+}  // namespace carawayrelay
