--- a/include/carawayrelay/version.h
+++ b/include/carawayrelay/version.h
@@ -4,6 +4,7 @@
 // configuration.
 
 #include "version/config_document.h"
+#include "version/config_history.h"
 #include "version/config_snapshot.h"
 #include "version/findings.h"
 #include "version/json_reader.h"
--- /dev/null
+++ b/src/process/config_watch.cc
@@ -0,0 +1,256 @@
+#include "process/config_watch.h"
+
+#include <algorithm>
+#include <random>
+#include <thread>
+#include <utility>
+
+#include "process/log.h"
+#include "process/poll_backoff.h"
+#include "process/ring.h"
+
+namespace carawayrelay {
+namespace {
+
+struct PublishCommand {
+  ConfigVersion based_on = kNoConfig;
+  std::string document;
+  ConfigWatch::OnPublished reply;
+};
+
+struct OfferCommand {
+  ConfigVersion version = kNoConfig;
+  std::string content_hash;
+  std::string document;
+};
+
+struct RefreshCommand {
+  ConfigWatch::OnState reply;
+};
+
+using Command = std::variant<PublishCommand, OfferCommand, RefreshCommand>;
+
+}  // namespace
+
+class ConfigWatch::Impl {
+ public:
+  Impl(Options options,
+       std::unique_ptr<PlatformClient> platform,
+       OnEvent on_event)
+      : options_(std::move(options)),
+        on_event_(std::move(on_event)),
+        platform_(std::move(platform)),
+        store_(*platform_),
+        commands_(options_.command_capacity),
+        random_(std::random_device()()) {}
+
+  void Start() {
+    thread_ = std::thread([this] { Run(); });
+  }
+
+  void Stop() {
+    commands_.Close();
+    if (thread_.joinable()) {
+      thread_.join();
+    }
+  }
+
+  bool TryPush(Command command) { return commands_.TryPush(command); }
+
+ private:
+  void Run() {
+    TimePoint next_poll = BootClock::now();
+    while (!commands_.IsClosed()) {
+      std::optional<Command> command = commands_.PopUntil(next_poll);
+      if (commands_.IsClosed()) {
+        return;
+      }
+      if (command) {
+        std::visit([this](auto& c) { Execute(c); }, *command);
+      }
+      // Checked after each command as well, because a steady flow of commands
+      // would otherwise hold up the polls.
+      if (BootClock::now() >= next_poll) {
+        const bool succeeded = Poll();
+        next_poll =
+            BootClock::now() + backoff_.Next(succeeded, uniform_(random_));
+      }
+    }
+  }
+
+  bool Poll() {
+    if (!PollConfig()) {
+      return false;
+    }
+    if (BootClock::now() >= next_vm_poll_) {
+      PollVms();
+      next_vm_poll_ = BootClock::now() + options_.vm_interval;
+    }
+    return true;
+  }
+
+  bool PollConfig() {
+    const Result<ConfigPtr> newer = store_.ReadNewer(history_.version());
+    if (!newer && newer.error().code == ErrorCode::kUnavailable) {
+      SetReachable(false, newer.error());
+      return false;
+    }
+    SetReachable(true, {});
+    last_success_ = BootClock::now();
+    if (!newer) {
+      LogError(LogEvent::kConfigRejected, "stored configuration: {}",
+               newer.error().message);
+    } else if (newer.value() != nullptr) {
+      Adopt(newer.value());
+    }
+    return true;
+  }
+
+  void PollVms() {
+    Result<std::vector<VmInfo>> vms = platform_->ListVms();
+    if (!vms) {
+      LogWarning(LogEvent::kVmListUnreadable, "{}", vms.error().message);
+      return;
+    }
+    std::vector<VmInfo> list = std::move(vms).value();
+    // This process runs on a VM itself, so an empty list is wrong; acting on
+    // it would close all connections.
+    if (list.empty() || list == vms_) {
+      return;
+    }
+    vms_ = std::move(list);
+    on_event_(VmsChanged{vms_});
+  }
+
+  void SetReachable(bool reachable, const Error& error) {
+    if (reachable == reachable_) {
+      return;
+    }
+    reachable_ = reachable;
+    if (reachable) {
+      LogInfo(LogEvent::kPlatformBack, "the platform answers again");
+    } else {
+      LogWarning(LogEvent::kPlatformAway,
+                 "keeping the known configuration and VM list: {}",
+                 error.message);
+    }
+  }
+
+  bool Adopt(const ConfigPtr& config) {
+    const Result<bool> adopted = history_.Adopt(config);
+    if (!adopted) {
+      LogError(LogEvent::kConfigRejected, "{}", adopted.error().message);
+      return false;
+    }
+    if (adopted.value()) {
+      LogInfo(LogEvent::kConfigAdopted, "configuration version {} with hash {}",
+              ToInt(config->version()), config->content_hash());
+      on_event_(ConfigAdopted{config});
+    }
+    return adopted.value();
+  }
+
+  void Execute(PublishCommand& command) {
+    if (command.based_on < history_.version()) {
+      command.reply(ConfigConflict{history_.version()});
+      return;
+    }
+    const PublishOutcome outcome =
+        store_.Publish(command.based_on, command.document);
+    if (const auto* published = std::get_if<ConfigPublished>(&outcome)) {
+      LogInfo(LogEvent::kConfigPublished,
+              "an operator published configuration version {}",
+              ToInt(published->config->version()));
+      Adopt(published->config);
+    }
+    command.reply(outcome);
+  }
+
+  void Execute(OfferCommand& command) {
+    if (command.version <= history_.version()) {
+      return;
+    }
+    Result<ConfigPtr> config =
+        ConfigSnapshot::Make(command.version, std::move(command.document));
+    if (!config) {
+      LogError(LogEvent::kConfigRejected, "version {} from a peer: {}",
+               ToInt(command.version), config.error().message);
+      return;
+    }
+    if (config.value()->content_hash() != command.content_hash) {
+      LogError(LogEvent::kConfigRejected,
+               "version {} from a peer does not have its hash {}",
+               ToInt(command.version), command.content_hash);
+      return;
+    }
+    Adopt(config.value());
+  }
+
+  void Execute(RefreshCommand& command) {
+    PollConfig();
+    ConfigState state{.config = history_.current(), .vms = vms_};
+    if (last_success_) {
+      state.platform_age =
+          std::chrono::duration_cast<std::chrono::milliseconds>(
+              BootClock::now() - *last_success_);
+    }
+    command.reply(state);
+  }
+
+  const Options options_;
+  const OnEvent on_event_;
+  const std::unique_ptr<PlatformClient> platform_;
+  ConfigStore store_;
+  Ring<Command> commands_;
+  ConfigHistory history_;
+  std::vector<VmInfo> vms_;
+  PollBackoff backoff_;
+  TimePoint next_vm_poll_{};
+  std::optional<TimePoint> last_success_;
+  bool reachable_ = true;
+  std::minstd_rand random_;
+  std::uniform_real_distribution<double> uniform_{0, 1};
+  std::thread thread_;
+};
+
+Result<std::unique_ptr<ConfigWatch>> ConfigWatch::Make(Options options,
+                                                       OnEvent on_event) {
+  BOOST_OUTCOME_TRY(std::unique_ptr<PlatformClient> platform,
+                    PlatformClient::Make(options.platform));
+  auto impl = std::make_unique<Impl>(std::move(options), std::move(platform),
+                                     std::move(on_event));
+  impl->Start();
+  return std::unique_ptr<ConfigWatch>(new ConfigWatch(std::move(impl)));
+}
+
+ConfigWatch::ConfigWatch(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
+
+ConfigWatch::~ConfigWatch() {
+  Stop();
+}
+
+bool ConfigWatch::TryPublish(ConfigVersion based_on,
+                             std::string document,
+                             OnPublished reply) {
+  return impl_->TryPush(PublishCommand{.based_on = based_on,
+                                       .document = std::move(document),
+                                       .reply = std::move(reply)});
+}
+
+bool ConfigWatch::TryOffer(ConfigVersion version,
+                           std::string content_hash,
+                           std::string document) {
+  return impl_->TryPush(OfferCommand{.version = version,
+                                     .content_hash = std::move(content_hash),
+                                     .document = std::move(document)});
+}
+
+bool ConfigWatch::TryRefresh(OnState reply) {
+  return impl_->TryPush(RefreshCommand{.reply = std::move(reply)});
+}
+
+void ConfigWatch::Stop() {
+  impl_->Stop();
+}
+
+}  // namespace carawayrelay
--- a/src/process/events.h
+++ b/src/process/events.h
@@ -10,6 +10,12 @@
   // 18xx telemetry.
   kLinkUp = 1101,
   kLinkDown = 1102,
+  kConfigAdopted = 1201,
+  kConfigPublished = 1202,
+  kConfigRejected = 1203,
+  kPlatformAway = 1701,
+  kPlatformBack = 1702,
+  kVmListUnreadable = 1703,
 };
 
 }  // namespace carawayrelay
--- a/src/process/platform_client.h
+++ b/src/process/platform_client.h
@@ -26,6 +26,8 @@
   std::string zone;
   std::string address;  // "IP:port" of the link listener
   bool leaving = false;
+
+  friend bool operator==(const VmInfo&, const VmInfo&) = default;
 };
 
 // Client of the platform's table service, object store and VM list. Blocking;
@@ -35,8 +37,9 @@
 // Errors: kNotFound, kConflict (the precondition failed), kUnavailable (nothing
 // was written), kUnknown (a write may or may not have taken effect). When the
 // response to a write is lost, the client reads the row back and compares the
-// value, so values must differ between writers; kUnknown is returned only when
-// that read fails as well.
+// value, so values must differ between writers. kUnknown is returned only when
+// that read fails as well, or shows the old value even after a repeat of the
+// write, because a write that is still on its way may land later.
 class PlatformClient {
  public:
   struct Options {
