--- a/src/process/config_watch.cc
+++ b/src/process/config_watch.cc
@@ -53,6 +53,9 @@
     if (thread_.joinable()) {
       thread_.join();
     }
+    // Releases the replies while their owners still exist.
+    while (commands_.TryPop()) {
+    }
   }
 
   bool TryPush(Command command) { return commands_.TryPush(command); }
@@ -91,12 +94,13 @@
 
   bool PollConfig() {
     const Result<ConfigPtr> newer = store_.ReadNewer(history_.version());
+    last_poll_ = BootClock::now();
     if (!newer && newer.error().code == ErrorCode::kUnavailable) {
       SetReachable(false, newer.error());
       return false;
     }
     SetReachable(true, {});
-    last_success_ = BootClock::now();
+    last_success_ = last_poll_;
     if (!newer) {
       LogError(LogEvent::kConfigRejected, "stored configuration: {}",
                newer.error().message);
@@ -187,7 +191,11 @@
   }
 
   void Execute(RefreshCommand& command) {
-    PollConfig();
+    // During an outage each poll may take its whole timeout, so that a read
+    // for every request would hold up the thread.
+    if (reachable_ || BootClock::now() >= last_poll_ + PollBackoff::kInterval) {
+      PollConfig();
+    }
     ConfigState state{.config = history_.current(), .vms = vms_};
     if (last_success_) {
       state.platform_age =
@@ -206,6 +214,7 @@
   std::vector<VmInfo> vms_;
   PollBackoff backoff_;
   TimePoint next_vm_poll_{};
+  TimePoint last_poll_{};
   std::optional<TimePoint> last_success_;
   bool reachable_ = true;
   std::minstd_rand random_;
--- a/src/process/platform_client.cc
+++ b/src/process/platform_client.cc
@@ -112,28 +112,25 @@
         http_->Send({.method = "DELETE",
                      .target = target,
                      .headers = {"If-Match: " + etag}});
-    if (reply) {
-      // A repeat of a delete that took effect finds no row.
-      if (IsSuccess(reply.value().status) ||
-          (reply.value().status == kNotFoundStatus &&
-           reply.value().maybe_repeated)) {
-        return Success();
-      }
-      return ToError(reply.value(), target);
+    if (reply && IsSuccess(reply.value().status)) {
+      return Success();
     }
-    if (reply.error().code != ErrorCode::kUnknown) {
-      return reply.error();
+    const Error error = reply ? ToError(reply.value(), target) : reply.error();
+    // A repeat of a delete that took effect finds no row.
+    const bool lost = reply ? reply.value().maybe_repeated &&
+                                  error.code != ErrorCode::kUnavailable
+                            : error.code == ErrorCode::kUnknown;
+    if (!lost) {
+      return error;
     }
     const Result<Row> row = ReadRow(target);
-    if (row) {
-      return row.value().etag == etag
-                 ? Error{ErrorCode::kUnknown, reply.error().message}
-                 : Error{ErrorCode::kConflict, target + ": row changed"};
-    }
-    if (row.error().code == ErrorCode::kNotFound) {
+    if (!row && row.error().code == ErrorCode::kNotFound) {
       return Success();
     }
-    return Error{ErrorCode::kUnknown, reply.error().message};
+    if (row && row.value().etag != etag) {
+      return Error{ErrorCode::kConflict, target + ": row changed"};
+    }
+    return Error{ErrorCode::kUnknown, error.message};
   }
 
   Result<void> WriteObject(const std::string& name, const std::string& data) {
--- /dev/null
+++ b/tests/process/platform_client_test.cc
@@ -0,0 +1,151 @@
+#include <doctest/doctest.h>
+
+#include <deque>
+#include <memory>
+#include <string>
+
+#include "carawayrelay/process.h"
+#include "process/fake_platform.h"
+
+namespace carawayrelay {
+namespace {
+
+using Fault = FakePlatform::Fault;
+
+struct PlatformClientFixture {
+  FakePlatform platform;
+  std::deque<Fault> faults;  // one for each write, then none
+  std::unique_ptr<PlatformClient> client;
+
+  PlatformClientFixture() {
+    platform.on_write = [this] {
+      if (faults.empty()) {
+        return Fault::kNone;
+      }
+      const Fault fault = faults.front();
+      faults.pop_front();
+      return fault;
+    };
+    auto made = PlatformClient::Make({.base_url = platform.url()});
+    REQUIRE(made);
+    client = std::move(made).value();
+  }
+};
+
+TEST_CASE_FIXTURE(PlatformClientFixture,
+                  "PlatformClient, name with reserved characters, is encoded") {
+  const std::string key = "a/b c?%&\xC3\xA9";
+  const auto etag = client->CreateRow("t", key, "v1");
+  REQUIRE(etag);
+  CHECK(platform.Get("/v1/rows/t/" + key) == "v1");
+  REQUIRE(client->UpdateRow("t", key, "v2", etag.value()));
+  const auto rows = client->ListRows("t", "", "", 10);
+  REQUIRE(rows);
+  REQUIRE(rows.value().size() == 1);
+  CHECK(rows.value()[0].key == key);
+  CHECK(rows.value()[0].row.value == "v2");
+}
+
+// Guards against two writers that both believe that they hold a lease.
+TEST_CASE_FIXTURE(PlatformClientFixture,
+                  "PlatformClient, second writer, gets a conflict") {
+  const auto etag = client->CreateRow("t", "k", "first");
+  REQUIRE(etag);
+  CHECK(client->CreateRow("t", "k", "second").error().code ==
+        ErrorCode::kConflict);
+  REQUIRE(client->UpdateRow("t", "k", "third", etag.value()));
+  CHECK(client->UpdateRow("t", "k", "fourth", etag.value()).error().code ==
+        ErrorCode::kConflict);
+  CHECK(client->DeleteRow("t", "k", etag.value()).error().code ==
+        ErrorCode::kConflict);
+  CHECK(platform.Get("/v1/rows/t/k") == "third");
+}
+
+// Guards against reporting a write as failed that took effect. The second
+// write goes over a reused connection, where libcurl repeats it by itself.
+TEST_CASE_FIXTURE(PlatformClientFixture,
+                  "PlatformClient, lost response, finds its write by reading") {
+  faults = {Fault::kLoseResponse, Fault::kNone, Fault::kLoseResponse};
+  const auto created = client->CreateRow("t", "k", "v1");
+  REQUIRE(created);
+  REQUIRE(client->CreateRow("t", "other", "x"));
+  const auto updated = client->UpdateRow("t", "k", "v2", created.value());
+  REQUIRE(updated);
+  CHECK(client->ReadRow("t", "k").value().etag == updated.value());
+  faults = {Fault::kLoseResponse};
+  CHECK(client->DeleteRow("t", "k", updated.value()));
+  faults = {Fault::kLoseResponse};
+  CHECK(client->WriteObject("o", "data"));
+}
+
+// Guards against reporting a write as done that another writer's replaced.
+TEST_CASE_FIXTURE(
+    PlatformClientFixture,
+    "PlatformClient, lost response to a losing write, conflicts") {
+  const auto etag = client->CreateRow("t", "k", "v1");
+  REQUIRE(etag);
+  platform.Put("/v1/rows/t/k", "other");
+  faults = {Fault::kLoseResponse, Fault::kLoseResponse};
+  CHECK(client->UpdateRow("t", "k", "v2", etag.value()).error().code ==
+        ErrorCode::kConflict);
+}
+
+TEST_CASE_FIXTURE(PlatformClientFixture,
+                  "PlatformClient, request lost once, writes once") {
+  faults = {Fault::kDropRequest};
+  REQUIRE(client->CreateRow("t", "k", "v1"));
+  CHECK(platform.Get("/v1/rows/t/k") == "v1");
+}
+
+// Guards against telling a caller "not written" of a write that may land.
+TEST_CASE_FIXTURE(PlatformClientFixture,
+                  "PlatformClient, failed reading back, is unknown") {
+  faults = std::deque<Fault>(10, Fault::kDropRequest);
+  platform.reads_fail = true;
+  CHECK(client->CreateRow("t", "k", "v1").error().code == ErrorCode::kUnknown);
+  platform.reads_fail = false;
+  CHECK(client->CreateRow("t", "k", "v1").error().code == ErrorCode::kUnknown);
+}
+
+TEST_CASE_FIXTURE(PlatformClientFixture,
+                  "PlatformClient, refusal or no server, is unavailable") {
+  faults = {Fault::kRefuse};
+  CHECK(client->CreateRow("t", "k", "v").error().code ==
+        ErrorCode::kUnavailable);
+  CHECK(client->ReadRow("t", "k").error().code == ErrorCode::kNotFound);
+  const auto nowhere = PlatformClient::Make({.base_url = "http://127.0.0.1:1"});
+  REQUIRE(nowhere);
+  CHECK(nowhere.value()->CreateRow("t", "k", "v").error().code ==
+        ErrorCode::kUnavailable);
+  CHECK(nowhere.value()->ReadRow("t", "k").error().code ==
+        ErrorCode::kUnavailable);
+  CHECK(PlatformClient::Make({.base_url = "http://host:80"}).error().code ==
+        ErrorCode::kInvalid);
+}
+
+TEST_CASE_FIXTURE(PlatformClientFixture,
+                  "PlatformClient, object with other data, conflicts") {
+  REQUIRE(client->WriteObject("config/1", "data"));
+  CHECK(client->WriteObject("config/1", "data"));
+  CHECK(client->WriteObject("config/1", "other").error().code ==
+        ErrorCode::kConflict);
+  CHECK(client->ReadObject("config/1").value() == "data");
+}
+
+TEST_CASE_FIXTURE(PlatformClientFixture,
+                  "PlatformClient, VM list, is read or reported as malformed") {
+  platform.vms = {{{"node", "n1"},
+                   {"role", "agent"},
+                   {"zone", "z1"},
+                   {"address", "127.0.0.1:9"},
+                   {"leaving", true}}};
+  const auto vms = client->ListVms();
+  REQUIRE(vms);
+  REQUIRE(vms.value().size() == 1);
+  CHECK(vms.value()[0].leaving);
+  platform.vms = {{{"node", 1}}};
+  CHECK(client->ListVms().error().code == ErrorCode::kUnavailable);
+}
+
+}  // namespace
+}  // namespace carawayrelay
