--- a/src/process/platform_client.cc
+++ b/src/process/platform_client.cc
@@ -118,7 +118,8 @@
     const Error error = reply ? ToError(reply.value(), target) : reply.error();
     // A repeat of a delete that took effect finds no row.
     const bool lost = reply ? reply.value().maybe_repeated &&
-                                  error.code != ErrorCode::kUnavailable
+                                  (error.code == ErrorCode::kConflict ||
+                                   error.code == ErrorCode::kNotFound)
                             : error.code == ErrorCode::kUnknown;
     if (!lost) {
       return error;
--- /dev/null
+++ b/tests/process/config_watch_test.cc
@@ -0,0 +1,135 @@
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "carawayrelay/process.h"
+#include "process/fake_platform.h"
+#include "process/poll_backoff.h"
+#include "property.h"
+
+namespace carawayrelay {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::chrono::seconds kWait{10};
+
+struct ConfigWatchFixture {
+  FakePlatform platform;
+  Ring<ConfigEvent> events{100};
+  std::unique_ptr<ConfigWatch> watch;
+
+  ~ConfigWatchFixture() {
+    events.Close();
+    watch.reset();
+  }
+
+  void Start() {
+    auto made = ConfigWatch::Make(
+        {.platform = {.base_url = platform.url()},
+         .vm_interval = milliseconds(10)},
+        [this](ConfigEvent event) { events.Push(std::move(event)); });
+    REQUIRE(made);
+    watch = std::move(made).value();
+  }
+
+  // The next event of the kind; others are dropped.
+  template <class Event>
+  Event Next() {
+    const TimePoint deadline = BootClock::now() + kWait;
+    while (auto event = events.PopUntil(deadline)) {
+      if (auto* wanted = std::get_if<Event>(&*event)) {
+        return std::move(*wanted);
+      }
+    }
+    FAIL("no event");
+    return {};
+  }
+
+  static std::string DocumentWithZone(const std::string& zone) {
+    ConfigDocument document;
+    document.zones_out = {zone};
+    return ToJson(document);
+  }
+
+  void Offer(std::uint64_t version, const std::string& zone) {
+    const std::string text = DocumentWithZone(zone);
+    REQUIRE(watch->TryOffer(ConfigVersion{version}, Sha256Hex(text), text));
+  }
+
+  ConfigState State() {
+    Ring<ConfigState> states(1);
+    REQUIRE(watch->TryRefresh([&](const ConfigState& s) { states.Push(s); }));
+    auto state = states.PopUntil(BootClock::now() + kWait);
+    REQUIRE(state);
+    return *state;
+  }
+};
+
+TEST_CASE_FIXTURE(ConfigWatchFixture,
+                  "ConfigWatch, change by another entry, is adopted") {
+  Start();
+  const auto client = PlatformClient::Make({.base_url = platform.url()});
+  ConfigStore(*client.value()).Publish(kNoConfig, DocumentWithZone("a"));
+  const TimePoint start = BootClock::now();
+  CHECK(Next<ConfigAdopted>().config->IsZoneOut("a"));
+  CHECK(BootClock::now() - start < std::chrono::seconds(5));
+}
+
+// Guards against a peer that brings back an old version or a damaged one.
+TEST_CASE_FIXTURE(ConfigWatchFixture,
+                  "ConfigWatch, versions from peers, adopts only newer ones") {
+  Start();
+  Offer(5, "five");
+  CHECK(Next<ConfigAdopted>().config->IsZoneOut("five"));
+  Offer(4, "four");
+  watch->TryOffer(ConfigVersion{6}, "wrong hash", DocumentWithZone("six"));
+  CHECK(State().config->version() == ConfigVersion{5});
+  // The store is behind, so a write based on its version must not be accepted.
+  Ring<PublishOutcome> outcomes(1);
+  watch->TryPublish(kNoConfig, DocumentWithZone("a"),
+                    [&](PublishOutcome o) { outcomes.Push(std::move(o)); });
+  const auto outcome = outcomes.PopUntil(BootClock::now() + kWait);
+  REQUIRE(outcome);
+  REQUIRE(std::holds_alternative<ConfigConflict>(*outcome));
+  CHECK(std::get<ConfigConflict>(*outcome).current == ConfigVersion{5});
+}
+
+// Guards against closing all connections because the list cannot be read.
+TEST_CASE_FIXTURE(ConfigWatchFixture,
+                  "ConfigWatch, platform away, keeps the last VM list") {
+  platform.vms = {{{"node", "n1"},
+                   {"role", "agent"},
+                   {"zone", "z1"},
+                   {"address", "127.0.0.1:9"}}};
+  Start();
+  CHECK(Next<VmsChanged>().vms.size() == 1);
+  platform.reads_fail = true;
+  const int reads = platform.reads;
+  while (platform.reads < reads + 2) {
+    events.PopUntil(BootClock::now() + milliseconds(100));
+  }
+  CHECK(State().vms.size() == 1);
+}
+
+// Guards against a slow return to work after an outage (I13).
+TEST_CASE_FIXTURE(ConfigWatchFixture,
+                  "PollBackoff, outage of any length, stays within 2 s") {
+  CheckProperty("delay",
+                [](const std::vector<bool>& polls, std::uint8_t random) {
+                  PollBackoff backoff;
+                  const double jitter = random / 256.0;
+                  for (const bool succeeded : polls) {
+                    const milliseconds delay = backoff.Next(succeeded, jitter);
+                    RC_ASSERT(delay >= milliseconds(500));
+                    RC_ASSERT(delay <= milliseconds(2000));
+                    RC_ASSERT(!succeeded || delay <= milliseconds(1000));
+                  }
+                });
+}
+
+}  // namespace
+}  // namespace carawayrelay
