--- a/src/process/http_client.cc
+++ b/src/process/http_client.cc
@@ -18,8 +18,8 @@
     std::unique_ptr<curl_slist, decltype(&curl_slist_free_all)>;
 
 void InitCurl() {
-  static const CURLcode kInitialised = curl_global_init(CURL_GLOBAL_DEFAULT);
-  (void)kInitialised;
+  static const CURLcode initialised = curl_global_init(CURL_GLOBAL_DEFAULT);
+  (void)initialised;
 }
 
 size_t AppendBody(char* data, size_t size, size_t count, void* reply) {
--- a/tests/process/config_watch_test.cc
+++ b/tests/process/config_watch_test.cc
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include <chrono>
+#include <future>
 #include <memory>
 #include <string>
 #include <vector>
@@ -61,11 +62,19 @@
   }
 
   ConfigState State() {
-    Ring<ConfigState> states(1);
-    REQUIRE(watch->TryRefresh([&](const ConfigState& s) { states.Push(s); }));
-    auto state = states.PopUntil(BootClock::now() + kWait);
-    REQUIRE(state);
-    return *state;
+    return Await<ConfigState>(
+        [&](auto reply) { return watch->TryRefresh(std::move(reply)); });
+  }
+
+  // Gives a command with a reply and waits for the reply.
+  template <class Reply, class Give>
+  static Reply Await(Give give) {
+    const auto promise = std::make_shared<std::promise<Reply>>();
+    REQUIRE(
+        give([promise](Reply reply) { promise->set_value(std::move(reply)); }));
+    auto future = promise->get_future();
+    REQUIRE(future.wait_for(kWait) == std::future_status::ready);
+    return future.get();
   }
 };
 
@@ -89,13 +98,12 @@
   watch->TryOffer(ConfigVersion{6}, "wrong hash", DocumentWithZone("six"));
   CHECK(State().config->version() == ConfigVersion{5});
   // The store is behind, so a write based on its version must not be accepted.
-  Ring<PublishOutcome> outcomes(1);
-  watch->TryPublish(kNoConfig, DocumentWithZone("a"),
-                    [&](PublishOutcome o) { outcomes.Push(std::move(o)); });
-  const auto outcome = outcomes.PopUntil(BootClock::now() + kWait);
-  REQUIRE(outcome);
-  REQUIRE(std::holds_alternative<ConfigConflict>(*outcome));
-  CHECK(std::get<ConfigConflict>(*outcome).current == ConfigVersion{5});
+  const auto outcome = Await<PublishOutcome>([&](auto reply) {
+    return watch->TryPublish(kNoConfig, DocumentWithZone("a"),
+                             std::move(reply));
+  });
+  REQUIRE(std::holds_alternative<ConfigConflict>(outcome));
+  CHECK(std::get<ConfigConflict>(outcome).current == ConfigVersion{5});
 }
 
 // Guards against closing all connections because the list cannot be read.
