Add the operators' commands

Commands are a variant run by a visitor. A request that libcurl repeated after a broken connection no longer counts as not sent when the second connection fails: the kind of the error does not tell, the number of sent bytes does.

--- a/include/carawayrelay/version.h
+++ b/include/carawayrelay/version.h
@@ -4,8 +4,10 @@
 // configuration.
 
 #include "version/config_document.h"
+#include "version/config_edit.h"
 #include "version/config_history.h"
 #include "version/config_snapshot.h"
 #include "version/findings.h"
+#include "version/issued_key.h"
 #include "version/json_reader.h"
 #include "version/secret_hash.h"
--- /dev/null
+++ b/src/process/admin_client.cc
@@ -0,0 +1,131 @@
+#include "process/admin_client.h"
+
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "process/api_reply.h"
+
+namespace carawayrelay {
+namespace {
+
+using nlohmann::json;
+
+// An entry may read back a lost write several times before it answers.
+constexpr std::chrono::milliseconds kRequestTimeout{20000};
+constexpr int kMaxSends = 3;
+
+HttpClient::Options OptionsFor(const std::string& url) {
+  return {.base_url = url, .request_timeout = kRequestTimeout};
+}
+
+}  // namespace
+
+Result<std::unique_ptr<AdminClient>> AdminClient::Make(
+    const std::vector<std::string>& urls) {
+  if (urls.empty()) {
+    return Error{ErrorCode::kInvalid,
+                 "no admin address; give --admin http://IP:port or set "
+                 "CARAWAYRELAY_ADMIN"};
+  }
+  std::vector<std::unique_ptr<HttpClient>> entries;
+  for (const std::string& url : urls) {
+    BOOST_OUTCOME_TRY(auto entry, HttpClient::Make(OptionsFor(url)));
+    entries.push_back(std::move(entry));
+  }
+  return std::unique_ptr<AdminClient>(new AdminClient(std::move(entries)));
+}
+
+Result<std::string> AdminClient::Send(const HttpCall& call) {
+  Error last{ErrorCode::kUnavailable, "no entry"};
+  for (const std::unique_ptr<HttpClient>& entry : entries_) {
+    const Result<HttpReply> reply = entry->Send(call);
+    const Result<std::string> body =
+        reply ? ToResult(reply.value()) : Result<std::string>(reply.error());
+    if (!body && body.error().code == ErrorCode::kConflict &&
+        reply.value().maybe_repeated) {
+      // The conflict may be with the first copy of this same write.
+      return Error{ErrorCode::kUnknown, body.error().message};
+    }
+    if (body || body.error().code != ErrorCode::kUnavailable) {
+      return body;
+    }
+    last = body.error();
+  }
+  return last;
+}
+
+Result<AdminConfig> AdminClient::Read() {
+  const Result<std::string> body =
+      Send({.method = "GET", .target = "/admin/config"});
+  if (!body) {
+    return Error{ErrorCode::kUnavailable, body.error().message};
+  }
+  const json reply = json::parse(body.value(), nullptr, false);
+  if (!reply.is_object() || !reply.contains("document") ||
+      !reply.value("version", json()).is_number_unsigned()) {
+    return Error{ErrorCode::kInternal, "malformed response of the admin API"};
+  }
+  Findings findings;
+  auto document = ParseConfigDocument(reply["document"].dump(), findings);
+  if (!document) {
+    return Error{ErrorCode::kInternal,
+                 "the entry's configuration does not pass this program's "
+                 "checks; use the same version:\n" +
+                     findings.ToText()};
+  }
+  return AdminConfig{
+      .version = ConfigVersion{reply["version"].get<std::uint64_t>()},
+      .document = *std::move(document)};
+}
+
+Result<ConfigVersion> AdminClient::Publish(ConfigVersion based_on,
+                                           const ConfigDocument& document) {
+  const std::string text = ToJson(document);
+  const json body = {{"based_on", ToInt(based_on)},
+                     {"document", json::parse(text)}};
+  const HttpCall call{.method = "POST",
+                      .target = "/admin/config",
+                      .headers = {"Content-Type: application/json"},
+                      .body = body.dump()};
+  const ConfigVersion next{ToInt(based_on) + 1};
+  bool lost = false;
+  Error last;
+  for (int sends = 0; sends < kMaxSends; ++sends) {
+    const Result<std::string> sent = Send(call);
+    if (sent) {
+      return next;
+    }
+    last = sent.error();
+    lost = lost || last.code == ErrorCode::kUnknown;
+    if (!lost) {
+      return last;
+    }
+    // From here on a conflict may be with the first copy of this write.
+    const Result<AdminConfig> current = Read();
+    if (!current) {
+      break;
+    }
+    const ConfigVersion version = current.value().version;
+    if (version > next) {
+      break;
+    }
+    if (version == next) {
+      return ToJson(current.value().document) == text
+                 ? Result<ConfigVersion>(next)
+                 : Error{ErrorCode::kConflict,
+                         "another change became version " +
+                             std::to_string(ToInt(next))};
+    }
+  }
+  return Error{ErrorCode::kUnknown, last.message};
+}
+
+Result<std::string> AdminClient::Status(const std::string& url) {
+  BOOST_OUTCOME_TRY(const auto entry, HttpClient::Make(OptionsFor(url)));
+  BOOST_OUTCOME_TRY(const HttpReply reply,
+                    entry->Send({.method = "GET", .target = "/admin/status"}));
+  return ToResult(reply);
+}
+
+}  // namespace carawayrelay
--- /dev/null
+++ b/src/process/command_check.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "process/command.h"
+#include "process/exit_code.h"
+
+namespace carawayrelay {
+
+// The kind of file that the field names of a JSON text belong to. Nothing when
+// they fit no kind or two kinds equally well.
+std::optional<FileKind> RecogniseFile(const std::string& json);
+
+// Prints all findings with their JSON path.
+ExitCode RunCheck(const CheckCommand& command, const CommandContext& context);
+
+// Prints one line for each finding: "<file>: <path>: <message>".
+void PrintFindings(const std::string& file,
+                   const Findings& findings,
+                   std::ostream& out);
+
+}  // namespace carawayrelay
--- /dev/null
+++ b/src/process/command_runner.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "process/command.h"
+#include "process/exit_code.h"
+
+namespace carawayrelay {
+
+// Runs a command to its end and prints its result. Returns the exit status of
+// the process.
+int RunCommand(const Command& command, const CommandContext& context);
+
+}  // namespace carawayrelay
--- a/src/process/http_client.cc
+++ b/src/process/http_client.cc
@@ -90,16 +90,16 @@
     Prepare(call, headers.get(), reply);
     const CURLcode code = curl_easy_perform(curl_.get());
     if (code != CURLE_OK) {
-      return Error{
-          WasSent(code) ? ErrorCode::kUnknown : ErrorCode::kUnavailable,
-          options_.base_url + ": " + curl_easy_strerror(code)};
+      return Error{WasSent() ? ErrorCode::kUnknown : ErrorCode::kUnavailable,
+                   options_.base_url + ": " + curl_easy_strerror(code)};
     }
     long status = 0;
     long connects = 0;
     curl_easy_getinfo(curl_.get(), CURLINFO_RESPONSE_CODE, &status);
     curl_easy_getinfo(curl_.get(), CURLINFO_NUM_CONNECTS, &connects);
     reply.status = static_cast<int>(status);
-    reply.maybe_repeated = connects > 0;
+    reply.maybe_repeated = connects > 0 && has_connected_;
+    has_connected_ = true;
     return reply;
   }
 
@@ -136,10 +136,9 @@
     }
   }
 
-  bool WasSent(CURLcode code) const {
-    if (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST) {
-      return false;
-    }
+  // The kind of error does not tell: after a reused connection broke, libcurl
+  // opens another one and may fail with "could not connect".
+  bool WasSent() const {
     long request_bytes = 0;
     curl_easy_getinfo(curl_.get(), CURLINFO_REQUEST_SIZE, &request_bytes);
     return request_bytes > 0;
@@ -147,6 +146,7 @@
 
   Options options_;
   CurlPtr curl_;
+  bool has_connected_ = false;
 };
 
 Result<std::unique_ptr<HttpClient>> HttpClient::Make(Options options) {
--- a/src/process/http_client.h
+++ b/src/process/http_client.h
@@ -23,9 +23,9 @@
   // Names in lower case.
   std::map<std::string, std::string> headers;
   std::string body;
-  // True when a new connection was opened for the call. libcurl then may have
-  // sent the call twice: it repeats a call whose reused connection closed
-  // before the first byte of a response.
+  // True when a connection was opened although one was open before. libcurl
+  // then may have sent the call twice: it repeats a call whose reused
+  // connection closed before the first byte of a response.
   bool maybe_repeated = false;
 
   // The value of a header, or an empty string.
--- a/tests/process/admin_api_test.cc
+++ b/tests/process/admin_api_test.cc
@@ -6,36 +6,19 @@
 #include <utility>
 
 #include "carawayrelay/process.h"
-#include "process/fake_platform.h"
+#include "process/admin_fixture.h"
 
 namespace carawayrelay {
 namespace {
 
 using nlohmann::json;
 
-struct AdminApiFixture {
-  FakePlatform platform;
-  std::unique_ptr<ConfigWatch> watch =
-      ConfigWatch::Make({.platform = {.base_url = platform.url()}},
-                        [](const ConfigEvent&) {})
-          .value();
-  AdminApi api{*watch, {.node = "n1", .zone = "z1", .entry_status = [] {
-                          return std::string(R"({"requests":3})");
-                        }}};
-  std::pair<std::unique_ptr<HttpServer>, std::string> server = ServeOnFreePort(
-      [this](const HttpRequest& request, const HttpExchangePtr& exchange) {
-        api.Handle(request, exchange);
-      });
+struct AdminApiFixture : AdminFixture {
   std::unique_ptr<HttpClient> http =
       HttpClient::Make({.base_url = server.second,
                         .request_timeout = std::chrono::milliseconds(10000)})
           .value();
 
-  ~AdminApiFixture() {
-    watch->Stop();
-    server.first->Stop();
-  }
-
   std::pair<int, json> Call(const std::string& method,
                             const std::string& target,
                             const json& body = {}) {
--- /dev/null
+++ b/tests/process/command_job_test.cc
@@ -0,0 +1,108 @@
+#include <doctest/doctest.h>
+
+#include <cstdio>
+#include <fstream>
+#include <map>
+#include <mutex>
+#include <sstream>
+#include <string>
+
+#include "carawayrelay/process.h"
+#include "process/fake_platform.h"
+
+namespace carawayrelay {
+namespace {
+
+using nlohmann::json;
+
+struct CommandJobFixture {
+  std::mutex mutex;
+  std::map<std::string, std::string> requests;  // last body of each path
+  std::map<std::string, std::pair<int, std::string>> replies;
+  int drops = 0;  // requests to leave without a response
+  std::pair<std::unique_ptr<HttpServer>, std::string> server = ServeOnFreePort(
+      [this](const HttpRequest& request, const HttpExchangePtr& exchange) {
+        const std::lock_guard lock(mutex);
+        requests[request.path] = request.body;
+        if (request.headers.at("authorization") != "Bearer cr_k_s") {
+          exchange->Reply(401, {}, "");
+        } else if (drops > 0) {
+          --drops;
+        } else {
+          const auto& [status, body] = replies.at(request.path);
+          exchange->Reply(status, {}, body);
+        }
+      });
+  std::ostringstream out;
+  std::ostringstream err;
+  CommandContext context{.api_url = server.second,
+                         .api_key = "cr_k_s",
+                         .out = out,
+                         .err = err};
+  const std::string file =
+      "/tmp/relay_job_test." + std::to_string(::getpid()) + ".jsonl";
+
+  CommandJobFixture() {
+    std::ofstream(file) << R"({"messages": []})" << '\n';
+    replies["/v1/files"] = {200, R"({"id": "f1"})"};
+    replies["/v1/batches"] = {200, R"({"id": "b1", "status": "in_progress"})"};
+  }
+  ~CommandJobFixture() {
+    server.first->Stop();
+    std::remove(file.c_str());
+  }
+
+  int Run(const Command& command) { return RunCommand(command, context); }
+};
+
+// Guards against a second job after a lost response.
+TEST_CASE_FIXTURE(CommandJobFixture,
+                  "job submit, lost responses, sends the same job again") {
+  drops = 2;
+  CHECK(Run(JobSubmitCommand{.file = file, .name = "night", .model = "m"}) ==
+        0);
+  const json job = json::parse(requests["/v1/batches"]);
+  CHECK(job["input_file_id"] == "f1");
+  CHECK(job["metadata"]["name"] == "night");
+  const json item = json::parse(requests["/v1/files"]);
+  CHECK(item["custom_id"] == "line-1");
+  CHECK(item["body"]["model"] == "m");
+  CHECK(out.str().find("b1 in_progress") != std::string::npos);
+}
+
+TEST_CASE_FIXTURE(CommandJobFixture,
+                  "job submit, refusals, map to exit codes") {
+  const Command submit = JobSubmitCommand{.file = file, .name = "night"};
+  replies["/v1/batches"] = {409, R"({"error": {"message": "other content"}})"};
+  CHECK(Run(submit) == 3);
+  replies["/v1/batches"] = {503, R"({"error": {"run_state": "not_run"}})"};
+  CHECK(Run(submit) == 4);
+  replies["/v1/batches"] = {503, R"({"error": {"run_state": "unknown"}})"};
+  CHECK(Run(submit) == 5);
+  context.api_key = "";
+  CHECK(Run(submit) == 2);
+}
+
+// Guards against taking the results of a running job for all of them.
+TEST_CASE_FIXTURE(CommandJobFixture,
+                  "job results, running or ended job, are shown when ended") {
+  replies["/v1/batches/b1"] = {200, R"({"id": "b1", "status": "in_progress"})"};
+  CHECK(Run(JobResultsCommand{"b1"}) == 1);
+  replies["/v1/batches/b1"] = {
+      200, R"({"id": "b1", "status": "completed", "output_file_id": "o",
+               "error_file_id": "e"})"};
+  replies["/v1/files/o/content"] = {200, "output\n"};
+  replies["/v1/files/e/content"] = {200, "error\n"};
+  CHECK(Run(JobResultsCommand{"b1"}) == 0);
+  CHECK(out.str() == "output\nerror\n");
+}
+
+TEST_CASE_FIXTURE(CommandJobFixture,
+                  "CompleteBatchLines, whole items, stay as they are") {
+  const std::string item = R"({"custom_id":"a","body":{"model":"x"}})";
+  CHECK(CompleteBatchLines(item + "\nnot json\n", "m") ==
+        item + "\nnot json\n");
+}
+
+}  // namespace
+}  // namespace carawayrelay
--- /dev/null
+++ b/tests/process/http_client_test.cc
@@ -0,0 +1,82 @@
+#include <doctest/doctest.h>
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/read_until.hpp>
+#include <asio/streambuf.hpp>
+#include <asio/write.hpp>
+#include <string>
+#include <thread>
+
+#include "carawayrelay/process.h"
+
+namespace carawayrelay {
+namespace {
+
+using asio::ip::tcp;
+
+struct HttpClientFixture {
+  asio::io_context io;
+  tcp::acceptor acceptor{io,
+                         tcp::endpoint(asio::ip::address_v4::loopback(), 0)};
+  std::unique_ptr<HttpClient> client =
+      HttpClient::Make(
+          {.base_url = "http://127.0.0.1:" +
+                       std::to_string(acceptor.local_endpoint().port())})
+          .value();
+
+  static void ReadRequest(tcp::socket& socket) {
+    asio::streambuf buffer;
+    asio::read_until(socket, buffer, "\r\n\r\n");
+  }
+
+  static void Answer(tcp::socket& socket) {
+    ReadRequest(socket);
+    asio::write(socket, asio::buffer(std::string(
+                            "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")));
+  }
+};
+
+// Guards against reporting a write as not sent when the server received it
+// and went away: libcurl repeats it and reports the failed second connection.
+TEST_CASE_FIXTURE(HttpClientFixture,
+                  "HttpClient, server gone after it read, is unknown") {
+  std::thread server([&] {
+    tcp::socket socket = acceptor.accept();
+    Answer(socket);
+    acceptor.close();
+    ReadRequest(socket);
+  });
+  REQUIRE(client->Send({.method = "PUT", .target = "/a"}));
+  const auto lost = client->Send({.method = "PUT", .target = "/b"});
+  server.join();
+  REQUIRE_FALSE(lost);
+  CHECK(lost.error().code == ErrorCode::kUnknown);
+  const auto refused = client->Send({.method = "PUT", .target = "/c"});
+  REQUIRE_FALSE(refused);
+  CHECK(refused.error().code == ErrorCode::kUnavailable);
+}
+
+// Guards against taking a conflict with the own first copy for a lost race.
+TEST_CASE_FIXTURE(HttpClientFixture,
+                  "HttpClient, call repeated by libcurl, is marked") {
+  std::thread server([&] {
+    {
+      tcp::socket socket = acceptor.accept();
+      Answer(socket);
+      ReadRequest(socket);
+    }
+    tcp::socket socket = acceptor.accept();
+    Answer(socket);
+  });
+  const auto first = client->Send({.method = "PUT", .target = "/a"});
+  REQUIRE(first);
+  CHECK_FALSE(first.value().maybe_repeated);
+  const auto second = client->Send({.method = "PUT", .target = "/b"});
+  server.join();
+  REQUIRE(second);
+  CHECK(second.value().maybe_repeated);
+}
+
+}  // namespace
+}  // namespace carawayrelay
