--- a/include/carawayrelay/process.h
+++ b/include/carawayrelay/process.h
@@ -2,7 +2,21 @@
 
 // Public header of the process library: what lives as long as the process.
 
+#include "process/admin_api.h"
+#include "process/admin_client.h"
+#include "process/api_reply.h"
+#include "process/command.h"
+#include "process/command_check.h"
+#include "process/command_config.h"
+#include "process/command_help.h"
+#include "process/command_job.h"
+#include "process/command_line.h"
+#include "process/command_runner.h"
+#include "process/config_store.h"
+#include "process/config_watch.h"
 #include "process/events.h"
+#include "process/exit_code.h"
+#include "process/http_client.h"
 #include "process/http_server.h"
 #include "process/limit_holder.h"
 #include "process/limit_lease_book.h"
@@ -12,4 +26,6 @@
 #include "process/link_thread.h"
 #include "process/log.h"
 #include "process/platform_client.h"
+#include "process/refusal_json.h"
 #include "process/ring.h"
+#include "process/text_file.h"
--- a/src/process/events.h
+++ b/src/process/events.h
@@ -14,6 +14,12 @@
   kLimitLeaseLost = 1402,
   kLimitsStoreDown = 1403,
   kLimitRowMalformed = 1404,
+  kConfigAdopted = 1201,
+  kConfigPublished = 1202,
+  kConfigRejected = 1203,
+  kPlatformAway = 1701,
+  kPlatformBack = 1702,
+  kVmListUnreadable = 1703,
 };
 
 }  // namespace carawayrelay
