Add the decisions of the agent

The gate, the concurrency window, the fence book and the sharing of batch room are state machines without threads or encodings, so that tests can feed them events. Not yet driven by a process.

--- a/include/carawayrelay/connection.h
+++ b/include/carawayrelay/connection.h
@@ -2,5 +2,8 @@
 
 // Public header of the connection library: what lives for one connection.
 
+#include "connection/concurrency_window.h"
+#include "connection/fence_book.h"
 #include "connection/message.h"
+#include "connection/room_shares.h"
 #include "connection/wire_codec.h"
--- a/include/carawayrelay/request.h
+++ b/include/carawayrelay/request.h
@@ -8,3 +8,4 @@
 #include "request/ids.h"
 #include "request/overloaded.h"
 #include "request/refusal.h"
+#include "request/sse_parser.h"
--- /dev/null
+++ b/src/connection/room_shares.cc
@@ -0,0 +1,97 @@
+#include "connection/room_shares.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace carawayrelay {
+
+void RoomShares::Add(ConnectionId connection, TimePoint now) {
+  members_[connection] = {
+      .last_submit = now, .unused_since = now, .last_sent = {}};
+}
+
+void RoomShares::Remove(ConnectionId connection) {
+  members_.erase(connection);
+}
+
+void RoomShares::OnSubmit(ConnectionId connection, TimePoint now) {
+  const auto it = members_.find(connection);
+  if (it == members_.end()) {
+    return;
+  }
+  Member& member = it->second;
+  member.offered = std::max(0, member.offered - 1);
+  member.is_idle = false;
+  member.last_submit = now;
+  member.unused_since = now;
+}
+
+std::vector<RoomShares::Offer> RoomShares::Share(int room, TimePoint now) {
+  MarkIdle(now);
+  const std::map<ConnectionId, int> targets = Targets(room);
+  std::vector<Offer> changed;
+  const auto set = [&](ConnectionId connection, Member& member, int items) {
+    if (member.offered == 0) {
+      member.unused_since = now;
+    }
+    member.offered = items;
+    member.last_sent = now;
+    changed.push_back({connection, items});
+  };
+  for (auto& [connection, member] : members_) {
+    const int target = targets.at(connection);
+    const bool is_due = now - member.last_sent >= kRebalanceInterval;
+    if (is_due &&
+        (member.is_idle ? target != member.offered : target < member.offered)) {
+      set(connection, member, target);
+    }
+  }
+  // An entry with work must not wait for more room, but gets only what is not
+  // offered to others.
+  int left = room - offered();
+  for (auto& [connection, member] : members_) {
+    const int more = std::min(targets.at(connection) - member.offered, left);
+    if (!member.is_idle && more > 0) {
+      left -= more;
+      set(connection, member, member.offered + more);
+    }
+  }
+  return changed;
+}
+
+int RoomShares::offered() const {
+  int sum = 0;
+  for (const auto& [connection, member] : members_) {
+    sum += member.is_idle ? 0 : member.offered;
+  }
+  return sum;
+}
+
+void RoomShares::MarkIdle(TimePoint now) {
+  for (auto& [connection, member] : members_) {
+    if (member.offered > 0 && now - member.unused_since > kUnusedLimit) {
+      member.is_idle = true;
+    }
+  }
+}
+
+std::map<ConnectionId, int> RoomShares::Targets(int room) const {
+  room = std::max(room, 0);
+  std::map<ConnectionId, int> targets;
+  std::vector<std::pair<TimePoint, ConnectionId>> active;
+  for (const auto& [connection, member] : members_) {
+    targets[connection] = std::min(room, 1);
+    if (!member.is_idle) {
+      active.emplace_back(member.last_submit, connection);
+    }
+  }
+  // The remainder goes to those that waited longest since their last item.
+  std::sort(active.begin(), active.end());
+  const int count = static_cast<int>(active.size());
+  for (int i = 0; i < count; ++i) {
+    targets[active[i].second] = room / count + (i < room % count ? 1 : 0);
+  }
+  return targets;
+}
+
+}  // namespace carawayrelay
--- /dev/null
+++ b/src/process/gate.cc
@@ -0,0 +1,423 @@
+#include "process/gate.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+#include "process/submit_check.h"
+
+namespace carawayrelay {
+namespace {
+
+Refusal MakeRefusal(RefusalCode code, RunState run_state, std::string reason) {
+  return {.code = code, .run_state = run_state, .reason = std::move(reason)};
+}
+
+Refusal NotRun(RefusalCode code, std::string reason) {
+  return MakeRefusal(code, RunState::kNotRun, std::move(reason));
+}
+
+EngineCall MakeEngineCall(CallId id, Submit& submit) {
+  return {.call = id,
+          .method = std::move(submit.method),
+          .path = std::move(submit.path),
+          .body = std::move(submit.body),
+          .stream = submit.stream,
+          .traceparent = std::move(submit.traceparent),
+          .idempotency_key = std::move(submit.idempotency_key),
+          .chunk = std::move(submit.chunk)};
+}
+
+// Changes that keep entries from sending work in vain.
+bool IsUrgent(const Status& a, const Status& b) {
+  return a.leaving != b.leaving || a.zone_out != b.zone_out ||
+         a.config_version != b.config_version;
+}
+
+bool IsEqual(const Status& a, const Status& b) {
+  return !IsUrgent(a, b) && a.window == b.window &&
+         a.running_online == b.running_online &&
+         a.running_batch == b.running_batch && a.cold == b.cold;
+}
+
+}  // namespace
+
+Gate::Gate(Options options, TimePoint now)
+    : options_(std::move(options)),
+      window_(options_.window),
+      status_sent_at_(now) {}
+
+std::vector<GateAction> Gate::Handle(GateEvent event, TimePoint now) {
+  now_ = now;
+  std::visit([this](auto& e) { On(e); }, event);
+  // Parts are most of the events and change nothing below.
+  if (!std::holds_alternative<EnginePart>(event)) {
+    Settle();
+    BreakOffOverdue();
+    SendHints();
+    if (drain_deadline_ && calls_.empty() && !is_drained_) {
+      is_drained_ = true;
+      actions_.emplace_back(Drained{});
+    }
+  }
+  return std::exchange(actions_, {});
+}
+
+ConfigVersion Gate::config_version() const {
+  return config_ ? config_->version() : kNoConfig;
+}
+
+void Gate::On(LinkUp& event) {
+  if (event.peer.link_class == LinkClass::kPeer) {
+    return;
+  }
+  peers_[event.connection] = {.link_class = event.peer.link_class};
+  if (event.peer.link_class == LinkClass::kBatch) {
+    shares_.Add(event.connection, now_);
+  }
+  if (event.peer.config_version < config_version()) {
+    SendConfig(event.connection);
+  }
+  Send(event.connection, MakeStatus());
+}
+
+void Gate::On(LinkMessage& event) {
+  if (!peers_.contains(event.connection)) {
+    return;
+  }
+  std::visit(Overloaded{
+                 [&](Submit& m) { OnSubmit(event.connection, m); },
+                 [&](Cancel& m) { OnCancel(event.connection, m); },
+                 [&](ConfigUpdate& m) { OnConfigUpdate(event.connection, m); },
+                 [](auto&) {},
+             },
+             event.message);
+}
+
+void Gate::On(LinkDown& event) {
+  peers_.erase(event.connection);
+  shares_.Remove(event.connection);
+  std::vector<AttemptId> lost;
+  for (auto it = attempts_.lower_bound({event.connection, AttemptId{0}});
+       it != attempts_.end() && it->first.first == event.connection; ++it) {
+    lost.push_back(it->first.second);
+  }
+  for (const AttemptId attempt : lost) {
+    OnCancel(event.connection, Cancel{attempt});
+  }
+}
+
+void Gate::OnSubmit(ConnectionId connection, Submit& submit) {
+  const Peer& peer = peers_.at(connection);
+  const bool is_batch = peer.link_class == LinkClass::kBatch;
+  const AttemptKey key{connection, submit.attempt};
+  if (is_batch) {
+    shares_.OnSubmit(connection, now_);
+  }
+  if (attempts_.contains(key)) {
+    // The first Submit of this id may run, so `not_run` would be false for the
+    // entry, which knows only the id.
+    Refuse(key, MakeRefusal(RefusalCode::kInvalidRequest, RunState::kUnknown,
+                            "attempt id is in use"));
+    return;
+  }
+  std::optional<Refusal> refusal =
+      CheckSubmit(submit, {.link_class = peer.link_class,
+                           .is_leaving = drain_deadline_.has_value(),
+                           .zone = options_.zone,
+                           .routes = options_.routes,
+                           .config = config_.get()});
+  if (!refusal && is_batch &&
+      !fences_.Accept(submit.chunk->job, submit.chunk->chunk,
+                      submit.chunk->fence)) {
+    refusal = NotRun(RefusalCode::kFenced, "the chunk has a newer owner");
+  }
+  if (!refusal && is_batch &&
+      (!waiting_.empty() || running() >= window_.size())) {
+    refusal = NotRun(RefusalCode::kWindowFull, "no room for batch items");
+  }
+  if (refusal) {
+    if (refusal->code == RefusalCode::kStaleConfig) {
+      SendConfig(connection);
+    }
+    Refuse(key, *std::move(refusal));
+    return;
+  }
+  const CallId id{next_call_++};
+  Call& call = calls_[id];
+  call.key = key;
+  call.is_batch = is_batch;
+  call.is_stream = submit.stream;
+  call.request = MakeEngineCall(id, submit);
+  attempts_.emplace(key, id);
+  if (is_batch) {
+    Start(call);
+  } else {
+    waiting_.push_back(id);
+  }
+}
+
+bool Gate::IsZoneOut() const {
+  return config_ && config_->IsZoneOut(options_.zone);
+}
+
+void Gate::OnCancel(ConnectionId connection, const Cancel& cancel) {
+  const auto attempt = attempts_.find({connection, cancel.attempt});
+  if (attempt == attempts_.end()) {
+    return;
+  }
+  const auto it = calls_.find(attempt->second);
+  it->second.wants_answer = false;
+  if (it->second.state == CallState::kWaiting) {
+    Erase(it);
+  } else {
+    CancelRunning(it->second);
+  }
+}
+
+void Gate::OnConfigUpdate(ConnectionId connection, ConfigUpdate& update) {
+  if (update.version <= config_version()) {
+    if (update.version < config_version()) {
+      SendConfig(connection);
+    }
+    return;
+  }
+  Result<ConfigPtr> made =
+      ConfigSnapshot::Make(update.version, std::move(update.document));
+  if (!made) {
+    actions_.emplace_back(
+        ConfigRejected{update.version, std::move(made.error().message)});
+    return;
+  }
+  if (made.value()->content_hash() != update.content_hash) {
+    actions_.emplace_back(
+        ConfigRejected{update.version, "content hash does not match"});
+    return;
+  }
+  config_ = std::move(made).value();
+  actions_.emplace_back(ConfigAdopted{config_});
+  if (IsZoneOut()) {
+    CancelAllBatch();
+  }
+}
+
+void Gate::On(EngineStarted& event) {
+  const auto it = calls_.find(event.call);
+  if (it != calls_.end()) {
+    it->second.is_admitted = true;
+  }
+}
+
+void Gate::On(EnginePart& event) {
+  const auto it = calls_.find(event.call);
+  if (it == calls_.end()) {
+    return;
+  }
+  Call& call = it->second;
+  call.is_admitted = true;
+  if (call.parts == 0 && call.is_stream) {
+    window_.OnFirstToken(call.started, now_);
+  }
+  const std::uint64_t sequence = call.parts++;
+  if (call.wants_answer) {
+    Send(call.key.first, Part{.attempt = call.key.second,
+                              .sequence = sequence,
+                              .data = std::move(event.data)});
+  }
+}
+
+void Gate::On(EngineEnd& event) {
+  const auto it = calls_.find(event.call);
+  if (it == calls_.end()) {
+    return;
+  }
+  Call& call = it->second;
+  if (!call.is_stream) {
+    window_.OnResponse(call.started);
+  }
+  if (call.wants_answer) {
+    Send(call.key.first, End{.attempt = call.key.second,
+                             .parts = call.parts,
+                             .http_status = event.http_status,
+                             .content_type = std::move(event.content_type),
+                             .tokens = event.tokens});
+  }
+  Erase(it);
+}
+
+void Gate::On(EngineFailed& event) {
+  const auto it = calls_.find(event.call);
+  if (it == calls_.end()) {
+    return;
+  }
+  if (event.code == RefusalCode::kBackendFailed) {
+    window_.OnFailure(now_);
+  }
+  Answer(it->second,
+         MakeRefusal(event.code, event.run_state, std::move(event.reason)));
+  Erase(it);
+}
+
+void Gate::On(EngineCancelled& event) {
+  const auto it = calls_.find(event.call);
+  if (it == calls_.end()) {
+    return;
+  }
+  Answer(it->second, MakeRefusal(RefusalCode::kCancelled, RunState::kRan,
+                                 "the batch item made room"));
+  Erase(it);
+}
+
+void Gate::On(LoadReport& event) {
+  if (!event.is_reachable) {
+    window_.OnFailure(now_);
+  }
+}
+
+void Gate::On(StopRequested& event) {
+  if (!drain_deadline_) {
+    drain_deadline_ = now_ + options_.drain_limit;
+    CancelAllBatch();
+  }
+}
+
+void Gate::Settle() {
+  while (!waiting_.empty() && running() < window_.size()) {
+    const CallId id = waiting_.front();
+    waiting_.pop_front();
+    Start(calls_.at(id));
+  }
+  // What still waits needs calls that are being cancelled to end.
+  while (waiting() > window_.size() - (running() - cancelling_)) {
+    if (waiting_.empty()) {
+      break;
+    }
+    if (!CancelYoungestBatch()) {
+      const auto it = calls_.find(waiting_.back());
+      Answer(it->second, NotRun(RefusalCode::kWindowFull,
+                                "the window is full of online requests"));
+      Erase(it);
+    }
+  }
+}
+
+void Gate::Start(Call& call) {
+  assert(call.request && running() < window_.size());
+  call.state = CallState::kRunning;
+  call.started = now_;
+  ++(call.is_batch ? running_batch_ : running_online_);
+  actions_.emplace_back(StartCall{*std::move(call.request)});
+  call.request.reset();
+}
+
+void Gate::CancelRunning(Call& call) {
+  if (call.state != CallState::kRunning) {
+    return;
+  }
+  call.state = CallState::kCancelling;
+  ++cancelling_;
+  actions_.emplace_back(CancelCall{attempts_.at(call.key)});
+}
+
+bool Gate::CancelYoungestBatch() {
+  const auto youngest =
+      std::find_if(calls_.rbegin(), calls_.rend(), [](const auto& entry) {
+        return entry.second.is_batch &&
+               entry.second.state == CallState::kRunning;
+      });
+  if (youngest == calls_.rend()) {
+    return false;
+  }
+  CancelRunning(youngest->second);
+  return true;
+}
+
+void Gate::CancelAllBatch() {
+  while (CancelYoungestBatch()) {
+  }
+}
+
+void Gate::BreakOffOverdue() {
+  if (!drain_deadline_ || now_ < *drain_deadline_) {
+    return;
+  }
+  for (auto& [id, call] : calls_) {
+    const RunState run_state = call.state == CallState::kWaiting
+                                   ? RunState::kNotRun
+                               : call.is_admitted ? RunState::kRan
+                                                  : RunState::kUnknown;
+    Answer(call, MakeRefusal(RefusalCode::kLeaving, run_state,
+                             "the agent's drain time limit passed"));
+    CancelRunning(call);
+  }
+  // The process ends now, whether or not the engine thread confirms.
+  calls_.clear();
+  attempts_.clear();
+  waiting_.clear();
+  running_online_ = running_batch_ = cancelling_ = 0;
+}
+
+void Gate::Erase(Calls::iterator it) {
+  const Call& call = it->second;
+  if (call.state == CallState::kWaiting) {
+    waiting_.erase(std::find(waiting_.begin(), waiting_.end(), it->first));
+  } else {
+    --(call.is_batch ? running_batch_ : running_online_);
+    cancelling_ -= call.state == CallState::kCancelling ? 1 : 0;
+  }
+  attempts_.erase(call.key);
+  calls_.erase(it);
+}
+
+void Gate::Answer(Call& call, Refusal refusal) {
+  if (std::exchange(call.wants_answer, false)) {
+    Refuse(call.key, std::move(refusal));
+  }
+}
+
+void Gate::Refuse(const AttemptKey& key, Refusal refusal) {
+  Send(key.first,
+       Refused{.attempt = key.second, .refusal = std::move(refusal)});
+}
+
+void Gate::Send(ConnectionId connection, Message message) {
+  actions_.emplace_back(SendMessage{connection, std::move(message)});
+}
+
+void Gate::SendConfig(ConnectionId connection) {
+  Send(connection, ConfigUpdate{.version = config_->version(),
+                                .content_hash = config_->content_hash(),
+                                .document = config_->json()});
+}
+
+void Gate::SendHints() {
+  const Status status = MakeStatus();
+  const Duration age = now_ - status_sent_at_;
+  const bool is_due =
+      IsUrgent(status, sent_status_) || age >= kStatusMaxInterval ||
+      (age >= kStatusMinInterval && !IsEqual(status, sent_status_));
+  if (is_due) {
+    sent_status_ = status;
+    status_sent_at_ = now_;
+    for (const auto& [connection, peer] : peers_) {
+      Send(connection, status);
+    }
+  }
+  const bool takes_batch = config_ && !drain_deadline_ && !IsZoneOut();
+  const int room = takes_batch ? window_.size() - running() - waiting() : 0;
+  for (const RoomShares::Offer& offer : shares_.Share(room, now_)) {
+    Send(offer.connection, BatchRoom{.items = offer.items});
+  }
+}
+
+Status Gate::MakeStatus() const {
+  return {.window = window_.size(),
+          .running_online = running_online_ + waiting(),
+          .running_batch = running_batch_,
+          .leaving = drain_deadline_.has_value(),
+          .cold = window_.IsCold(),
+          .zone_out = IsZoneOut(),
+          .config_version = config_version()};
+}
+
+}  // namespace carawayrelay
