Run the agent as a process

Joins link, gate, engine and load threads with bounded rings. The gate ring may block the engine thread, so the gate never blocks on the command ring.

--- /dev/null
+++ b/src/process/agent_process.cc
@@ -0,0 +1,238 @@
+#include "process/agent_process.h"
+
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <optional>
+#include <random>
+#include <sstream>
+#include <utility>
+
+#include "process/log.h"
+
+namespace carawayrelay {
+namespace {
+
+constexpr size_t kEventCapacity = 16384;
+// Each running call has at most a start and a cancel in the command ring, and
+// as many may be left of calls that ended meanwhile.
+constexpr size_t kCommandsPerCall = 4;
+// Time for the last messages to reach the entries before the sockets close.
+constexpr std::chrono::milliseconds kFlushTime{200};
+
+std::string MakeRequestIdPrefix(const std::string& node) {
+  std::random_device random;
+  return fmt::format("{}-{:08x}{:08x}", node, random(), random());
+}
+
+Result<std::string> ReadFile(const std::string& path) {
+  const std::ifstream file(path, std::ios::binary);
+  std::ostringstream text;
+  text << file.rdbuf();
+  if (!file) {
+    return Error{ErrorCode::kNotFound, "cannot read " + path};
+  }
+  return std::move(text).str();
+}
+
+sigset_t StopSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  return signals;
+}
+
+}  // namespace
+
+Result<std::unique_ptr<AgentProcess>> AgentProcess::Make(
+    AgentSettings settings) {
+  std::unique_ptr<AgentProcess> agent(new AgentProcess(std::move(settings)));
+  BOOST_OUTCOME_TRY(agent->Start());
+  return agent;
+}
+
+AgentProcess::AgentProcess(AgentSettings settings)
+    : settings_(std::move(settings)), events_(kEventCapacity) {}
+
+AgentProcess::~AgentProcess() {
+  events_.Close();
+  Wait();
+  StopThreads();
+}
+
+Result<void> AgentProcess::Start() {
+  events_.SetSpaceCallback([this] { link_->ResumeReading(); });
+  BOOST_OUTCOME_TRY(
+      engine_,
+      EngineClient::Make(
+          {.url = settings_.backend_url,
+           .kind = settings_.backend_kind,
+           .checks_fences = settings_.engine_checks_fences,
+           .request_id_prefix = MakeRequestIdPrefix(settings_.node),
+           .command_capacity =
+               kCommandsPerCall * static_cast<size_t>(settings_.window.max)},
+          [this](EngineEvent event) {
+            std::visit([this](auto& e) { events_.Push(std::move(e)); }, event);
+          }));
+  BOOST_OUTCOME_TRY(
+      link_, LinkThread::Make(
+                 {.listen_address = settings_.listen_address,
+                  .hello = {.node = settings_.node,
+                            .role = Role::kAgent,
+                            .zone = settings_.zone,
+                            .routes = settings_.routes}},
+                 [this](LinkEvent& event) { return DeliverLinkEvent(event); }));
+  if (settings_.backend_kind == BackendKind::kModel) {
+    BOOST_OUTCOME_TRY(
+        load_,
+        LoadWatch::Make(
+            {.url = settings_.backend_url, .interval = settings_.load_interval},
+            [this](LoadReport report) { events_.TryPush(GateEvent(report)); }));
+  }
+  gate_thread_ = std::thread([this] { RunGate(); });
+  LogInfo(LogEvent::kAgentStarted, "listens on {}, backend server {}",
+          settings_.listen_address, settings_.backend_url);
+  return Success();
+}
+
+bool AgentProcess::DeliverLinkEvent(LinkEvent& event) {
+  GateEvent gate_event =
+      std::visit([](auto& e) { return GateEvent(std::move(e)); }, event);
+  if (events_.TryPush(gate_event)) {
+    return true;
+  }
+  std::visit(Overloaded{
+                 [&](LinkUp& e) { event = std::move(e); },
+                 [&](LinkMessage& e) { event = std::move(e); },
+                 [&](LinkDown& e) { event = std::move(e); },
+                 [](auto&) {},
+             },
+             gate_event);
+  return false;
+}
+
+void AgentProcess::RunGate() {
+  Gate gate({.zone = settings_.zone,
+             .routes = settings_.routes,
+             .window = settings_.window,
+             .drain_limit = settings_.drain_limit},
+            BootClock::now());
+  TimePoint next_tick = BootClock::now() + Gate::kTickInterval;
+  std::optional<TimePoint> end;
+  while (!end || BootClock::now() < *end) {
+    std::optional<GateEvent> event = events_.PopUntil(next_tick);
+    if (!event && events_.IsClosed()) {
+      return;
+    }
+    const TimePoint now = BootClock::now();
+    if (!event || now >= next_tick) {
+      next_tick = now + Gate::kTickInterval;
+    }
+    for (GateAction& action :
+         gate.Handle(event ? *std::move(event) : GateEvent(Tick{}), now)) {
+      if (Perform(action)) {
+        LogInfo(LogEvent::kAgentDrained, "no work is left");
+        end = now + kFlushTime;
+      }
+    }
+  }
+}
+
+bool AgentProcess::Perform(GateAction& action) {
+  bool is_drained = false;
+  std::visit(Overloaded{
+                 [&](SendMessage& a) {
+                   link_->Send(a.connection, std::move(a.message));
+                 },
+                 [&](StartCall& a) {
+                   const CallId id = a.call.call;
+                   if (!engine_->Start(std::move(a.call))) {
+                     // Cannot block here, because the engine thread may wait
+                     // for the gate.
+                     LogError(LogEvent::kEngineCommandLost,
+                              "no room to start call {}",
+                              static_cast<std::uint64_t>(id));
+                   }
+                 },
+                 [&](CancelCall& a) {
+                   if (!engine_->Cancel(a.call)) {
+                     LogError(LogEvent::kEngineCommandLost,
+                              "no room to cancel call {}",
+                              static_cast<std::uint64_t>(a.call));
+                   }
+                 },
+                 [&](ConfigAdopted& a) {
+                   link_->SetConfigVersion(a.config->version());
+                   LogInfo(LogEvent::kAgentConfigAdopted,
+                           "adopted configuration version {}",
+                           ToInt(a.config->version()));
+                 },
+                 [&](ConfigRejected& a) {
+                   LogError(LogEvent::kAgentConfigRejected,
+                            "configuration version {} is not usable: {}",
+                            ToInt(a.version), a.reason);
+                 },
+                 [&](Drained&) { is_drained = true; },
+             },
+             action);
+  return is_drained;
+}
+
+void AgentProcess::Drain() {
+  LogInfo(LogEvent::kAgentDraining, "stops within {} ms",
+          settings_.drain_limit.count());
+  events_.Push(StopRequested{});
+}
+
+void AgentProcess::Wait() {
+  if (gate_thread_.joinable()) {
+    gate_thread_.join();
+  }
+}
+
+void AgentProcess::StopThreads() {
+  // Closed first, so that no thread waits for room in it.
+  events_.Close();
+  if (load_) {
+    load_->Stop();
+  }
+  if (engine_) {
+    engine_->Stop();
+  }
+  if (link_) {
+    link_->Stop();
+  }
+}
+
+int RunAgent(const std::string& settings_path) {
+  const Result<std::string> text = ReadFile(settings_path);
+  if (!text) {
+    std::fprintf(stderr, "%s\n", text.error().message.c_str());
+    return 1;
+  }
+  Findings findings;
+  std::optional<AgentSettings> settings =
+      ParseAgentSettings(text.value(), findings);
+  if (!settings) {
+    std::fprintf(stderr, "%s\n", findings.ToText().c_str());
+    return 1;
+  }
+  InitLog(settings->node, LogLevel::kInfo);
+  // All threads inherit the mask, so that only this one sees the signals.
+  const sigset_t signals = StopSignals();
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  auto agent = AgentProcess::Make(*std::move(settings));
+  if (!agent) {
+    LogError(LogEvent::kAgentStartFailed, "cannot start: {}",
+             agent.error().message);
+    return 1;
+  }
+  int signal = 0;
+  sigwait(&signals, &signal);
+  agent.value()->Drain();
+  agent.value()->Wait();
+  return 0;
+}
+
+}  // namespace carawayrelay
--- /dev/null
+++ b/src/process/engine_client.cc
@@ -0,0 +1,340 @@
+#include "process/engine_client.h"
+
+#include <curl/curl.h>
+
+#include <chrono>
+#include <map>
+#include <thread>
+#include <utility>
+#include <variant>
+
+#include "process/log.h"
+#include "process/ring.h"
+
+namespace carawayrelay {
+namespace {
+
+constexpr std::chrono::milliseconds kConnectTimeout{1000};
+// Longest wait for a command or a socket; both end the wait early.
+constexpr std::chrono::milliseconds kMaxPoll{1000};
+constexpr const char* kModelPath = "/v1/chat/completions";
+
+struct EasyDeleter {
+  void operator()(CURL* easy) const { curl_easy_cleanup(easy); }
+};
+struct MultiDeleter {
+  void operator()(CURLM* multi) const { curl_multi_cleanup(multi); }
+};
+struct ListDeleter {
+  void operator()(curl_slist* list) const { curl_slist_free_all(list); }
+};
+using EasyPtr = std::unique_ptr<CURL, EasyDeleter>;
+using MultiPtr = std::unique_ptr<CURLM, MultiDeleter>;
+using ListPtr = std::unique_ptr<curl_slist, ListDeleter>;
+
+struct CancelCommand {
+  CallId call{0};
+};
+using Command = std::variant<EngineCall, CancelCommand>;
+
+}  // namespace
+
+class EngineClient::Impl {
+ public:
+  Impl(Options options, Deliver deliver)
+      : options_(std::move(options)),
+        deliver_(std::move(deliver)),
+        commands_(options_.command_capacity),
+        multi_(curl_multi_init()) {
+    commands_.SetWake([this] { curl_multi_wakeup(multi_.get()); });
+  }
+
+  bool IsReady() const { return multi_ != nullptr; }
+
+  void StartThread() {
+    thread_ = std::thread([this] { Run(); });
+  }
+
+  bool Push(Command command) { return commands_.TryPush(command); }
+
+  void Stop() {
+    if (thread_.joinable()) {
+      commands_.Close();
+      thread_.join();
+    }
+  }
+
+ private:
+  // One call in progress. libcurl holds pointers to it.
+  struct Transfer {
+    Impl* client = nullptr;
+    EngineCall call;
+    EngineResponse response;
+    EasyPtr easy;
+    ListPtr headers;
+    std::string broken;  // reason when the response failed a check
+    bool is_connected = false;
+  };
+
+  void Run() {
+    while (RunCommands()) {
+      int running = 0;
+      curl_multi_perform(multi_.get(), &running);
+      CollectFinished();
+      curl_multi_poll(multi_.get(), nullptr, 0,
+                      static_cast<int>(kMaxPoll.count()), nullptr);
+    }
+    for (const auto& [id, transfer] : transfers_) {
+      curl_multi_remove_handle(multi_.get(), transfer->easy.get());
+    }
+    transfers_.clear();
+  }
+
+  // Returns false when the client is stopped.
+  bool RunCommands() {
+    while (std::optional<Command> command = commands_.TryPop()) {
+      std::visit(Overloaded{
+                     [&](EngineCall& call) { Begin(std::move(call)); },
+                     [&](CancelCommand& cancel) { RunCancel(cancel.call); },
+                 },
+                 *command);
+    }
+    return !commands_.IsClosed();
+  }
+
+  void Begin(EngineCall call) {
+    const CallId id = call.call;
+    EngineResponse response({.call = id,
+                             .kind = options_.kind,
+                             .stream = call.stream,
+                             .request_id = RequestId(id),
+                             .has_checked_fence = options_.checks_fences &&
+                                                  call.chunk.has_value()});
+    auto transfer =
+        std::make_unique<Transfer>(Transfer{.client = this,
+                                            .call = std::move(call),
+                                            .response = std::move(response),
+                                            .easy = EasyPtr(curl_easy_init())});
+    CURL* easy = transfer->easy.get();
+    if (easy == nullptr) {
+      deliver_(transfer->response.Fail("libcurl has no handle", false));
+      return;
+    }
+    SetUp(*transfer);
+    curl_multi_add_handle(multi_.get(), easy);
+    transfers_.emplace(id, std::move(transfer));
+  }
+
+  std::string RequestId(CallId id) const {
+    return options_.request_id_prefix + "-" +
+           std::to_string(static_cast<std::uint64_t>(id));
+  }
+
+  void SetUp(Transfer& transfer) {
+    CURL* easy = transfer.easy.get();
+    const EngineCall& call = transfer.call;
+    const bool is_model = options_.kind == BackendKind::kModel;
+    const std::string method =
+        is_model || call.method.empty() ? "POST" : call.method;
+    const std::string path = is_model            ? kModelPath
+                             : call.path.empty() ? "/"
+                                                 : call.path;
+    curl_easy_setopt(easy, CURLOPT_URL, (options_.url + path).c_str());
+    curl_easy_setopt(easy, CURLOPT_PRIVATE, &transfer);
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
+    curl_easy_setopt(easy, CURLOPT_HTTP_VERSION,
+                     static_cast<long>(CURL_HTTP_VERSION_1_1));
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+                     static_cast<long>(kConnectTimeout.count()));
+    // libcurl sends a request a second time when a kept connection turns out
+    // to be closed. A call must run at most once.
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+    curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, method.c_str());
+    if (!call.body.empty() || method == "POST" || method == "PUT") {
+      curl_easy_setopt(easy, CURLOPT_POST, 1L);
+      curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                       static_cast<curl_off_t>(call.body.size()));
+      curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.body.data());
+    } else if (method == "HEAD") {
+      curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+    }
+    transfer.headers = MakeHeaders(call);
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer.headers.get());
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnConnected);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &OnHeader);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnWrite);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
+  }
+
+  ListPtr MakeHeaders(const EngineCall& call) const {
+    ListPtr list;
+    const auto add = [&](const std::string& line) {
+      list.reset(curl_slist_append(list.release(), line.c_str()));
+    };
+    // Without this libcurl waits for a 100 response before a large body.
+    add("Expect:");
+    add("Connection: close");
+    add("X-Request-Id: " + RequestId(call.call));
+    // Also keeps libcurl from adding the type of a web form.
+    add(call.body.empty() ? "Content-Type:" : "Content-Type: application/json");
+    if (!call.traceparent.empty()) {
+      add("traceparent: " + call.traceparent);
+    }
+    if (!call.idempotency_key.empty()) {
+      add("Idempotency-Key: " + call.idempotency_key);
+    }
+    if (call.chunk) {
+      add("X-Fencing-Scope: " + call.chunk->job + "/" +
+          std::to_string(call.chunk->chunk));
+      add("X-Fencing-Number: " + std::to_string(ToInt(call.chunk->fence)));
+    }
+    return list;
+  }
+
+  // Called before the first byte of the request is sent.
+  static int OnConnected(void* user, char*, char*, int, int) {
+    static_cast<Transfer*>(user)->is_connected = true;
+    return CURL_PREREQFUNC_OK;
+  }
+
+  static size_t OnHeader(char* data, size_t size, size_t count, void* user) {
+    auto& transfer = *static_cast<Transfer*>(user);
+    const std::string_view line(data, size * count);
+    if (line == "\r\n" || line == "\n") {
+      transfer.client->OnHeadersEnd(transfer);
+    }
+    return size * count;
+  }
+
+  void OnHeadersEnd(Transfer& transfer) {
+    long status = 0;
+    const char* content_type = nullptr;
+    CURL* easy = transfer.easy.get();
+    curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+    curl_easy_getinfo(easy, CURLINFO_CONTENT_TYPE, &content_type);
+    if (status < 200) {
+      return;
+    }
+    transfer.response.OnHeaders(static_cast<int>(status),
+                                content_type == nullptr ? "" : content_type);
+    if (transfer.response.IsSuccess()) {
+      deliver_(EngineStarted{transfer.call.call});
+    }
+  }
+
+  static size_t OnWrite(char* data, size_t size, size_t count, void* user) {
+    auto& transfer = *static_cast<Transfer*>(user);
+    Result<std::string> checked =
+        transfer.response.OnData(std::string_view(data, size * count));
+    if (!checked) {
+      transfer.broken = std::move(checked.error().message);
+      return CURL_WRITEFUNC_ERROR;
+    }
+    if (!checked.value().empty()) {
+      transfer.client->deliver_(
+          EnginePart{transfer.call.call, std::move(checked).value()});
+    }
+    return size * count;
+  }
+
+  void CollectFinished() {
+    int left = 0;
+    while (CURLMsg* message = curl_multi_info_read(multi_.get(), &left)) {
+      if (message->msg != CURLMSG_DONE) {
+        continue;
+      }
+      const CURLcode code = message->data.result;
+      void* user = nullptr;
+      curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &user);
+      Finish(*static_cast<Transfer*>(user), code);
+    }
+  }
+
+  void Finish(Transfer& transfer, CURLcode code) {
+    // The connection is closed before the gate hears of the end, so that the
+    // room it frees exists.
+    std::unique_ptr<Transfer> owned = Take(transfer.call.call);
+    if (code == CURLE_OK) {
+      EngineResponse::Outcome outcome = owned->response.Finish();
+      if (!outcome.last_part.empty()) {
+        deliver_(EnginePart{owned->call.call, std::move(outcome.last_part)});
+      }
+      std::visit([&](auto& end) { Conclude(std::move(end)); }, outcome.end);
+      return;
+    }
+    const std::string reason =
+        owned->broken.empty() ? curl_easy_strerror(code) : owned->broken;
+    Conclude(owned->response.Fail(reason, owned->is_connected));
+  }
+
+  void Conclude(EngineEnd end) { deliver_(std::move(end)); }
+  void Conclude(EngineFailed failed) {
+    LogWarning(LogEvent::kEngineCallFailed, "call {} failed, {}: {}",
+               static_cast<std::uint64_t>(failed.call),
+               ToString(failed.run_state), failed.reason);
+    deliver_(std::move(failed));
+  }
+
+  void RunCancel(CallId id) {
+    // A call that has ended already reported its end instead.
+    if (Take(id)) {
+      deliver_(EngineCancelled{id});
+    }
+  }
+
+  // Removes a transfer; libcurl closes its connection.
+  std::unique_ptr<Transfer> Take(CallId id) {
+    auto node = transfers_.extract(id);
+    if (node.empty()) {
+      return nullptr;
+    }
+    curl_multi_remove_handle(multi_.get(), node.mapped()->easy.get());
+    return std::move(node.mapped());
+  }
+
+  Options options_;
+  Deliver deliver_;
+  Ring<Command> commands_;
+  MultiPtr multi_;
+  std::map<CallId, std::unique_ptr<Transfer>> transfers_;
+  std::thread thread_;
+};
+
+Result<std::unique_ptr<EngineClient>> EngineClient::Make(Options options,
+                                                         Deliver deliver) {
+  if (curl_global_init(CURL_GLOBAL_DEFAULT) != CURLE_OK) {
+    return Error{ErrorCode::kInternal, "libcurl cannot be set up"};
+  }
+  auto impl = std::make_unique<Impl>(std::move(options), std::move(deliver));
+  if (!impl->IsReady()) {
+    return Error{ErrorCode::kInternal, "libcurl cannot be set up"};
+  }
+  impl->StartThread();
+  return std::unique_ptr<EngineClient>(new EngineClient(std::move(impl)));
+}
+
+EngineClient::EngineClient(std::unique_ptr<Impl> impl)
+    : impl_(std::move(impl)) {}
+
+EngineClient::~EngineClient() {
+  Stop();
+}
+
+bool EngineClient::Start(EngineCall call) {
+  return impl_->Push(std::move(call));
+}
+
+bool EngineClient::Cancel(CallId call) {
+  return impl_->Push(CancelCommand{call});
+}
+
+void EngineClient::Stop() {
+  impl_->Stop();
+}
+
+}  // namespace carawayrelay
--- /dev/null
+++ b/src/process/engine_response.cc
@@ -0,0 +1,168 @@
+#include "process/engine_response.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace carawayrelay {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view kEndMarker = "[DONE]";
+constexpr int kTooManyRequests = 429;
+constexpr int kServiceUnavailable = 503;
+constexpr int kConflict = 409;
+
+// Returns the token count that the engine reports, or `fallback`.
+std::uint64_t ReportedTokens(const json& response, std::uint64_t fallback) {
+  const auto usage = response.find("usage");
+  if (usage == response.end() || !usage->is_object()) {
+    return fallback;
+  }
+  const auto tokens = usage->find("completion_tokens");
+  return tokens != usage->end() && tokens->is_number_unsigned()
+             ? tokens->get<std::uint64_t>()
+             : fallback;
+}
+
+// True for an event that carries output, unlike the first and last ones that
+// hold only a role or a reason for the end.
+bool HasContent(const json& event) {
+  const json::json_pointer content("/choices/0/delta/content");
+  return event.contains(content) && event.at(content).is_string() &&
+         !event.at(content).get_ref<const std::string&>().empty();
+}
+
+bool HasId(const json& response, const std::string& id) {
+  const auto it = response.find("id");
+  return it != response.end() && it->is_string() &&
+         it->get_ref<const std::string&>() == id;
+}
+
+}  // namespace
+
+void EngineResponse::OnHeaders(int http_status, std::string content_type) {
+  http_status_ = http_status;
+  content_type_ = std::move(content_type);
+}
+
+Result<std::string> EngineResponse::OnData(std::string_view data) {
+  if (options_.kind == BackendKind::kService) {
+    return std::string(data);
+  }
+  if (IsSuccess() && options_.stream) {
+    return OnStreamData(data);
+  }
+  if (buffered_.size() + data.size() > kMaxBufferedBytes) {
+    return Error{ErrorCode::kInvalid, "response over the limit"};
+  }
+  buffered_ += data;
+  return std::string();
+}
+
+Result<std::string> EngineResponse::OnStreamData(std::string_view data) {
+  if (!content_type_.starts_with("text/event-stream")) {
+    return Error{ErrorCode::kInvalid, "response is not an event stream"};
+  }
+  BOOST_OUTCOME_TRY(const std::vector<SseEvent> events, parser_.Feed(data));
+  std::string checked;
+  for (const SseEvent& event : events) {
+    if (is_done_) {
+      return Error{ErrorCode::kInvalid, "event after the end marker"};
+    }
+    if (event.data == kEndMarker) {
+      is_done_ = true;
+      continue;
+    }
+    BOOST_OUTCOME_TRY(CheckEvent(event));
+    checked += ToSseText(event.data);
+  }
+  return checked;
+}
+
+Result<void> EngineResponse::CheckEvent(const SseEvent& event) {
+  const json parsed = json::parse(event.data, nullptr, false);
+  if (!parsed.is_object()) {
+    return Error{ErrorCode::kInvalid, "event is not a JSON object"};
+  }
+  if (!HasId(parsed, options_.request_id)) {
+    return Error{ErrorCode::kInvalid, "event of another request"};
+  }
+  tokens_ = ReportedTokens(parsed, tokens_ + (HasContent(parsed) ? 1 : 0));
+  return Success();
+}
+
+EngineResponse::Outcome EngineResponse::Finish() {
+  if (options_.kind == BackendKind::kService) {
+    return MakeEnd("");
+  }
+  if (!IsSuccess()) {
+    return FinishRefused();
+  }
+  return options_.stream ? FinishStream() : FinishBuffered();
+}
+
+EngineResponse::Outcome EngineResponse::FinishStream() {
+  if (!is_done_ || parser_.HasPartialEvent()) {
+    return {.end = Fail("stream without its end marker", true)};
+  }
+  // Kept back until the transfer ended, so that only a whole stream has it.
+  return MakeEnd(ToSseText(kEndMarker));
+}
+
+EngineResponse::Outcome EngineResponse::FinishBuffered() {
+  const json parsed = json::parse(buffered_, nullptr, false);
+  if (!parsed.is_object()) {
+    return {.end = Fail("response is not a JSON object", true)};
+  }
+  if (!HasId(parsed, options_.request_id)) {
+    return {.end = Fail("response of another request", true)};
+  }
+  tokens_ = ReportedTokens(parsed, 0);
+  return MakeEnd(std::move(buffered_));
+}
+
+EngineResponse::Outcome EngineResponse::FinishRefused() {
+  if (options_.has_checked_fence && http_status_ == kConflict) {
+    return {.end = MakeFailed(RefusalCode::kFenced, RunState::kNotRun,
+                              "the engine has seen a higher fence")};
+  }
+  const std::string reason =
+      "the engine answered with status " + std::to_string(http_status_);
+  // Both statuses say that the engine did not admit the request.
+  if (http_status_ == kTooManyRequests || http_status_ == kServiceUnavailable) {
+    return {.end = MakeFailed(RefusalCode::kBackendFailed, RunState::kNotRun,
+                              reason)};
+  }
+  if (http_status_ >= 500) {
+    return {.end = MakeFailed(RefusalCode::kBackendFailed, RunState::kUnknown,
+                              reason)};
+  }
+  return MakeEnd(std::move(buffered_));
+}
+
+EngineFailed EngineResponse::Fail(std::string reason, bool is_connected) const {
+  const RunState run_state = IsSuccess()    ? RunState::kRan
+                             : is_connected ? RunState::kUnknown
+                                            : RunState::kNotRun;
+  return MakeFailed(RefusalCode::kBackendFailed, run_state, std::move(reason));
+}
+
+EngineResponse::Outcome EngineResponse::MakeEnd(std::string last_part) const {
+  return {.last_part = std::move(last_part),
+          .end = EngineEnd{.call = options_.call,
+                           .http_status = http_status_,
+                           .content_type = content_type_,
+                           .tokens = tokens_}};
+}
+
+EngineFailed EngineResponse::MakeFailed(RefusalCode code,
+                                        RunState run_state,
+                                        std::string reason) const {
+  return {.call = options_.call,
+          .code = code,
+          .run_state = run_state,
+          .reason = std::move(reason)};
+}
+
+}  // namespace carawayrelay
--- a/src/process/events.h
+++ b/src/process/events.h
@@ -10,6 +10,14 @@
   // 18xx telemetry.
   kLinkUp = 1101,
   kLinkDown = 1102,
+  kAgentStarted = 1601,
+  kAgentStartFailed = 1602,
+  kAgentDraining = 1603,
+  kAgentDrained = 1604,
+  kAgentConfigAdopted = 1605,
+  kAgentConfigRejected = 1606,
+  kEngineCallFailed = 1607,
+  kEngineCommandLost = 1608,
 };
 
 }  // namespace carawayrelay
--- /dev/null
+++ b/src/process/load_watch.cc
@@ -0,0 +1,130 @@
+#include "process/load_watch.h"
+
+#include <curl/curl.h>
+
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <thread>
+#include <utility>
+
+#include "process/ring.h"
+
+namespace carawayrelay {
+namespace {
+
+constexpr std::chrono::milliseconds kPollTimeout{1000};
+constexpr size_t kMaxReportBytes = size_t{64} << 10;
+
+struct EasyDeleter {
+  void operator()(CURL* easy) const { curl_easy_cleanup(easy); }
+};
+
+size_t Append(char* data, size_t size, size_t count, void* user) {
+  auto& text = *static_cast<std::string*>(user);
+  if (text.size() + size * count > kMaxReportBytes) {
+    return CURL_WRITEFUNC_ERROR;
+  }
+  text.append(data, size * count);
+  return size * count;
+}
+
+int ReadCount(const nlohmann::json& report, const char* name) {
+  const auto it = report.find(name);
+  return it != report.end() && it->is_number_integer() ? it->get<int>() : 0;
+}
+
+// Wakes the thread for its end.
+struct StopWatch {};
+
+}  // namespace
+
+LoadReport ParseLoadReport(const std::string& json) {
+  const auto report = nlohmann::json::parse(json, nullptr, false);
+  if (!report.is_object()) {
+    return {};
+  }
+  return {.running = ReadCount(report, "running"),
+          .waiting = ReadCount(report, "waiting")};
+}
+
+class LoadWatch::Impl {
+ public:
+  Impl(Options options, Deliver deliver)
+      : options_(std::move(options)),
+        deliver_(std::move(deliver)),
+        easy_(curl_easy_init()) {}
+
+  bool IsReady() const { return easy_ != nullptr; }
+
+  void StartThread() {
+    thread_ = std::thread([this] { Run(); });
+  }
+
+  void Stop() {
+    if (thread_.joinable()) {
+      commands_.Close();
+      thread_.join();
+    }
+  }
+
+ private:
+  void Run() {
+    CURL* easy = easy_.get();
+    curl_easy_setopt(easy, CURLOPT_URL, (options_.url + "/load").c_str());
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
+                     static_cast<long>(kPollTimeout.count()));
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &Append);
+    TimePoint next = BootClock::now();
+    while (!commands_.IsClosed()) {
+      if (const std::optional<LoadReport> report = Poll()) {
+        deliver_(*report);
+      }
+      next = std::max(next + options_.interval, BootClock::now());
+      commands_.PopUntil(next);
+    }
+  }
+
+  // Returns nothing when the poll tells nothing, such as a late report.
+  std::optional<LoadReport> Poll() {
+    std::string text;
+    curl_easy_setopt(easy_.get(), CURLOPT_WRITEDATA, &text);
+    const CURLcode code = curl_easy_perform(easy_.get());
+    if (code == CURLE_COULDNT_CONNECT) {
+      return LoadReport{.is_reachable = false};
+    }
+    if (code != CURLE_OK) {
+      return std::nullopt;
+    }
+    return ParseLoadReport(text);
+  }
+
+  Options options_;
+  Deliver deliver_;
+  std::unique_ptr<CURL, EasyDeleter> easy_;
+  Ring<StopWatch> commands_{1};
+  std::thread thread_;
+};
+
+Result<std::unique_ptr<LoadWatch>> LoadWatch::Make(Options options,
+                                                   Deliver deliver) {
+  auto impl = std::make_unique<Impl>(std::move(options), std::move(deliver));
+  if (!impl->IsReady()) {
+    return Error{ErrorCode::kInternal, "libcurl cannot be set up"};
+  }
+  impl->StartThread();
+  return std::unique_ptr<LoadWatch>(new LoadWatch(std::move(impl)));
+}
+
+LoadWatch::LoadWatch(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
+
+LoadWatch::~LoadWatch() {
+  Stop();
+}
+
+void LoadWatch::Stop() {
+  impl_->Stop();
+}
+
+}  // namespace carawayrelay
