Refuse an attempt id that comes a second time

The property over random events showed that a repeated Submit ran again once its first call had ended. The agent now remembers the attempts that ended last, in bounded memory.

--- a/include/carawayrelay/connection.h
+++ b/include/carawayrelay/connection.h
@@ -2,6 +2,7 @@
 
 // Public header of the connection library: what lives for one connection.
 
+#include "connection/attempt_memory.h"
 #include "connection/concurrency_window.h"
 #include "connection/fence_book.h"
 #include "connection/message.h"
--- /dev/null
+++ b/src/connection/attempt_memory.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <cstddef>
+#include <deque>
+#include <set>
+#include <utility>
+
+#include "carawayrelay/request.h"
+
+namespace carawayrelay {
+
+// The attempts that ended last, so that a Submit that comes a second time does
+// not run a second time.
+class AttemptMemory {
+ public:
+  using Key = std::pair<ConnectionId, AttemptId>;
+
+  // Covers several seconds of the calls of one backend server.
+  static constexpr size_t kDefaultCapacity = 4096;
+
+  explicit AttemptMemory(size_t capacity = kDefaultCapacity)
+      : capacity_(capacity) {}
+
+  void Remember(const Key& key) {
+    if (!keys_.insert(key).second) {
+      return;
+    }
+    order_.push_back(key);
+    if (order_.size() > capacity_) {
+      keys_.erase(order_.front());
+      order_.pop_front();
+    }
+  }
+
+  bool Contains(const Key& key) const { return keys_.contains(key); }
+
+ private:
+  size_t capacity_;
+  std::set<Key> keys_;
+  std::deque<Key> order_;  // oldest first
+};
+
+}  // namespace carawayrelay
--- a/src/process/agent_process.cc
+++ b/src/process/agent_process.cc
@@ -118,23 +118,29 @@
              .window = settings_.window,
              .drain_limit = settings_.drain_limit},
             BootClock::now());
-  TimePoint next_tick = BootClock::now() + Gate::kTickInterval;
   std::optional<TimePoint> end;
+  const auto handle = [&](GateEvent event, TimePoint now) {
+    for (GateAction& action : gate.Handle(std::move(event), now)) {
+      if (Perform(action)) {
+        LogInfo(LogEvent::kAgentDrained, "no work is left");
+        end = now + kFlushTime;
+      }
+    }
+  };
+  TimePoint next_tick = BootClock::now() + Gate::kTickInterval;
   while (!end || BootClock::now() < *end) {
     std::optional<GateEvent> event = events_.PopUntil(next_tick);
     if (!event && events_.IsClosed()) {
       return;
     }
     const TimePoint now = BootClock::now();
-    if (!event || now >= next_tick) {
-      next_tick = now + Gate::kTickInterval;
+    if (event) {
+      handle(*std::move(event), now);
     }
-    for (GateAction& action :
-         gate.Handle(event ? *std::move(event) : GateEvent(Tick{}), now)) {
-      if (Perform(action)) {
-        LogInfo(LogEvent::kAgentDrained, "no work is left");
-        end = now + kFlushTime;
-      }
+    // A steady flow of other events must not keep back the tick.
+    if (now >= next_tick) {
+      handle(Tick{}, now);
+      next_tick = now + Gate::kTickInterval;
     }
   }
 }
--- a/src/process/gate.cc
+++ b/src/process/gate.cc
@@ -114,11 +114,11 @@
   if (is_batch) {
     shares_.OnSubmit(connection, now_);
   }
-  if (attempts_.contains(key)) {
-    // The first Submit of this id may run, so `not_run` would be false for the
-    // entry, which knows only the id.
+  if (attempts_.contains(key) || ended_.Contains(key)) {
+    // The first Submit of this id may have run, so `not_run` would be false for
+    // the entry, which knows only the id.
     Refuse(key, MakeRefusal(RefusalCode::kInvalidRequest, RunState::kUnknown,
-                            "attempt id is in use"));
+                            "attempt id was used before"));
     return;
   }
   std::optional<Refusal> refusal =
@@ -364,6 +364,7 @@
   } else {
     --(call.is_batch ? running_batch_ : running_online_);
     cancelling_ -= call.state == CallState::kCancelling ? 1 : 0;
+    ended_.Remember(call.key);
   }
   attempts_.erase(call.key);
   calls_.erase(it);
--- a/src/process/gate.h
+++ b/src/process/gate.h
@@ -42,7 +42,7 @@
   int window() const { return window_.size(); }
 
  private:
-  using AttemptKey = std::pair<ConnectionId, AttemptId>;
+  using AttemptKey = AttemptMemory::Key;
 
   enum class CallState {
     kWaiting,     // online work for which a batch call is being cancelled
@@ -116,6 +116,7 @@
   std::map<ConnectionId, Peer> peers_;
   Calls calls_;
   std::map<AttemptKey, CallId> attempts_;
+  AttemptMemory ended_;
   std::deque<CallId> waiting_;
   std::uint64_t next_call_ = 1;
   // Calls in the states kRunning and kCancelling.
--- /dev/null
+++ b/tests/process/gate_property_test.cc
@@ -0,0 +1,202 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+#include "process/gate_fixture.h"
+#include "property.h"
+
+namespace carawayrelay {
+namespace {
+
+// Feeds random events of two entries and checks each action.
+struct RandomGate : GateFixture {
+  static constexpr std::uint64_t kConnections = 4;
+  using Key = std::pair<ConnectionId, AttemptId>;
+
+  std::map<CallId, Key> calls;  // sent to the engine and not ended
+  std::map<Key, bool> open;     // Submit without an answer; is it batch
+  std::set<Key> reached;        // attempts that the engine has seen
+  std::set<Key> duplicates;
+  std::uint64_t next_attempt = 0;
+  std::uint64_t version = 1;
+  // The attempt that the last event submitted.
+  std::optional<Key> submitted;
+
+  static bool IsBatch(ConnectionId connection) {
+    return ToInt(connection) % 2 == 0;
+  }
+  void Up(ConnectionId connection) {
+    Connect(connection,
+            IsBatch(connection) ? LinkClass::kBatch : LinkClass::kOnline,
+            ConfigVersion{version});
+  }
+
+  void SubmitNew(ConnectionId connection, bool is_duplicate) {
+    const std::uint64_t attempt =
+        is_duplicate && next_attempt > 0 ? next_attempt : ++next_attempt;
+    Submit submit =
+        IsBatch(connection) ? MakeBatch(attempt) : MakeOnline(attempt);
+    submit.config_version = ConfigVersion{version - (attempt % 7 == 0 ? 1 : 0)};
+    // The engine side finds the attempt of a call by its path.
+    submit.path =
+        "/" + std::to_string(ToInt(connection)) + "/" + std::to_string(attempt);
+    const Key key{connection, submit.attempt};
+    submitted = key;
+    if (open.contains(key) || reached.contains(key)) {
+      duplicates.insert(key);
+    } else {
+      open.emplace(key, IsBatch(connection));
+    }
+    FeedMessage(connection, submit);
+  }
+
+  void Step(unsigned kind, unsigned pick) {
+    submitted.reset();
+    now += std::chrono::milliseconds(pick % 50);
+    const ConnectionId connection{1 + pick % kConnections};
+    std::optional<CallId> call;
+    if (!calls.empty()) {
+      call = std::next(calls.begin(), pick % calls.size())->first;
+    }
+    switch (kind % 12) {
+      case 0:
+      case 1:
+      case 2:
+      case 3:
+        SubmitNew(connection, pick % 11 == 0);
+        break;
+      case 4:
+        if (!open.empty()) {
+          const Key key = std::next(open.begin(), pick % open.size())->first;
+          open.erase(key);
+          FeedMessage(key.first, Cancel{key.second});
+        }
+        break;
+      case 5:
+        if (call) {
+          Feed(EnginePart{*call, "x"});
+        }
+        break;
+      case 6:
+      case 7:
+        if (call) {
+          calls.erase(*call);
+          Feed(EngineEnd{.call = *call, .http_status = 200});
+        }
+        break;
+      case 8:
+        if (call) {
+          calls.erase(*call);
+          Feed(EngineFailed{.call = *call, .run_state = RunState::kRan});
+        }
+        break;
+      case 9:
+        while (!cancelled.empty()) {
+          const CallId id = cancelled.front();
+          cancelled.erase(cancelled.begin());
+          if (calls.erase(id) == 1) {
+            Feed(EngineCancelled{id});
+            CheckActions();
+          }
+        }
+        return;
+      case 10:
+        std::erase_if(open,
+                      [&](auto& o) { return o.first.first == connection; });
+        Feed(LinkDown{connection, ""});
+        CheckActions();
+        Up(connection);
+        break;
+      default:
+        if (pick % 5 == 0) {
+          ++version;
+          FeedMessage(connection,
+                      MakeUpdate(ConfigVersion{version},
+                                 pick % 2 == 0 ? std::vector<std::string>{"z1"}
+                                               : std::vector<std::string>{}));
+        } else {
+          Feed(Tick{});
+        }
+    }
+    CheckActions();
+  }
+
+  void CheckActions() {
+    for (const GateAction& action : std::exchange(actions, {})) {
+      if (const auto* start = std::get_if<StartCall>(&action)) {
+        CheckStart(start->call);
+      } else if (const auto* send = std::get_if<SendMessage>(&action)) {
+        CheckMessage(*send);
+      }
+    }
+    const auto unstarted_online = std::count_if(
+        open.begin(), open.end(),
+        [&](const auto& o) { return !o.second && !reached.contains(o.first); });
+    // Online work waits only for calls that are being cancelled.
+    RC_ASSERT(unstarted_online <= static_cast<long>(cancelled.size()));
+  }
+
+  void CheckStart(const EngineCall& call) {
+    const size_t slash = call.path.find('/', 1);
+    const Key key{ConnectionId{std::stoull(call.path.substr(1))},
+                  AttemptId{std::stoull(call.path.substr(slash + 1))}};
+    RC_ASSERT(open.contains(key));
+    RC_ASSERT(reached.insert(key).second);
+    calls.emplace(call.call, key);
+    RC_ASSERT(static_cast<int>(calls.size()) <= gate.window());
+    if (IsBatch(key.first)) {
+      for (const auto& [other, is_batch] : open) {
+        RC_ASSERT(is_batch || reached.contains(other));
+      }
+    }
+  }
+
+  void CheckMessage(const SendMessage& send) {
+    if (const auto* end = std::get_if<End>(&send.message)) {
+      const Key key{send.connection, end->attempt};
+      RC_ASSERT(reached.contains(key));
+      RC_ASSERT(open.erase(key) == 1U);
+    } else if (const auto* refused = std::get_if<Refused>(&send.message)) {
+      const Key key{send.connection, refused->attempt};
+      const RunState state = refused->refusal.run_state;
+      if (duplicates.erase(key) == 1) {
+        RC_ASSERT(submitted == key);
+        RC_ASSERT(state == RunState::kUnknown);
+        return;
+      }
+      RC_ASSERT(open.erase(key) == 1U);
+      RC_ASSERT((state == RunState::kNotRun) == !reached.contains(key));
+    } else if (const auto* part = std::get_if<Part>(&send.message)) {
+      RC_ASSERT(open.contains({send.connection, part->attempt}));
+    }
+  }
+
+  // Ends all calls; then every Submit must have its answer.
+  void Finish() {
+    while (!calls.empty()) {
+      Step(6, 0);
+    }
+    RC_ASSERT(open.empty());
+  }
+};
+
+// Guards against lost and doubled answers, false run states, a window that two
+// entries together exceed, and batch work that starts before online work.
+TEST_CASE("Gate, random events of several entries, keeps its promises") {
+  CheckProperty(
+      "gate", [](const std::vector<std::pair<unsigned, unsigned>>& steps) {
+        RandomGate random;
+        for (std::uint64_t c = 1; c <= RandomGate::kConnections; ++c) {
+          random.Up(ConnectionId{c});
+        }
+        random.FeedMessage(GateFixture::kOnline,
+                           GateFixture::MakeUpdate(ConfigVersion{1}));
+        for (const auto& [kind, pick] : steps) {
+          random.Step(kind, pick);
+        }
+        random.Finish();
+      });
+}
+
+}  // namespace
+}  // namespace carawayrelay
