--- /dev/null
+++ b/tests/process/backend_fixture.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include "carawayrelay/process.h"
+
+namespace carawayrelay {
+
+// A backend server that answers by a request's path or body and keeps the
+// exchanges of the others open.
+struct BackendFixture {
+  static constexpr std::chrono::seconds kPatience{5};
+
+  std::string address;
+  std::unique_ptr<HttpServer> server;
+  Ring<HttpRequest> requests{64};
+  std::mutex mutex;
+  std::vector<HttpExchangePtr> held;
+
+  explicit BackendFixture(std::string listen_address)
+      : address(std::move(listen_address)),
+        server(HttpServer::Make(
+                   {.listen_address = address},
+                   [this](HttpRequest request, HttpExchangePtr exchange) {
+                     Answer(request, exchange);
+                   })
+                   .value()) {}
+
+  std::string url() const { return "http://" + address; }
+
+  void Answer(HttpRequest& request, const HttpExchangePtr& exchange) {
+    const std::string id = request.headers["x-request-id"];
+    if (request.path == "/load") {
+      exchange->Reply(200, {}, R"({"running":1,"waiting":2})");
+      return;
+    }
+    if (request.path != "/v1/chat/completions") {
+      exchange->Reply(201, {{"Content-Type", "text/plain"}}, request.body);
+    } else if (request.body == "busy") {
+      exchange->Reply(503, {}, "");
+    } else {
+      exchange->StartStream(200, {{"Content-Type", "text/event-stream"}});
+      exchange->SendPart("data: {\"id\":\"" + id + "\"}\n\n");
+      if (request.body == "break") {
+        exchange->Abort();
+      } else if (request.body == "hold") {
+        std::lock_guard lock(mutex);
+        held.push_back(exchange);
+      } else {
+        exchange->SendPart("data: [DONE]\n\n");
+        exchange->EndStream();
+      }
+    }
+    requests.TryPush(request);
+  }
+
+  std::optional<HttpRequest> NextRequest() {
+    return requests.PopUntil(BootClock::now() + kPatience);
+  }
+  bool IsHeldGone() {
+    const TimePoint limit = BootClock::now() + kPatience;
+    while (BootClock::now() < limit) {
+      {
+        std::lock_guard lock(mutex);
+        if (!held.empty() && !held.front()->SendPart(": comment\n\n")) {
+          return true;
+        }
+      }
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    return false;
+  }
+};
+
+}  // namespace carawayrelay
