--- a/src/process/events.h
+++ b/src/process/events.h
@@ -20,6 +20,14 @@
   kPlatformAway = 1701,
   kPlatformBack = 1702,
   kVmListUnreadable = 1703,
+  kAgentStarted = 1601,
+  kAgentStartFailed = 1602,
+  kAgentDraining = 1603,
+  kAgentDrained = 1604,
+  kAgentConfigAdopted = 1605,
+  kAgentConfigRejected = 1606,
+  kEngineCallFailed = 1607,
+  kEngineCommandLost = 1608,
 };
 
 }  // namespace carawayrelay
