--- a/include/carawayrelay/request.h
+++ b/include/carawayrelay/request.h
@@ -3,8 +3,14 @@
 // Public header of the request library: values and decisions that live for one
 // request, attempt or batch item.
 
+#include "request/backend_choice.h"
 #include "request/boot_clock.h"
+#include "request/caller_request.h"
 #include "request/error.h"
+#include "request/fair_queue.h"
 #include "request/ids.h"
 #include "request/overloaded.h"
 #include "request/refusal.h"
+#include "request/retry_policy.h"
+#include "request/token_bucket.h"
+#include "request/trace_context.h"
--- a/include/carawayrelay/version.h
+++ b/include/carawayrelay/version.h
@@ -3,6 +3,7 @@
 // Public header of the version library: what lives for one version of the
 // configuration.
 
+#include "version/access_check.h"
 #include "version/config_document.h"
 #include "version/config_snapshot.h"
 #include "version/findings.h"
--- /dev/null
+++ b/src/connection/backend_view.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "carawayrelay/request.h"
+#include "connection/message.h"
+
+namespace carawayrelay {
+
+// What an entry knows of one agent over its online connection. Status messages
+// lag, so the counts are hints; the agent's own window is authoritative.
+class BackendView {
+ public:
+  BackendView(ConnectionId connection, const Hello& hello)
+      : connection_(connection),
+        node_(hello.node),
+        node_hash_(XXH3_64bits(hello.node.data(), hello.node.size())),
+        zone_(hello.zone),
+        routes_(hello.routes),
+        config_version_(hello.config_version) {}
+
+  ConnectionId connection() const { return connection_; }
+  const std::string& node() const { return node_; }
+  // The same in every entry and after a reconnect, so that equal prompts keep
+  // going to the same prompt cache.
+  std::uint64_t node_hash() const { return node_hash_; }
+  const std::string& zone() const { return zone_; }
+  const std::vector<std::string>& routes() const { return routes_; }
+  ConfigVersion config_version() const { return config_version_; }
+  int window() const { return status_.window; }
+  int own_in_flight() const { return own_in_flight_; }
+
+  void OnStatus(const Status& status) {
+    status_ = status;
+    NoteVersion(status.config_version);
+    others_running_ = std::max(0, status.running_online - own_in_flight_);
+    avoid_until_ = TimePoint::min();
+  }
+  // The agent has, or was sent, this version.
+  void NoteVersion(ConfigVersion version) {
+    config_version_ = std::max(config_version_, version);
+  }
+  void OnSubmit() { ++own_in_flight_; }
+  void OnAttemptDone() { --own_in_flight_; }
+  // Keeps new work away until `until` or the next Status.
+  void AvoidUntil(TimePoint until) { avoid_until_ = until; }
+  void SetLeaving() { status_.leaving = true; }
+
+  // Requests that run there, own ones without lag.
+  int in_use() const { return own_in_flight_ + others_running_; }
+  // False before the first Status, when the agent is leaving or out, or when
+  // it has no free capacity.
+  bool CanTake(TimePoint now) const {
+    return !status_.leaving && !status_.zone_out && in_use() < status_.window &&
+           now >= avoid_until_;
+  }
+
+ private:
+  ConnectionId connection_;
+  std::string node_;
+  std::uint64_t node_hash_;
+  std::string zone_;
+  std::vector<std::string> routes_;
+  ConfigVersion config_version_;
+  Status status_;
+  int own_in_flight_ = 0;
+  int others_running_ = 0;
+  TimePoint avoid_until_ = TimePoint::min();
+};
+
+}  // namespace carawayrelay
--- /dev/null
+++ b/src/process/backend_table.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <map>
+#include <random>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "carawayrelay/connection.h"
+#include "carawayrelay/request.h"
+#include "carawayrelay/version.h"
+
+namespace carawayrelay {
+
+// The connected agents of an entry and the choice among them.
+class BackendTable {
+ public:
+  explicit BackendTable(ChoicePolicy policy) : policy_(policy) {}
+
+  BackendView& Add(ConnectionId connection, const Hello& hello);
+  BackendView* Find(ConnectionId connection);
+  void Erase(ConnectionId connection);
+  std::map<ConnectionId, BackendView>& views() { return views_; }
+
+  // Agents that serve the route, free or not.
+  std::span<const ConnectionId> ServersOf(const std::string& route) const;
+  // True when an agent may take a request for the route now.
+  bool HasFree(const std::string& route,
+               const ConfigSnapshot& config,
+               TimePoint now) const;
+  // Chooses among the agents that may take a request now. Prefers those that
+  // are not in `tried`. Returns nullptr when there is none.
+  BackendView* Choose(const std::string& route,
+                      const ConfigSnapshot& config,
+                      std::span<const ConnectionId> tried,
+                      std::uint64_t prefix_hash,
+                      TimePoint now,
+                      std::mt19937_64& rng);
+
+ private:
+  static bool IsFree(const BackendView& view,
+                     const ConfigSnapshot& config,
+                     TimePoint now);
+
+  ChoicePolicy policy_;
+  std::map<ConnectionId, BackendView> views_;
+  std::map<std::string, std::vector<ConnectionId>> by_route_;
+};
+
+}  // namespace carawayrelay
