--- /dev/null
+++ b/src/process/caller_replies.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "carawayrelay/request.h"
+#include "process/dispatch_event.h"
+#include "process/http_server.h"
+
+namespace carawayrelay {
+
+// Returns a piece of a stream of events without the event that marks the end;
+// it is added when the answer is known to be whole.
+std::string WithoutDoneEvent(std::string data);
+
+// Performs the dispatcher's replies on the HTTP exchanges of the callers. Owned
+// by the dispatch thread.
+class CallerReplies {
+ public:
+  void Add(RequestId request, HttpExchangePtr exchange);
+  // Closes the connections of all callers.
+  void Clear() { callers_.clear(); }
+  bool empty() const { return callers_.empty(); }
+
+  void Perform(Answer action);
+  void Perform(const AnswerModels& action);
+  // Returns false when the caller is gone; the dispatcher must be told.
+  bool Perform(ForwardPart action);
+  void Perform(const FinishStream& action);
+  void Perform(const BreakStream& action);
+  void Perform(const Refuse& action);
+
+  // Callers whose connection broke since the last call. They are forgotten.
+  std::vector<RequestId> TakeGone();
+
+ private:
+  struct Caller {
+    HttpExchangePtr exchange;
+    bool is_streaming = false;
+  };
+
+  HttpExchangePtr Take(RequestId request);
+  static void StartStream(Caller& caller);
+
+  std::unordered_map<RequestId, Caller> callers_;
+};
+
+}  // namespace carawayrelay
--- /dev/null
+++ b/src/process/chat_api.cc
@@ -0,0 +1,256 @@
+#include "process/chat_api.h"
+
+#include <xxhash.h>
+
+#include <nlohmann/json.hpp>
+#include <string_view>
+#include <utility>
+
+namespace carawayrelay {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view kServicesPrefix = "/services/";
+constexpr std::string_view kBearerScheme = "bearer ";
+constexpr size_t kMaxIdempotencyKey = 255;
+// Deeper documents would overflow the stack of the recursive JSON writer.
+constexpr int kMaxJsonDepth = 100;
+// A conversation keeps its hash once it is longer than this; below, there is
+// little that a prompt cache could save.
+constexpr size_t kPrefixBytes = 1024;
+// Rule of thumb for the number of tokens in a prompt.
+constexpr double kBytesPerToken = 4;
+constexpr std::chrono::milliseconds kRetrySoon{1000};
+
+const char* ErrorType(RefusalCode code) {
+  switch (code) {
+    case RefusalCode::kUnauthorized:
+      return "authentication_error";
+    case RefusalCode::kForbidden:
+      return "permission_error";
+    case RefusalCode::kRateLimited:
+      return "rate_limit_error";
+    case RefusalCode::kInvalidRequest:
+    case RefusalCode::kNotFound:
+    case RefusalCode::kConflict:
+    case RefusalCode::kTooLarge:
+      return "invalid_request_error";
+    default:
+      return "server_error";
+  }
+}
+
+std::string Header(const HttpRequest& request, const std::string& name) {
+  const auto it = request.headers.find(name);
+  return it == request.headers.end() ? std::string() : it->second;
+}
+
+Refusal Invalid(std::string reason) {
+  return {.code = RefusalCode::kInvalidRequest, .reason = std::move(reason)};
+}
+
+bool IsTooDeep(std::string_view text) {
+  int depth = 0;
+  bool in_string = false;
+  for (size_t i = 0; i < text.size(); ++i) {
+    const char c = text[i];
+    if (in_string) {
+      if (c == '\\') {
+        ++i;
+      } else if (c == '"') {
+        in_string = false;
+      }
+    } else if (c == '"') {
+      in_string = true;
+    } else if (c == '[' || c == '{') {
+      if (++depth > kMaxJsonDepth) {
+        return true;
+      }
+    } else if (c == ']' || c == '}') {
+      --depth;
+    }
+  }
+  return false;
+}
+
+std::uint64_t HashPrefix(const std::string& model, const json& messages) {
+  std::string prefix = model + '\n';
+  for (const json& message : messages) {
+    if (prefix.size() >= kPrefixBytes) {
+      break;
+    }
+    prefix += message.dump();
+  }
+  prefix.resize(std::min(prefix.size(), kPrefixBytes));
+  return XXH3_64bits(prefix.data(), prefix.size());
+}
+
+// Fills what both kinds of calls have in common. Refuses a request that
+// carries its key outside the header, because that would reach the backend
+// server.
+std::variant<CallerRequest, Refusal> Complete(const HttpRequest& request,
+                                              CallerRequest call) {
+  call.bearer_token = BearerToken(request);
+  call.idempotency_key = Header(request, "idempotency-key");
+  call.trace = ParseTraceparent(Header(request, "traceparent"));
+  call.cost = 1 + static_cast<double>(call.body.size()) / kBytesPerToken;
+  call.arrived = BootClock::now();
+  if (call.idempotency_key.size() > kMaxIdempotencyKey) {
+    return Invalid("Idempotency-Key is longer than 255 bytes");
+  }
+  const std::string& token = call.bearer_token;
+  if (!token.empty() &&
+      (call.body.find(token) != std::string::npos ||
+       call.path.find(token) != std::string::npos ||
+       call.idempotency_key.find(token) != std::string::npos)) {
+    return Invalid("the key must be sent in the Authorization header only");
+  }
+  return call;
+}
+
+}  // namespace
+
+std::string ToErrorJson(const Refusal& refusal) {
+  json error = {{"message", refusal.reason},
+                {"type", ErrorType(refusal.code)},
+                {"code", ToString(refusal.code)},
+                {"run_state", ToString(refusal.run_state)}};
+  if (refusal.retry_after) {
+    error["retry_after"] =
+        std::chrono::duration<double>(*refusal.retry_after).count();
+  }
+  // Reasons may hold bytes of the caller that are not UTF-8.
+  return json{{"error", std::move(error)}}.dump(-1, ' ', false,
+                                                json::error_handler_t::replace);
+}
+
+void ReplyRefusal(HttpExchange& exchange, const Refusal& refusal) {
+  HttpHeaders headers = {{"Content-Type", "application/json"}};
+  if (refusal.retry_after) {
+    const auto seconds =
+        std::chrono::ceil<std::chrono::seconds>(*refusal.retry_after);
+    headers.emplace_back("Retry-After", std::to_string(seconds.count()));
+  }
+  exchange.Reply(HttpStatus(refusal.code), headers, ToErrorJson(refusal));
+}
+
+std::string BearerToken(const HttpRequest& request) {
+  const std::string value = Header(request, "authorization");
+  if (value.size() <= kBearerScheme.size()) {
+    return {};
+  }
+  for (size_t i = 0; i < kBearerScheme.size(); ++i) {
+    if (std::tolower(static_cast<unsigned char>(value[i])) !=
+        kBearerScheme[i]) {
+      return {};
+    }
+  }
+  return value.substr(kBearerScheme.size());
+}
+
+std::variant<CallerRequest, Refusal> ParseChatCall(const HttpRequest& request) {
+  if (IsTooDeep(request.body)) {
+    return Invalid("the body is nested too deeply");
+  }
+  const json body =
+      json::parse(request.body, nullptr, /*allow_exceptions=*/false);
+  if (!body.is_object()) {
+    return Invalid("the body must be a JSON object");
+  }
+  const auto model = body.find("model");
+  if (model == body.end() || !model->is_string()) {
+    return Invalid("'model' must be a string");
+  }
+  const auto messages = body.find("messages");
+  if (messages == body.end() || !messages->is_array() || messages->empty()) {
+    return Invalid("'messages' must be an array that is not empty");
+  }
+  const auto stream = body.find("stream");
+  if (stream != body.end() && !stream->is_boolean() && !stream->is_null()) {
+    return Invalid("'stream' must be true or false");
+  }
+  CallerRequest call;
+  call.kind = CallKind::kModel;
+  call.route = model->get<std::string>();
+  call.method = "POST";
+  call.path = request.path;
+  // Written anew, so that the engine cannot read a repeated field in another
+  // way than the checks here.
+  call.body = body.dump();
+  call.stream = stream != body.end() && *stream == true;
+  call.prefix_hash = HashPrefix(call.route, *messages);
+  return Complete(request, std::move(call));
+}
+
+std::variant<CallerRequest, Refusal> ParseServiceCall(HttpRequest request) {
+  const std::string rest = request.path.substr(kServicesPrefix.size());
+  const size_t slash = rest.find('/');
+  CallerRequest call;
+  call.kind = CallKind::kService;
+  call.route = rest.substr(0, slash);
+  if (call.route.empty()) {
+    return Refusal{.code = RefusalCode::kNotFound,
+                   .reason = "the path names no service"};
+  }
+  call.method = request.method;
+  call.path = slash == std::string::npos ? "/" : rest.substr(slash);
+  if (!request.query.empty()) {
+    call.path += "?" + request.query;
+  }
+  call.body = std::move(request.body);
+  call.prefix_hash = XXH3_64bits(call.path.data(), call.path.size());
+  return Complete(request, std::move(call));
+}
+
+ChatApi::ChatApi(Push push, const std::atomic<bool>& is_ready)
+    : push_(std::move(push)), is_ready_(is_ready) {}
+
+bool ChatApi::Handle(HttpRequest& request, HttpExchangePtr& exchange) {
+  const HttpHeaders text = {{"Content-Type", "text/plain"}};
+  if (request.path == "/healthz") {
+    exchange->Reply(200, text, "ok\n");
+  } else if (request.path == "/readyz") {
+    const bool is_ready = is_ready_;
+    exchange->Reply(is_ready ? 200 : 503, text,
+                    is_ready ? "ready\n" : "not ready\n");
+  } else if (request.path == "/v1/chat/completions" &&
+             request.method == "POST") {
+    HandleCall(ParseChatCall(request), exchange);
+  } else if (request.path == "/v1/models" && request.method == "GET") {
+    PushOrRefuse(
+        ModelsAsked{.request = NextId(), .bearer_token = BearerToken(request)},
+        exchange);
+  } else if (request.path.starts_with(kServicesPrefix)) {
+    HandleCall(ParseServiceCall(std::move(request)), exchange);
+  } else {
+    return false;
+  }
+  return true;
+}
+
+void ChatApi::HandleCall(std::variant<CallerRequest, Refusal> parsed,
+                         const HttpExchangePtr& exchange) {
+  if (const auto* refusal = std::get_if<Refusal>(&parsed)) {
+    ReplyRefusal(*exchange, *refusal);
+    return;
+  }
+  auto& call = std::get<CallerRequest>(parsed);
+  call.id = NextId();
+  PushOrRefuse(RequestArrived{std::move(call)}, exchange);
+}
+
+void ChatApi::PushOrRefuse(DispatchEvent event,
+                           const HttpExchangePtr& exchange) {
+  if (!push_(std::move(event), exchange)) {
+    ReplyRefusal(*exchange, {.code = RefusalCode::kOverloaded,
+                             .reason = "this entry has too much to do",
+                             .retry_after = kRetrySoon});
+  }
+}
+
+RequestId ChatApi::NextId() {
+  return RequestId{next_request_++};
+}
+
+}  // namespace carawayrelay
--- /dev/null
+++ b/src/process/chat_api.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <variant>
+
+#include "carawayrelay/request.h"
+#include "process/dispatch_event.h"
+#include "process/http_server.h"
+
+namespace carawayrelay {
+
+// Body of a refusal: {"error": {"message", "type", "code", "run_state",
+// "retry_after"}}, with retry_after in seconds.
+std::string ToErrorJson(const Refusal& refusal);
+
+// Replies with the status, headers and body of a refusal.
+void ReplyRefusal(HttpExchange& exchange, const Refusal& refusal);
+
+// Token of "Authorization: Bearer <token>", or empty.
+std::string BearerToken(const HttpRequest& request);
+
+// Reads POST /v1/chat/completions. The result holds no header of the caller.
+// Refuses with kInvalidRequest.
+std::variant<CallerRequest, Refusal> ParseChatCall(const HttpRequest& request);
+
+// Reads /services/<route>/<path>. Refuses with kInvalidRequest or kNotFound.
+std::variant<CallerRequest, Refusal> ParseServiceCall(HttpRequest request);
+
+// The HTTP and JSON front end for callers. Runs on the thread of HttpServer;
+// decisions are left to the dispatcher behind `push`.
+class ChatApi {
+ public:
+  // Hands an event and the exchange to answer to the dispatch thread. Returns
+  // false when its ring is full.
+  using Push = std::function<bool(DispatchEvent event, HttpExchangePtr)>;
+
+  // `is_ready` must outlive the object.
+  ChatApi(Push push, const std::atomic<bool>& is_ready);
+
+  // Returns false, with both arguments untouched, for paths of other APIs.
+  bool Handle(HttpRequest& request, HttpExchangePtr& exchange);
+
+ private:
+  void HandleCall(std::variant<CallerRequest, Refusal> parsed,
+                  const HttpExchangePtr& exchange);
+  void PushOrRefuse(DispatchEvent event, const HttpExchangePtr& exchange);
+  RequestId NextId();
+
+  Push push_;
+  const std::atomic<bool>& is_ready_;
+  std::uint64_t next_request_ = 1;
+};
+
+}  // namespace carawayrelay
--- /dev/null
+++ b/src/process/entry_command.cc
@@ -0,0 +1,79 @@
+#include "process/entry_command.h"
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <random>
+#include <sstream>
+
+#include "process/entry_process.h"
+#include "process/log.h"
+
+namespace carawayrelay {
+namespace {
+
+Result<std::string> ReadFile(const std::string& path) {
+  std::ifstream file(path);
+  std::ostringstream text;
+  if (!file || !(text << file.rdbuf())) {
+    return Error{ErrorCode::kNotFound, "cannot read '" + path + "'"};
+  }
+  return std::move(text).str();
+}
+
+Result<ConfigPtr> ReadBootstrapConfig(const std::string& path) {
+  BOOST_OUTCOME_TRY(std::string text, ReadFile(path));
+  return ConfigSnapshot::Make(ConfigVersion{1}, std::move(text));
+}
+
+std::uint64_t RandomSeed() {
+  std::random_device device;
+  return (std::uint64_t{device()} << 32) | device();
+}
+
+}  // namespace
+
+int RunEntry(const std::string& settings_path) {
+  const Result<std::string> text = ReadFile(settings_path);
+  if (!text) {
+    std::cerr << text.error().message << '\n';
+    return 2;
+  }
+  Findings findings;
+  std::optional<EntrySettings> settings =
+      ParseEntrySettings(text.value(), findings);
+  if (!settings) {
+    std::cerr << findings.ToText();
+    return 2;
+  }
+  InitLog(settings->node, settings->log_level);
+  settings->dispatcher.seed = RandomSeed();
+
+  // Blocked before threads start, so that only sigwait() below gets them.
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+
+  const std::string bootstrap_config = settings->bootstrap_config;
+  auto process = EntryProcess::Make(*std::move(settings), {});
+  if (!process) {
+    LogError(LogEvent::kEntryFailed, "{}", process.error().message);
+    return 1;
+  }
+  if (!bootstrap_config.empty()) {
+    Result<ConfigPtr> config = ReadBootstrapConfig(bootstrap_config);
+    if (!config) {
+      LogError(LogEvent::kEntryFailed, "{}", config.error().message);
+      return 1;
+    }
+    process.value()->AdoptConfig(std::move(config).value());
+  }
+  int signal = 0;
+  sigwait(&signals, &signal);
+  process.value()->Drain();
+  return 0;
+}
+
+}  // namespace carawayrelay
--- /dev/null
+++ b/src/process/entry_settings.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "carawayrelay/version.h"
+#include "process/dispatcher.h"
+#include "process/log.h"
+
+namespace carawayrelay {
+
+// Settings of an entry process, from its JSON file.
+struct EntrySettings {
+  std::string node;
+  std::string zone;
+  // "IP:port" each.
+  std::string listen_callers;
+  std::string listen_admin;
+  std::string listen_links;
+  std::string platform_url;  // "http://IP:port", or empty
+  std::vector<std::string> seed_agents;
+  std::vector<std::string> seed_peers;
+  LogLevel log_level = LogLevel::kInfo;
+  size_t max_body_bytes = size_t{8} << 20;
+  Dispatcher::Options dispatcher;
+  // File with a configuration document that counts as version 1. For
+  // development without a platform.
+  std::string bootstrap_config;
+};
+
+// Parses and checks the settings. Appends every problem with its JSON path to
+// `findings` and returns nothing when there is at least one.
+std::optional<EntrySettings> ParseEntrySettings(const std::string& json,
+                                                Findings& findings);
+
+}  // namespace carawayrelay
--- a/src/process/events.h
+++ b/src/process/events.h
@@ -10,6 +10,13 @@
   // 18xx telemetry.
   kLinkUp = 1101,
   kLinkDown = 1102,
+  kConfigInEffect = 1201,
+  kConfigUpdateInvalid = 1202,
+  kEntryStarted = 1301,
+  kEntryReadiness = 1302,
+  kEntryStopping = 1303,
+  kEntryStopped = 1304,
+  kEntryFailed = 1305,
 };
 
 }  // namespace carawayrelay
