--- /dev/null
+++ b/tools/standins/engine_standin.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <asio/steady_timer.hpp>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "standins/delivery_queue.h"
+#include "standins/engine_model.h"
+#include "standins/event_log.h"
+#include "standins/lagged.h"
+#include "standins/standin_server.h"
+
+namespace carawayrelay::tools {
+
+// A model engine as its HTTP interface shows it. Runs on the thread of
+// StandinServer::Run().
+class EngineStandin {
+ public:
+  struct Options {
+    EngineModel::Options model;
+    std::chrono::milliseconds load_lag{200};
+    // Refuse fencing numbers that are lower than one seen before.
+    bool check_fence = false;
+  };
+
+  EngineStandin(const Options& options,
+                const EventLog& log,
+                StandinServer& server);
+
+  void Handle(HttpCall call);
+
+ private:
+  // One request in the engine.
+  struct Stream {
+    HttpExchangePtr exchange;
+    std::string id;
+    std::string model;
+    std::string prompt_hash;
+    std::uint64_t seed = 0;
+    int prompt_tokens = 0;
+    bool is_streamed = false;
+    int sent_tokens = 0;
+    // The connection is closed before this token.
+    std::optional<int> break_before;
+    // Answer so far, of a request that is not streamed.
+    std::string content;
+  };
+  // What an event says about its request; of another one when it is crossed.
+  struct Identity {
+    std::string id;
+    std::string token;
+  };
+
+  void HandleChat(const HttpCall& call);
+  void HandleControl(const HttpCall& call);
+  // Returns false, after a reply, when the fencing number is refused.
+  bool PassesFence(const HttpCall& call, const std::string& id);
+  bool MustFail(const std::string& prompt) const;
+  void Start(const HttpCall& call,
+             Stream stream,
+             const std::string& prompt,
+             int answer_tokens);
+  void BreakStreams(const std::vector<SequenceId>& broken, const char* cause);
+  void RunStep();
+  void FinishStep();
+  void DropGoneStreams();
+  void Emit(const EngineModel::Token& token);
+  void EmitStreamed(Stream& stream, const EngineModel::Token& token);
+  void EmitWhole(Stream& stream, const EngineModel::Token& token);
+  Identity IdentityFor(const Stream& stream, int index);
+  void UpdateLoad();
+
+  Options options_;
+  EventLog log_;
+  StandinServer& server_;
+  EngineModel model_;
+  asio::steady_timer step_timer_;
+  DeliveryQueue deliveries_;
+  Lagged<EngineModel::Load> load_;
+  std::map<SequenceId, Stream> streams_;
+  std::unordered_map<std::string, std::uint64_t> highest_fence_;
+  std::vector<std::string> fail_prompts_;
+  int cross_answers_ = 0;
+  int break_streams_ = 0;
+  std::uint64_t last_own_id_ = 0;
+};
+
+}  // namespace carawayrelay::tools
--- /dev/null
+++ b/tools/standins/expected_answer.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <xxhash.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace carawayrelay::tools {
+
+// Tokens that the engine stand-in generates when a request sets no max_tokens.
+inline constexpr int kDefaultAnswerTokens = 16;
+
+// Seed of an answer: XXH3 (64 bits, seed 0) of the model name, a line feed and
+// the prompt. The prompt is the `content` of all messages joined by line feeds.
+inline std::uint64_t AnswerSeed(std::string_view model,
+                                std::string_view prompt) {
+  std::string text(model);
+  text += '\n';
+  text += prompt;
+  return XXH3_64bits(text.data(), text.size());
+}
+
+// Token `index` of an answer: six lower-case letters from the splitmix64 output
+// for seed + index, lowest bits first, after a space except for the first.
+inline std::string AnswerToken(std::uint64_t seed, int index) {
+  std::uint64_t mixed =
+      seed + 0x9e3779b97f4a7c15U * (static_cast<std::uint64_t>(index) + 1);
+  mixed = (mixed ^ (mixed >> 30U)) * 0xbf58476d1ce4e5b9U;
+  mixed = (mixed ^ (mixed >> 27U)) * 0x94d049bb133111ebU;
+  mixed ^= mixed >> 31U;
+  std::string token = index == 0 ? "" : " ";
+  for (int letter = 0; letter < 6; ++letter) {
+    token += static_cast<char>('a' + mixed % 26);
+    mixed /= 26;
+  }
+  return token;
+}
+
+// The whole content that the engine stand-in generates for a prompt.
+inline std::string ExpectedAnswer(std::string_view model,
+                                  std::string_view prompt,
+                                  int tokens) {
+  const std::uint64_t seed = AnswerSeed(model, prompt);
+  std::string answer;
+  for (int index = 0; index < tokens; ++index) {
+    answer += AnswerToken(seed, index);
+  }
+  return answer;
+}
+
+// Hash of a prompt in the history of the engine stand-in: 16 hexadecimal
+// digits of the seed of its answer.
+inline std::string PromptHash(std::string_view model, std::string_view prompt) {
+  static constexpr char kDigits[] = "0123456789abcdef";
+  const std::uint64_t seed = AnswerSeed(model, prompt);
+  std::string text;
+  for (int shift = 60; shift >= 0; shift -= 4) {
+    text += kDigits[(seed >> static_cast<unsigned>(shift)) & 15U];
+  }
+  return text;
+}
+
+}  // namespace carawayrelay::tools
