--- /dev/null
+++ b/tests/standins/engine_model_test.cc
@@ -0,0 +1,131 @@
+#include "standins/engine_model.h"
+
+#include <doctest/doctest.h>
+
+using namespace std::chrono_literals;
+
+namespace carawayrelay::tools {
+namespace {
+
+struct EngineModelFixture {
+  static EngineModel::Options MakeOptions() {
+    EngineModel::Options options;
+    options.step_base = 5ms;
+    options.step_per_sequence = 1ms;
+    options.prefill_per_token = 100us;
+    options.max_running = 3;
+    options.cold_capacity = 1;
+    options.cold_time = 100ms;
+    options.cold_slowdown = 2;
+    options.recovery_time = 50ms;
+    return options;
+  }
+
+  SequenceId Submit(const PromptShape& prompt, int tokens, TimePoint at) {
+    const EngineModel::Admission admission = model.Submit(prompt, tokens, at);
+    REQUIRE(std::holds_alternative<EngineModel::Accepted>(admission));
+    return std::get<EngineModel::Accepted>(admission).sequence;
+  }
+
+  Duration StepTime(TimePoint at) {
+    const std::optional<TimePoint> end = model.BeginStep(at);
+    REQUIRE(end.has_value());
+    return *end - at;
+  }
+
+  const TimePoint start{};
+  const TimePoint warm = start + 1s;
+  const PromptShape empty_prompt;
+  EngineModel model{MakeOptions(), start};
+};
+
+TEST_CASE_FIXTURE(EngineModelFixture,
+                  "EngineModel, more running sequences, longer steps") {
+  // Guards against a model in which load costs nothing, where every policy
+  // looks equally good.
+  Submit(empty_prompt, 4, warm);
+  CHECK(StepTime(warm) == 6ms);
+  model.EndStep();
+  Submit(empty_prompt, 4, warm);
+  Submit(empty_prompt, 4, warm);
+  CHECK(StepTime(warm) == 8ms);
+}
+
+TEST_CASE_FIXTURE(EngineModelFixture,
+                  "EngineModel, a cached prompt prefix, costs no prefill") {
+  // Guards against prefix affinity that has no effect in measurements.
+  PromptShape prompt{2 * kBlockTokens, {11, 22}};
+  Submit(prompt, 1, warm);
+  CHECK(StepTime(warm) == 6ms + 2 * kBlockTokens * 100us);
+  model.EndStep();
+  prompt.tokens += 3;
+  Submit(prompt, 1, warm);
+  CHECK(StepTime(warm) == 6ms + 3 * 100us);
+  CHECK(model.EndStep().at(0).cached_tokens == 2 * kBlockTokens);
+}
+
+TEST_CASE_FIXTURE(EngineModelFixture,
+                  "EngineModel, more sequences than it may run, FIFO order") {
+  // Guards against an engine that favours some requests by itself, which the
+  // real engines do not.
+  const SequenceId first = Submit(empty_prompt, 1, warm);
+  for (int i = 0; i < 2; ++i) {
+    Submit(empty_prompt, 2, warm);
+  }
+  const SequenceId fourth = Submit(empty_prompt, 1, warm);
+  StepTime(warm);
+  CHECK(model.CurrentLoad().waiting == 1);
+  const std::vector<EngineModel::Token> tokens = model.EndStep();
+  REQUIRE(tokens.size() == 3);
+  CHECK(tokens.at(0).sequence == first);
+  CHECK(tokens.at(0).last);
+  CHECK_FALSE(tokens.at(1).last);
+  StepTime(warm);
+  CHECK(model.EndStep().at(2).sequence == fourth);
+}
+
+TEST_CASE_FIXTURE(EngineModelFixture,
+                  "EngineModel, one sequence too many when cold, falls over") {
+  // Guards against a stand-in that forgives an agent that ignores cold starts.
+  const SequenceId running = Submit(empty_prompt, 9, start);
+  CHECK(StepTime(start) == 12ms);
+  const TimePoint late = start + 10ms;
+  const EngineModel::Admission excess = model.Submit(empty_prompt, 1, late);
+  REQUIRE(std::holds_alternative<EngineModel::FellOver>(excess));
+  const auto& fell_over = std::get<EngineModel::FellOver>(excess);
+  CHECK(fell_over.broken == std::vector{running});
+  CHECK(fell_over.sequences == 2);
+  CHECK(model.EndStep().empty());
+  CHECK(std::holds_alternative<EngineModel::Recovering>(
+      model.Submit(empty_prompt, 1, late + 49ms)));
+  Submit(empty_prompt, 1, late + 50ms);
+  CHECK(model.IsCold(late + 149ms));
+  CHECK_FALSE(model.IsCold(late + 150ms));
+}
+
+TEST_CASE_FIXTURE(EngineModelFixture,
+                  "EngineModel, a cancelled sequence, gets no more tokens") {
+  // Guards against cancelled batch work that goes on using the engine.
+  const SequenceId sequence = Submit(empty_prompt, 9, warm);
+  StepTime(warm);
+  model.Cancel(sequence);
+  CHECK(model.EndStep().empty());
+  CHECK_FALSE(model.BeginStep(warm).has_value());
+}
+
+TEST_CASE("ShapeOf, prompts with a common start, share their first blocks") {
+  // Guards against block hashes that depend on what follows the block.
+  std::string words;
+  for (int i = 0; i < kBlockTokens; ++i) {
+    words += "word" + std::to_string(i) + " ";
+  }
+  const PromptShape one = ShapeOf(words + "first question");
+  const PromptShape two = ShapeOf(words + words);
+  CHECK(one.tokens == kBlockTokens + 2);
+  REQUIRE(one.prefix_hashes.size() == 1);
+  REQUIRE(two.prefix_hashes.size() == 2);
+  CHECK(one.prefix_hashes[0] == two.prefix_hashes[0]);
+}
+
+}  // namespace
+}  // namespace carawayrelay::tools
