--- /dev/null
+++ b/tools/harness/caller.cc
@@ -0,0 +1,327 @@
+#include "harness/caller.h"
+
+#include <optional>
+#include <string_view>
+#include <utility>
+
+namespace carawayrelay::tools {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view kDataPrefix = "data: ";
+constexpr std::string_view kEndMarker = "[DONE]";
+constexpr char kBoundary[] = "carawayrelay-harness-boundary";
+
+CallError ErrorOf(const CallResult& result) {
+  CallError error;
+  error.http_status = result.http_status;
+  if (!result.transport_error.empty()) {
+    error.kind = CallErrorKind::kTransport;
+    error.message = result.transport_error;
+    return error;
+  }
+  error.kind = CallErrorKind::kRefused;
+  const json body = json::parse(result.body, nullptr, false);
+  if (body.is_object() && body.contains("error") && body["error"].is_object()) {
+    const json& details = body["error"];
+    const auto text = [&](const char* name) {
+      const auto found = details.find(name);
+      return found != details.end() && found->is_string()
+                 ? found->get<std::string>()
+                 : std::string();
+    };
+    error.code = text("code");
+    error.run_state = text("run_state");
+    error.message = text("message");
+  } else {
+    error.message = result.body;
+  }
+  return error;
+}
+
+CallError Broken(const CallResult& result, std::string message) {
+  CallError error;
+  error.kind = CallErrorKind::kBroken;
+  error.http_status = result.http_status;
+  error.message = std::move(message);
+  return error;
+}
+
+bool IsSuccess(const CallResult& result) {
+  return result.transport_error.empty() && result.http_status / 100 == 2;
+}
+
+// Collects the tokens of a stream and their times.
+class StreamReader {
+ public:
+  explicit StreamReader(const CallResult& result) : result_(result) {}
+
+  CallOutcome<ChatAnswer> Read() {
+    const std::string_view body = result_.body;
+    size_t start = 0;
+    while (start < body.size()) {
+      size_t end = body.find("\n\n", start);
+      end = end == std::string_view::npos ? body.size() : end;
+      if (const auto error = TakeEvent(body.substr(start, end - start), end)) {
+        return *error;
+      }
+      start = end + 2;
+    }
+    if (!is_done_) {
+      return ErrorWithoutEnd();
+    }
+    answer_.whole = result_.ended - result_.started;
+    return std::move(answer_);
+  }
+
+ private:
+  std::optional<CallError> TakeEvent(std::string_view event, size_t end) {
+    if (event.empty() || event.starts_with(":")) {
+      return std::nullopt;
+    }
+    if (is_done_) {
+      return Broken(result_, "event after the end marker");
+    }
+    const size_t data = event.find(kDataPrefix);
+    if (data == std::string_view::npos) {
+      return Broken(result_, "event without data");
+    }
+    const std::string_view text = event.substr(data + kDataPrefix.size());
+    if (text == kEndMarker) {
+      is_done_ = true;
+      return std::nullopt;
+    }
+    return TakeChunk(json::parse(text, nullptr, false), end);
+  }
+
+  std::optional<CallError> TakeChunk(const json& chunk, size_t end) {
+    if (!chunk.is_object()) {
+      return Broken(result_, "event is not a JSON object");
+    }
+    if (chunk.contains("error")) {
+      CallResult refused;
+      refused.http_status = result_.http_status;
+      refused.body = chunk.dump();
+      return ErrorOf(refused);
+    }
+    const json::json_pointer content("/choices/0/delta/content");
+    if (!chunk.contains(content) || !chunk.at(content).is_string()) {
+      return std::nullopt;
+    }
+    const std::string token = chunk.at(content).get<std::string>();
+    if (token.empty()) {
+      return std::nullopt;
+    }
+    const TimePoint arrival = ArrivalOf(end);
+    if (answer_.tokens == 0) {
+      answer_.first_token = arrival - result_.started;
+    } else {
+      answer_.between_tokens.push_back(arrival - last_arrival_);
+    }
+    last_arrival_ = arrival;
+    answer_.content += token;
+    ++answer_.tokens;
+    return std::nullopt;
+  }
+
+  // Time at which the body had reached `size`. Only called with growing sizes.
+  TimePoint ArrivalOf(size_t size) {
+    while (next_arrival_ + 1 < result_.arrivals.size() &&
+           result_.arrivals[next_arrival_].first < size) {
+      ++next_arrival_;
+    }
+    return result_.arrivals.empty() ? result_.ended
+                                    : result_.arrivals[next_arrival_].second;
+  }
+
+  CallError ErrorWithoutEnd() const {
+    return result_.transport_error.empty()
+               ? Broken(result_, "stream ends without its end marker")
+               : ErrorOf(result_);
+  }
+
+  const CallResult& result_;
+  ChatAnswer answer_;
+  size_t next_arrival_ = 0;
+  TimePoint last_arrival_;
+  bool is_done_ = false;
+};
+
+CallOutcome<ChatAnswer> ReadWholeAnswer(const CallResult& result) {
+  const json body = json::parse(result.body, nullptr, false);
+  const json::json_pointer content("/choices/0/message/content");
+  if (!body.is_object() || !body.contains(content) ||
+      !body.at(content).is_string()) {
+    return Broken(result, "response has no content");
+  }
+  ChatAnswer answer;
+  answer.content = body.at(content).get<std::string>();
+  answer.tokens = body.value(json::json_pointer("/usage/completion_tokens"), 0);
+  answer.whole = result.ended - result.started;
+  answer.first_token = answer.whole;
+  return answer;
+}
+
+}  // namespace
+
+std::string ToText(const CallError& error) {
+  const char* const kKinds[] = {"no whole response", "refused", "broken"};
+  std::string text = kKinds[static_cast<size_t>(error.kind)];
+  text += " (status " + std::to_string(error.http_status);
+  for (const std::string& detail : {error.code, error.run_state}) {
+    text += detail.empty() ? "" : ", " + detail;
+  }
+  return text + "): " + error.message;
+}
+
+bool BatchState::IsRunning() const {
+  return status != "completed" && status != "failed" && status != "expired" &&
+         status != "cancelled";
+}
+
+CallOutcome<ChatAnswer> ReadChatAnswer(const CallResult& result) {
+  const auto type = result.headers.find("content-type");
+  const bool is_stream = type != result.headers.end() &&
+                         type->second.starts_with("text/event-stream");
+  if (result.http_status == 200 && is_stream) {
+    return StreamReader(result).Read();
+  }
+  if (!IsSuccess(result)) {
+    return ErrorOf(result);
+  }
+  return ReadWholeAnswer(result);
+}
+
+Caller::Caller(HttpRunner& runner, std::string base_url, std::string key)
+    : runner_(runner), base_url_(std::move(base_url)), key_(std::move(key)) {}
+
+CallSpec Caller::MakeSpec(const std::string& method,
+                          const std::string& path,
+                          const std::string& body) const {
+  CallSpec spec;
+  spec.method = method;
+  spec.url = base_url_ + path;
+  spec.body = body;
+  spec.headers = {"Content-Type: application/json"};
+  if (!key_.empty()) {
+    spec.headers.push_back("Authorization: Bearer " + key_);
+  }
+  return spec;
+}
+
+CallSpec Caller::MakeChatSpec(const ChatCall& call) const {
+  const json body = {
+      {"model", call.model},
+      {"messages", json::array({{{"role", "user"}, {"content", call.prompt}}})},
+      {"max_tokens", call.max_tokens},
+      {"stream", call.stream}};
+  CallSpec spec = MakeSpec("POST", "/v1/chat/completions", body.dump());
+  spec.time_limit = call.time_limit;
+  if (!call.traceparent.empty()) {
+    spec.headers.push_back("traceparent: " + call.traceparent);
+  }
+  return spec;
+}
+
+void Caller::Chat(const ChatCall& call, ChatDone done) {
+  runner_.Start(MakeChatSpec(call),
+                [done = std::move(done)](const CallResult& result) {
+                  done(ReadChatAnswer(result));
+                });
+}
+
+CallOutcome<ChatAnswer> Caller::Chat(const ChatCall& call) {
+  return ReadChatAnswer(runner_.Run(MakeChatSpec(call)));
+}
+
+CallOutcome<json> Caller::RunJson(CallSpec spec) {
+  const CallResult result = runner_.Run(std::move(spec));
+  if (!IsSuccess(result)) {
+    return ErrorOf(result);
+  }
+  json body = json::parse(result.body, nullptr, false);
+  if (!body.is_object()) {
+    return Broken(result, "response is not a JSON object");
+  }
+  return body;
+}
+
+CallOutcome<std::string> Caller::UploadFile(const std::string& lines) {
+  const std::string delimiter = std::string("--") + kBoundary;
+  CallSpec spec = MakeSpec(
+      "POST", "/v1/files",
+      delimiter +
+          "\r\nContent-Disposition: form-data; name=\"purpose\"\r\n\r\nbatch"
+          "\r\n" +
+          delimiter +
+          "\r\nContent-Disposition: form-data; name=\"file\"; "
+          "filename=\"items.jsonl\"\r\nContent-Type: application/jsonl\r\n\r"
+          "\n" +
+          lines + "\r\n" + delimiter + "--\r\n");
+  spec.headers[0] =
+      std::string("Content-Type: multipart/form-data; boundary=") + kBoundary;
+  BOOST_OUTCOME_TRY(const json body, RunJson(std::move(spec)));
+  return body.value("id", "");
+}
+
+CallOutcome<std::string> Caller::DownloadFile(const std::string& id) {
+  CallResult result =
+      runner_.Run(MakeSpec("GET", "/v1/files/" + id + "/content", ""));
+  if (!IsSuccess(result)) {
+    return ErrorOf(result);
+  }
+  return std::move(result.body);
+}
+
+CallOutcome<BatchState> Caller::RunBatch(CallSpec spec) {
+  BOOST_OUTCOME_TRY(const json body, RunJson(std::move(spec)));
+  BatchState state;
+  state.id = body.value("id", "");
+  state.status = body.value("status", "");
+  const json output = body.value("output_file_id", json());
+  state.output_file = output.is_string() ? output.get<std::string>() : "";
+  state.total = body.value(json::json_pointer("/request_counts/total"), 0);
+  state.completed =
+      body.value(json::json_pointer("/request_counts/completed"), 0);
+  state.failed = body.value(json::json_pointer("/request_counts/failed"), 0);
+  return state;
+}
+
+CallOutcome<BatchState> Caller::CreateBatch(const std::string& file,
+                                            const std::string& name) {
+  const json body = {{"input_file_id", file},
+                     {"endpoint", "/v1/chat/completions"},
+                     {"completion_window", "24h"}};
+  CallSpec spec = MakeSpec("POST", "/v1/batches", body.dump());
+  if (!name.empty()) {
+    spec.headers.push_back("Idempotency-Key: " + name);
+  }
+  return RunBatch(std::move(spec));
+}
+
+CallOutcome<BatchState> Caller::GetBatch(const std::string& id) {
+  return RunBatch(MakeSpec("GET", "/v1/batches/" + id, ""));
+}
+
+CallOutcome<BatchState> Caller::CancelBatch(const std::string& id) {
+  return RunBatch(MakeSpec("POST", "/v1/batches/" + id + "/cancel", ""));
+}
+
+CallOutcome<std::string> Caller::CallService(
+    const std::string& method,
+    const std::string& route_and_path,
+    const std::string& body,
+    const std::string& idempotency_key) {
+  CallSpec spec = MakeSpec(method, "/services/" + route_and_path, body);
+  if (!idempotency_key.empty()) {
+    spec.headers.push_back("Idempotency-Key: " + idempotency_key);
+  }
+  CallResult result = runner_.Run(std::move(spec));
+  if (!IsSuccess(result)) {
+    return ErrorOf(result);
+  }
+  return std::move(result.body);
+}
+
+}  // namespace carawayrelay::tools
--- /dev/null
+++ b/tools/harness/demo.cc
@@ -0,0 +1,400 @@
+#include "harness/demo.h"
+
+#include <spdlog/fmt/fmt.h>
+#include <algorithm>
+#include <fstream>
+#include <map>
+#include <sstream>
+
+#include "standins/expected_answer.h"
+
+namespace carawayrelay::tools {
+namespace {
+
+using nlohmann::json;
+
+constexpr char kModel[] = "demo-model";
+constexpr char kService[] = "orders";
+constexpr int kOnlineTokens = 24;
+constexpr int kBatchTokens = 32;
+constexpr int kOrders = 5;
+constexpr int kShownProblems = 20;
+constexpr std::chrono::milliseconds kBatchLimit{60000};
+// Spans are exported with a delay.
+constexpr std::chrono::milliseconds kTraceLimit{5000};
+constexpr std::chrono::milliseconds kStopLimit{10000};
+
+FleetPlan MakePlan(const std::string& programs) {
+  FleetPlan plan;
+  plan.programs = programs;
+  plan.entries = {{"entry-1", "zone-a"}, {"entry-2", "zone-b"}};
+  for (const char* zone : {"a", "b", "c"}) {
+    BackendPlan backend;
+    backend.node = std::string("agent-") + zone;
+    backend.zone = std::string("zone-") + zone;
+    backend.routes = {kModel};
+    plan.backends.push_back(backend);
+  }
+  BackendPlan service;
+  service.node = "agent-orders";
+  service.zone = "zone-a";
+  service.kind = RouteKind::kService;
+  service.routes = {kService};
+  plan.backends.push_back(service);
+  return plan;
+}
+
+// Trace id of an online request; the entry continues this trace.
+std::string TraceId(int index) {
+  return fmt::format("{:032x}", 0x6361726177617900ULL + index + 1);
+}
+
+std::int64_t NumberOf(const json& span, const char* name) {
+  const auto found = span.find(name);
+  if (found == span.end()) {
+    return 0;
+  }
+  return found->is_string() ? std::stoll(found->get<std::string>())
+                            : found->get<std::int64_t>();
+}
+
+// Attribute of the resource that sent a span.
+std::string ResourceText(const json& span, const std::string& key) {
+  for (const json& attribute :
+       span.value(json::json_pointer("/resource/attributes"), json::array())) {
+    if (attribute.value("key", "") == key) {
+      return attribute.value(json::json_pointer("/value/stringValue"), "");
+    }
+  }
+  return "";
+}
+
+}  // namespace
+
+int Demo::Run(StopSignal& stop) {
+  Result<std::unique_ptr<ProcessGroup>> processes = ProcessGroup::Make();
+  Result<std::unique_ptr<HttpRunner>> http = HttpRunner::Make();
+  if (!processes || !http) {
+    fmt::print(stderr, "cannot start: {}\n",
+               !processes ? processes.error().message : http.error().message);
+    return 1;
+  }
+  fmt::print("output of the processes: {}\n", processes.value()->directory());
+  const Result<void> ran = RunFleet(*processes.value(), *http.value(), stop);
+  if (!ran) {
+    AddProblem(ran.error().message);
+  }
+  if (stop.HasArrived() && !options_.keep) {
+    AddProblem("interrupted by a signal");
+  }
+  fmt::print("{}\n", problems_ == 0 ? "all answers were correct"
+                                    : fmt::format("{} problems", problems_));
+  return problems_ == 0 ? 0 : 1;
+}
+
+Result<void> Demo::RunFleet(ProcessGroup& processes,
+                            HttpRunner& http,
+                            StopSignal& stop) {
+  BOOST_OUTCOME_TRY(
+      const std::unique_ptr<Fleet> fleet,
+      Fleet::Make(MakePlan(options_.programs), processes, http, stop));
+  const Result<void> started = fleet->Start(MakeConfig());
+  if (started) {
+    RunWork(*fleet, http, stop);
+    CheckOrderHistory(processes);
+    if (options_.keep) {
+      PrintAddresses(*fleet);
+      stop.Wait();
+    }
+  }
+  const Result<void> stopped = fleet->Stop(kStopLimit);
+  return started ? stopped : started;
+}
+
+void Demo::RunWork(Fleet& fleet, HttpRunner& http, StopSignal& stop) {
+  const std::vector<EntryPlan>& entries = fleet.plan().entries;
+  Caller batch(http, fleet.EntryUrl(entries.front().node), batch_key_.token);
+  // The job is read through another entry than the one that accepted it.
+  Caller reader(http, fleet.EntryUrl(entries.back().node), batch_key_.token);
+  Caller orders(http, fleet.EntryUrl(entries.back().node), online_key_.token);
+  const TimePoint start = BootClock::now();
+  const std::string job = SubmitBatch(batch);
+  RunOnline(fleet, http, stop);
+  RunOrders(orders);
+  if (!job.empty()) {
+    FinishBatch(reader, job, stop);
+  }
+  const double seconds =
+      std::chrono::duration<double>(BootClock::now() - start).count();
+  fmt::print("online: {} of {} correct; first token {}; between tokens {}\n",
+             correct_online_, options_.online_requests, first_token_.ToText(),
+             between_tokens_.ToText());
+  fmt::print("batch: {} of {} items correct\n", correct_batch_,
+             options_.batch_items);
+  fmt::print("orders: {} of {} executed once\n", correct_orders_, kOrders);
+  fmt::print("time: {:.1f} s\n", seconds);
+  PrintTrace(fleet, stop);
+}
+
+ConfigDocument Demo::MakeConfig() const {
+  ConfigDocument config;
+  for (const TestKey* key : {&online_key_, &batch_key_}) {
+    config.workspaces.push_back({.name = key->config.workspace,
+                                 .rate_per_second = 1000,
+                                 .burst = 1000,
+                                 .weight = 1});
+    config.keys.push_back(key->config);
+  }
+  config.routes.push_back({.name = kModel});
+  config.routes.push_back(
+      {.name = kService, .kind = RouteKind::kService, .repeatable = false});
+  return config;
+}
+
+ChatCall Demo::OnlineCall(int index) const {
+  ChatCall call;
+  call.model = kModel;
+  call.prompt = fmt::format(
+      "You answer questions of the team with number {} in a short and plain "
+      "way and name the source of each answer at its end.\nQuestion {}",
+      index % 8, index);
+  call.max_tokens = kOnlineTokens;
+  // Some callers take the answer in one piece.
+  call.stream = index % 8 != 7;
+  call.traceparent = fmt::format("00-{}-{:016x}-01", TraceId(index), index + 1);
+  return call;
+}
+
+void Demo::RunOnline(Fleet& fleet, HttpRunner& http, StopSignal& stop) {
+  std::vector<Caller> callers;
+  for (const EntryPlan& entry : fleet.plan().entries) {
+    callers.emplace_back(http, fleet.EntryUrl(entry.node), online_key_.token);
+  }
+  Ring<OnlineOutcome> finished(static_cast<size_t>(options_.concurrency));
+  int started = 0;
+  const auto start_next = [&] {
+    const ChatCall call = OnlineCall(started);
+    callers[static_cast<size_t>(started) % callers.size()].Chat(
+        call, [&finished, call](CallOutcome<ChatAnswer> outcome) {
+          finished.Push({call, std::move(outcome)});
+        });
+    ++started;
+  };
+  while (started < std::min(options_.concurrency, options_.online_requests)) {
+    start_next();
+  }
+  for (int ended = 0; ended < started; ++ended) {
+    const std::optional<OnlineOutcome> outcome = finished.Pop();
+    CheckOnline(*outcome);
+    if (started < options_.online_requests &&
+        !stop.WaitFor(std::chrono::milliseconds(0))) {
+      start_next();
+    }
+  }
+}
+
+void Demo::CheckOnline(const OnlineOutcome& finished) {
+  if (!finished.outcome) {
+    AddProblem("online: " + ToText(finished.outcome.error()));
+    return;
+  }
+  const ChatAnswer& answer = finished.outcome.value();
+  const std::string expected = ExpectedAnswer(
+      finished.call.model, finished.call.prompt, finished.call.max_tokens);
+  if (answer.content != expected) {
+    AddProblem(fmt::format("online: expected '{}', got '{}'", expected,
+                           answer.content));
+    return;
+  }
+  ++correct_online_;
+  if (finished.call.stream) {
+    first_token_.Add(answer.first_token);
+    for (const Duration gap : answer.between_tokens) {
+      between_tokens_.Add(gap);
+    }
+  }
+}
+
+std::string Demo::BatchPrompt(int index) const {
+  return fmt::format("Summarise document {} in one sentence.", index);
+}
+
+std::string Demo::SubmitBatch(Caller& caller) {
+  std::string lines;
+  for (int index = 0; index < options_.batch_items; ++index) {
+    const json line = {
+        {"custom_id", "item-" + std::to_string(index)},
+        {"method", "POST"},
+        {"url", "/v1/chat/completions"},
+        {"body",
+         {{"model", kModel},
+          {"messages",
+           json::array({{{"role", "user"}, {"content", BatchPrompt(index)}}})},
+          {"max_tokens", kBatchTokens}}}};
+    lines += line.dump() + "\n";
+  }
+  const CallOutcome<std::string> file = caller.UploadFile(lines);
+  if (!file) {
+    AddProblem("batch upload: " + ToText(file.error()));
+    return "";
+  }
+  const CallOutcome<BatchState> job =
+      caller.CreateBatch(file.value(), "demo-job");
+  if (!job) {
+    AddProblem("batch job: " + ToText(job.error()));
+    return "";
+  }
+  return job.value().id;
+}
+
+void Demo::FinishBatch(Caller& caller,
+                       const std::string& id,
+                       StopSignal& stop) {
+  BatchState state;
+  const bool ended = stop.PollUntil(
+      [&] {
+        const CallOutcome<BatchState> polled = caller.GetBatch(id);
+        if (polled) {
+          state = polled.value();
+        }
+        return polled && !state.IsRunning();
+      },
+      kBatchLimit);
+  if (!ended || state.status != "completed") {
+    AddProblem(fmt::format("batch: state '{}' with {} of {} items",
+                           state.status, state.completed, state.total));
+    return;
+  }
+  const CallOutcome<std::string> output =
+      caller.DownloadFile(state.output_file);
+  if (!output) {
+    AddProblem("batch output: " + ToText(output.error()));
+    return;
+  }
+  std::vector<int> seen(static_cast<size_t>(options_.batch_items), 0);
+  std::istringstream lines(output.value());
+  for (std::string line; std::getline(lines, line);) {
+    if (!line.empty()) {
+      CheckBatchLine(json::parse(line, nullptr, false), seen);
+    }
+  }
+  const auto once = std::count(seen.begin(), seen.end(), 1);
+  if (once != options_.batch_items) {
+    AddProblem(fmt::format("batch: {} of {} items have one result", once,
+                           options_.batch_items));
+  }
+}
+
+void Demo::CheckBatchLine(const json& line, std::vector<int>& seen) {
+  const json::json_pointer content("/response/body/choices/0/message/content");
+  const std::string id =
+      line.is_object() ? line.value("custom_id", std::string()) : "";
+  int index = -1;
+  std::istringstream(id.substr(std::min<size_t>(id.size(), 5))) >> index;
+  if (index < 0 || index >= options_.batch_items || !line.contains(content)) {
+    AddProblem("batch: line without a result: " + line.dump());
+    return;
+  }
+  ++seen[static_cast<size_t>(index)];
+  if (line.at(content) !=
+      json(ExpectedAnswer(kModel, BatchPrompt(index), kBatchTokens))) {
+    AddProblem("batch: wrong content: " + line.dump());
+    return;
+  }
+  ++correct_batch_;
+}
+
+void Demo::RunOrders(Caller& caller) {
+  for (int index = 0; index < kOrders; ++index) {
+    const std::string key = "order-" + std::to_string(index);
+    const std::string body = json{{"id", index}}.dump();
+    // The resend must get the stored response.
+    for (int resend = 0; resend < 2; ++resend) {
+      const CallOutcome<std::string> reply =
+          caller.CallService("POST", "orders/orders", body, key);
+      if (!reply) {
+        AddProblem("order: " + ToText(reply.error()));
+      } else if (json::parse(reply.value(), nullptr, false)
+                     .value("body", std::string()) != body) {
+        AddProblem("order: wrong response " + reply.value());
+      }
+    }
+  }
+}
+
+void Demo::CheckOrderHistory(const ProcessGroup& processes) {
+  std::map<std::string, int> executions;
+  std::ifstream history(
+      processes.OutputPath(Fleet::BackendProcess("agent-orders")));
+  for (std::string line; std::getline(history, line);) {
+    const json event = json::parse(line, nullptr, false);
+    if (event.is_object() && event.value("event", "") == "order_executed") {
+      ++executions[event.value("id", "")];
+    }
+  }
+  for (const auto& [id, count] : executions) {
+    if (count != 1) {
+      AddProblem(fmt::format("order {} ran {} times", id, count));
+    }
+  }
+}
+
+void Demo::PrintTrace(Fleet& fleet, StopSignal& stop) {
+  const std::string id = TraceId(options_.online_requests - 2);
+  const std::string url = fleet.PlatformUrl() + "/v1/traces?trace_id=" + id;
+  json spans;
+  // One span for the entry and one for the agent.
+  const bool found = stop.PollUntil(
+      [&] {
+        const Result<json> traces = fleet.GetJson(url);
+        spans = traces ? traces.value()["traces"].value(id, json::array())
+                       : json::array();
+        return spans.size() >= 2;
+      },
+      kTraceLimit);
+  if (!found) {
+    AddProblem(fmt::format("trace {} has {} spans", id, spans.size()));
+  }
+  if (spans.empty()) {
+    return;
+  }
+  fmt::print("trace {}:\n", id);
+  const std::int64_t start = NumberOf(spans[0], "startTimeUnixNano");
+  for (const json& span : spans) {
+    const std::int64_t begin = NumberOf(span, "startTimeUnixNano");
+    const std::int64_t end = NumberOf(span, "endTimeUnixNano");
+    fmt::print("  {:8.2f} ms  {:8.2f} ms  {} {}\n",
+               static_cast<double>(begin - start) / 1e6,
+               static_cast<double>(end - begin) / 1e6,
+               ResourceText(span, "service.instance.id"),
+               span.value("name", ""));
+  }
+}
+
+void Demo::PrintAddresses(const Fleet& fleet) const {
+  for (const EntryPlan& entry : fleet.plan().entries) {
+    fmt::print("{}: callers {}, operators {}\n", entry.node,
+               fleet.EntryUrl(entry.node), fleet.AdminUrl(entry.node));
+  }
+  for (const BackendPlan& backend : fleet.plan().backends) {
+    fmt::print("{}: stand-in {}\n", backend.node,
+               fleet.BackendUrl(backend.node));
+  }
+  fmt::print("platform: {}\n", fleet.PlatformUrl());
+  fmt::print(
+      "curl -N {}/v1/chat/completions -H 'Authorization: Bearer {}' -d "
+      "'{{\"model\":\"{}\",\"stream\":true,\"messages\":[{{\"role\":\"user\","
+      "\"content\":\"hello\"}}]}}'\n",
+      fleet.EntryUrl(fleet.plan().entries.front().node), online_key_.token,
+      kModel);
+  fmt::print("Ctrl-C stops the fleet.\n");
+  std::fflush(stdout);
+}
+
+void Demo::AddProblem(const std::string& text) {
+  if (++problems_ <= kShownProblems) {
+    fmt::print("PROBLEM: {}\n", text);
+  }
+}
+
+}  // namespace carawayrelay::tools
--- /dev/null
+++ b/tools/harness/demo.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "harness/caller.h"
+#include "harness/fleet.h"
+#include "harness/latency_summary.h"
+#include "harness/test_key.h"
+
+namespace carawayrelay::tools {
+
+// Runs a small fleet with online requests, one batch job and a plain service,
+// checks every answer and prints a summary.
+class Demo {
+ public:
+  struct Options {
+    // Directory with the programs.
+    std::string programs;
+    int online_requests = 240;
+    int concurrency = 12;
+    int batch_items = 120;
+    // Leave the fleet running until SIGINT or SIGTERM.
+    bool keep = false;
+  };
+
+  explicit Demo(Options options) : options_(std::move(options)) {}
+
+  // Returns the exit status: 0 only when every answer was correct and every
+  // process ended in order.
+  int Run(StopSignal& stop);
+
+ private:
+  struct OnlineOutcome {
+    ChatCall call;
+    CallOutcome<ChatAnswer> outcome;
+  };
+
+  Result<void> RunFleet(ProcessGroup& processes,
+                        HttpRunner& http,
+                        StopSignal& stop);
+  void RunWork(Fleet& fleet, HttpRunner& http, StopSignal& stop);
+  ConfigDocument MakeConfig() const;
+  ChatCall OnlineCall(int index) const;
+  void RunOnline(Fleet& fleet, HttpRunner& http, StopSignal& stop);
+  void CheckOnline(const OnlineOutcome& finished);
+  std::string BatchPrompt(int index) const;
+  std::string SubmitBatch(Caller& caller);
+  void FinishBatch(Caller& caller, const std::string& id, StopSignal& stop);
+  void CheckBatchLine(const nlohmann::json& line, std::vector<int>& seen);
+  void RunOrders(Caller& caller);
+  void CheckOrderHistory(const ProcessGroup& processes);
+  void PrintTrace(Fleet& fleet, StopSignal& stop);
+  void PrintAddresses(const Fleet& fleet) const;
+  // Counts and prints a wrong answer or a failure.
+  void AddProblem(const std::string& text);
+
+  Options options_;
+  TestKey online_key_ = MakeTestKey("demo-online", "online-team");
+  TestKey batch_key_ = MakeTestKey("demo-batch", "batch-team");
+  LatencySummary first_token_;
+  LatencySummary between_tokens_;
+  int correct_online_ = 0;
+  int correct_batch_ = 0;
+  int correct_orders_ = 0;
+  int problems_ = 0;
+};
+
+}  // namespace carawayrelay::tools
--- /dev/null
+++ b/tools/harness/fleet.h
@@ -0,0 +1,131 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "carawayrelay/version.h"
+#include "harness/http_runner.h"
+#include "harness/process_group.h"
+#include "harness/stop_signal.h"
+
+namespace carawayrelay::tools {
+
+struct EntryPlan {
+  std::string node;
+  std::string zone;
+};
+
+struct BackendPlan {
+  std::string node;  // of the agent; the stand-in is "<node>-backend"
+  std::string zone;
+  RouteKind kind = RouteKind::kModel;
+  std::vector<std::string> routes;
+  int max_window = 32;
+  int cold_window = 4;
+  std::chrono::milliseconds slow_first_token{1600};
+  std::vector<std::string> standin_flags;
+};
+
+struct FleetPlan {
+  // Directory with the programs.
+  std::string programs;
+  std::vector<EntryPlan> entries;
+  std::vector<BackendPlan> backends;
+  std::vector<std::string> platform_flags;
+};
+
+// Ports on 127.0.0.1 that a fleet uses.
+struct EntryPorts {
+  std::uint16_t callers = 0;
+  std::uint16_t admin = 0;
+  std::uint16_t link = 0;
+};
+struct BackendPorts {
+  std::uint16_t link = 0;
+  std::uint16_t backend = 0;
+};
+
+// A small fleet of real processes on loopback, with stand-ins for the platform
+// and the backend servers. Processes keep their ports over a restart.
+class Fleet {
+ public:
+  static constexpr std::chrono::milliseconds kStartLimit{10000};
+
+  // The references must outlive the fleet.
+  static Result<std::unique_ptr<Fleet>> Make(FleetPlan plan,
+                                             ProcessGroup& processes,
+                                             HttpRunner& http,
+                                             StopSignal& stop);
+
+  // Starts everything in order, applies `config` and waits until all entries
+  // are ready.
+  Result<void> Start(const ConfigDocument& config);
+  // Stops everything by SIGTERM: entries, agents, stand-ins. Fails when a
+  // process ends with another status than 0 or only after SIGKILL.
+  Result<void> Stop(std::chrono::milliseconds limit);
+
+  Result<void> StartPlatform();
+  // Start one process and wait until it listens. `node` must be in the plan.
+  Result<void> StartBackend(const std::string& node);
+  Result<void> StartAgent(const std::string& node);
+  Result<void> StartEntry(const std::string& node);
+  Result<void> WaitUntilReady(const std::string& entry);
+
+  // Replaces the configuration through an entry. Returns the new version.
+  Result<std::uint64_t> ApplyConfig(const std::string& entry,
+                                    const ConfigDocument& config);
+  // Sets the platform's list of VMs to all nodes but `gone`, with those in
+  // `leaving` marked.
+  Result<void> PublishVms(const std::vector<std::string>& gone,
+                          const std::vector<std::string>& leaving);
+  // Posts to /control of a stand-in: "platform" or the node of a backend.
+  Result<nlohmann::json> Control(const std::string& standin,
+                                 const nlohmann::json& fields);
+  Result<nlohmann::json> GetJson(const std::string& url);
+
+  std::string PlatformUrl() const;
+  std::string EntryUrl(const std::string& node) const;
+  std::string AdminUrl(const std::string& node) const;
+  std::string BackendUrl(const std::string& node) const;
+  static std::string BackendProcess(const std::string& node) {
+    return node + "-backend";
+  }
+  const FleetPlan& plan() const { return plan_; }
+
+ private:
+  Fleet(FleetPlan plan,
+        ProcessGroup& processes,
+        HttpRunner& http,
+        StopSignal& stop);
+
+  size_t EntryIndex(const std::string& node) const;
+  size_t BackendIndex(const std::string& node) const;
+  Result<void> StartAndWait(const std::string& name,
+                            const std::vector<std::string>& arguments,
+                            std::uint16_t port);
+  Result<void> StartStandin(const std::string& subcommand,
+                            const std::string& name,
+                            std::uint16_t port,
+                            const std::vector<std::string>& flags);
+  Result<void> StartRole(const std::string& subcommand,
+                         const std::string& node,
+                         const nlohmann::json& settings,
+                         std::uint16_t port);
+  Result<nlohmann::json> CallJson(const CallSpec& spec);
+  Result<void> StopOne(const std::string& name,
+                       std::chrono::milliseconds limit);
+
+  FleetPlan plan_;
+  ProcessGroup& processes_;
+  HttpRunner& http_;
+  StopSignal& stop_;
+  std::uint16_t platform_port_ = 0;
+  std::vector<EntryPorts> entry_ports_;
+  std::vector<BackendPorts> backend_ports_;
+};
+
+}  // namespace carawayrelay::tools
--- /dev/null
+++ b/tools/harness/http_runner.cc
@@ -0,0 +1,189 @@
+#include "harness/http_runner.h"
+
+#include <curl/curl.h>
+
+#include <algorithm>
+#include <cctype>
+#include <string_view>
+#include <thread>
+
+namespace carawayrelay::tools {
+namespace {
+
+constexpr size_t kCommandCapacity = 16384;
+// Longest wait for a command or a socket; both end the wait early.
+constexpr std::chrono::milliseconds kMaxPoll{1000};
+
+struct EasyDeleter {
+  void operator()(CURL* easy) const { curl_easy_cleanup(easy); }
+};
+struct MultiDeleter {
+  void operator()(CURLM* multi) const { curl_multi_cleanup(multi); }
+};
+struct ListDeleter {
+  void operator()(curl_slist* list) const { curl_slist_free_all(list); }
+};
+
+// One call; libcurl holds pointers to it.
+struct Transfer {
+  CallSpec spec;
+  HttpRunner::Done done;
+  CallResult result;
+  std::unique_ptr<CURL, EasyDeleter> easy;
+  std::unique_ptr<curl_slist, ListDeleter> headers;
+};
+
+size_t OnBody(char* data, size_t size, size_t count, void* user) {
+  CallResult& result = static_cast<Transfer*>(user)->result;
+  result.body.append(data, size * count);
+  result.arrivals.emplace_back(result.body.size(), BootClock::now());
+  return size * count;
+}
+
+size_t OnHeader(char* data, size_t size, size_t count, void* user) {
+  const std::string_view line(data, size * count);
+  const size_t colon = line.find(':');
+  if (colon != std::string_view::npos) {
+    std::string name(line.substr(0, colon));
+    std::transform(name.begin(), name.end(), name.begin(),
+                   [](unsigned char c) { return std::tolower(c); });
+    const size_t value = line.find_first_not_of(' ', colon + 1);
+    const size_t end = line.find_last_not_of("\r\n");
+    static_cast<Transfer*>(user)->result.headers[name] =
+        value > end ? std::string()
+                    : std::string(line.substr(value, end + 1 - value));
+  }
+  return size * count;
+}
+
+void SetUp(Transfer& transfer) {
+  CURL* easy = transfer.easy.get();
+  const CallSpec& spec = transfer.spec;
+  curl_easy_setopt(easy, CURLOPT_URL, spec.url.c_str());
+  curl_easy_setopt(easy, CURLOPT_PRIVATE, &transfer);
+  curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(easy, CURLOPT_PROXY, "");
+  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
+                   static_cast<long>(spec.time_limit.count()));
+  // libcurl repeats a call by itself when a kept connection turns out to be
+  // closed, which would hide what the relay did.
+  curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+  curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+  curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, spec.method.c_str());
+  if (spec.method != "GET") {
+    curl_easy_setopt(easy, CURLOPT_POST, 1L);
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, spec.body.data());
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(spec.body.size()));
+  }
+  curl_slist* list = curl_slist_append(nullptr, "Expect:");
+  for (const std::string& header : spec.headers) {
+    list = curl_slist_append(list, header.c_str());
+  }
+  transfer.headers.reset(list);
+  curl_easy_setopt(easy, CURLOPT_HTTPHEADER, list);
+  curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnBody);
+  curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
+  curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &OnHeader);
+  curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
+}
+
+}  // namespace
+
+class HttpRunner::Impl {
+ public:
+  Impl() : multi_(curl_multi_init()), commands_(kCommandCapacity) {
+    commands_.SetWake([this] { curl_multi_wakeup(multi_.get()); });
+    thread_ = std::thread([this] { Loop(); });
+  }
+
+  ~Impl() {
+    commands_.Close();
+    thread_.join();
+  }
+
+  bool Push(std::unique_ptr<Transfer> transfer) {
+    return commands_.Push(std::move(transfer));
+  }
+
+ private:
+  void Loop() {
+    while (!commands_.IsClosed()) {
+      while (auto command = commands_.TryPop()) {
+        Begin(std::move(*command));
+      }
+      int running = 0;
+      curl_multi_perform(multi_.get(), &running);
+      CollectFinished();
+      curl_multi_poll(multi_.get(), nullptr, 0,
+                      static_cast<int>(kMaxPoll.count()), nullptr);
+    }
+    while (!transfers_.empty()) {
+      Finish(transfers_.begin()->first, "the harness stopped");
+    }
+  }
+
+  void Begin(std::unique_ptr<Transfer> transfer) {
+    transfer->easy.reset(curl_easy_init());
+    SetUp(*transfer);
+    transfer->result.started = BootClock::now();
+    CURL* easy = transfer->easy.get();
+    curl_multi_add_handle(multi_.get(), easy);
+    transfers_.emplace(easy, std::move(transfer));
+  }
+
+  void CollectFinished() {
+    int left = 0;
+    while (CURLMsg* message = curl_multi_info_read(multi_.get(), &left)) {
+      if (message->msg == CURLMSG_DONE) {
+        const CURLcode code = message->data.result;
+        Finish(message->easy_handle,
+               code == CURLE_OK ? "" : curl_easy_strerror(code));
+      }
+    }
+  }
+
+  void Finish(CURL* easy, const char* transport_error) {
+    auto node = transfers_.extract(easy);
+    Transfer& transfer = *node.mapped();
+    long status = 0;
+    curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+    curl_multi_remove_handle(multi_.get(), easy);
+    transfer.result.http_status = static_cast<int>(status);
+    transfer.result.transport_error = transport_error;
+    transfer.result.ended = BootClock::now();
+    transfer.done(std::move(transfer.result));
+  }
+
+  std::unique_ptr<CURLM, MultiDeleter> multi_;
+  Ring<std::unique_ptr<Transfer>> commands_;
+  std::map<CURL*, std::unique_ptr<Transfer>> transfers_;
+  std::thread thread_;
+};
+
+Result<std::unique_ptr<HttpRunner>> HttpRunner::Make() {
+  if (curl_global_init(CURL_GLOBAL_DEFAULT) != CURLE_OK) {
+    return Error{ErrorCode::kInternal, "libcurl cannot be set up"};
+  }
+  return std::unique_ptr<HttpRunner>(new HttpRunner(std::make_unique<Impl>()));
+}
+
+HttpRunner::HttpRunner(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
+
+HttpRunner::~HttpRunner() = default;
+
+void HttpRunner::Start(CallSpec spec, Done done) {
+  auto transfer = std::make_unique<Transfer>();
+  transfer->spec = std::move(spec);
+  transfer->done = std::move(done);
+  impl_->Push(std::move(transfer));
+}
+
+CallResult HttpRunner::Run(CallSpec spec) {
+  Ring<CallResult> results(1);
+  Start(std::move(spec),
+        [&](CallResult result) { results.Push(std::move(result)); });
+  return results.Pop().value_or(CallResult{});
+}
+
+}  // namespace carawayrelay::tools
--- /dev/null
+++ b/tools/harness/main.cc
@@ -0,0 +1,46 @@
+#include <gflags/gflags.h>
+
+#include <cstdio>
+#include <filesystem>
+#include <string>
+
+#include "harness/demo.h"
+
+DEFINE_int32(online, 240, "demo: number of online requests");
+DEFINE_int32(concurrency, 12, "demo: online requests at the same time");
+DEFINE_int32(items, 120, "demo: items of the batch job");
+DEFINE_bool(keep, false, "demo: leave the fleet running until Ctrl-C");
+
+namespace carawayrelay::tools {
+namespace {
+
+int RunDemo(const std::string& programs, StopSignal& stop) {
+  Demo::Options options;
+  options.programs = programs;
+  options.online_requests = FLAGS_online;
+  options.concurrency = FLAGS_concurrency;
+  options.batch_items = FLAGS_items;
+  options.keep = FLAGS_keep;
+  return Demo(std::move(options)).Run(stop);
+}
+
+int Main(int argc, char** argv) {
+  StopSignal stop;
+  gflags::SetUsageMessage("demo [flags]");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  const std::string subcommand = argc == 2 ? argv[1] : "";
+  const std::string programs =
+      std::filesystem::read_symlink("/proc/self/exe").parent_path().string();
+  if (subcommand == "demo") {
+    return RunDemo(programs, stop);
+  }
+  std::fprintf(stderr, "usage: %s %s\n", argv[0], gflags::ProgramUsage());
+  return 2;
+}
+
+}  // namespace
+}  // namespace carawayrelay::tools
+
+int main(int argc, char** argv) {
+  return carawayrelay::tools::Main(argc, argv);
+}
--- a/tools/standins/engine_standin.cc
+++ b/tools/standins/engine_standin.cc
@@ -29,7 +29,6 @@
                              StandinServer& server)
     : options_(options),
       log_(log),
-      server_(server),
       model_(options.model, BootClock::now()),
       step_timer_(server.io()),
       deliveries_(server.io()),
@@ -37,7 +36,7 @@
   log_.Write("cold", {{"cause", "start"}});
 }
 
-void EngineStandin::Handle(HttpCall call) {
+void EngineStandin::Handle(const HttpCall& call) {
   const std::string& path = call.request.path;
   if (path == "/v1/chat/completions" && call.request.method == "POST") {
     HandleChat(call);
--- a/tools/standins/engine_standin.h
+++ b/tools/standins/engine_standin.h
@@ -33,7 +33,7 @@
                 const EventLog& log,
                 StandinServer& server);
 
-  void Handle(HttpCall call);
+  void Handle(const HttpCall& call);
 
  private:
   // One request in the engine.
@@ -78,7 +78,6 @@
 
   Options options_;
   EventLog log_;
-  StandinServer& server_;
   EngineModel model_;
   asio::steady_timer step_timer_;
   DeliveryQueue deliveries_;
--- a/tools/standins/service_standin.cc
+++ b/tools/standins/service_standin.cc
@@ -9,7 +9,7 @@
 
 // Name of an order: its Idempotency-Key, or else the "id" of its body.
 std::string OrderId(const HttpRequest& request) {
-  const std::string key = HeaderOf(request, "idempotency-key");
+  std::string key = HeaderOf(request, "idempotency-key");
   if (!key.empty()) {
     return key;
   }
--- a/tools/standins/trace_store.cc
+++ b/tools/standins/trace_store.cc
@@ -19,9 +19,9 @@
 
 // Field of an object, or an empty array.
 const nlohmann::json& ArrayOf(const nlohmann::json& json, const char* name) {
-  static const nlohmann::json kEmpty = nlohmann::json::array();
+  static const nlohmann::json empty = nlohmann::json::array();
   const auto found = json.find(name);
-  return found == json.end() ? kEmpty : *found;
+  return found == json.end() ? empty : *found;
 }
 
 }  // namespace
