Share the events that several state machines have

Cause: the entry's and the agent's decisions each defined Tick, StopRequested, ConfigAdopted, SendMessage and Drained in one namespace, so the public header of the process library did not compile, and two definitions linked into one binary would break the one-definition rule.

Ruled out: a namespace for each role, because the types mean the same.

The tree compiles again; nothing else changed.

--- a/include/carawayrelay/process.h
+++ b/include/carawayrelay/process.h
@@ -17,6 +17,7 @@
 #include "process/command_job.h"
 #include "process/command_line.h"
 #include "process/command_runner.h"
+#include "process/common_event.h"
 #include "process/config_store.h"
 #include "process/config_watch.h"
 #include "process/dispatch_event.h"
