Test slow first tokens and lost batch connections at the gate

Mutations of gate.cc in a scratch copy left four survivors out of 19: one changed nothing, one showed a redundant condition, which is removed, and two showed missing checks, which are added.

--- a/src/process/gate.cc
+++ b/src/process/gate.cc
@@ -49,7 +49,7 @@
 
 std::vector<GateAction> Gate::Handle(GateEvent event, TimePoint now) {
   now_ = now;
-  std::visit([this](auto& e) { On(e); }, event);
+  std::visit([this](auto& e) { this->On(e); }, event);
   // Parts are most of the events and change nothing below.
   if (!std::holds_alternative<EnginePart>(event)) {
     Settle();
@@ -132,8 +132,8 @@
                       submit.chunk->fence)) {
     refusal = NotRun(RefusalCode::kFenced, "the chunk has a newer owner");
   }
-  if (!refusal && is_batch &&
-      (!waiting_.empty() || running() >= window_.size())) {
+  // Online work waits only while the window is full.
+  if (!refusal && is_batch && running() >= window_.size()) {
     refusal = NotRun(RefusalCode::kWindowFull, "no room for batch items");
   }
   if (refusal) {
--- a/tests/process/gate_test.cc
+++ b/tests/process/gate_test.cc
@@ -190,6 +190,16 @@
   Feed(EngineFailed{.call = started.back(), .run_state = RunState::kNotRun});
   CHECK(IsRefused(RefusalCode::kBackendFailed, RunState::kNotRun));
   CHECK(gate.window() == 2);
+  FeedMessage(kOnline, MakeOnline(11));
+  FeedMessage(kOnline, MakeOnline(12));
+  Feed(EnginePart{started[6], "a"});
+  Feed(EngineEnd{.call = started[6], .http_status = 200});
+  Feed(EnginePart{started[7], "a"});
+  CHECK(gate.window() == 3);
+  FeedMessage(kOnline, MakeOnline(13));
+  now += milliseconds(101);
+  Feed(EnginePart{started[8], "a"});
+  CHECK(gate.window() == 2);
 }
 
 // Guards against a flood of hints and against entries that hear nothing.
@@ -219,6 +229,10 @@
   CHECK_FALSE(Sent<BatchRoom>());
   Feed(EngineEnd{.call = started[0], .http_status = 200});
   CHECK(Sent<BatchRoom>()->items == 1);
+  Feed(LinkDown{kBatch, ""});
+  now += Gate::kStatusMaxInterval;
+  Feed(Tick{});
+  CHECK_FALSE(Sent<BatchRoom>());
 }
 
 }  // namespace
