--- a/src/process/events.h
+++ b/src/process/events.h
@@ -10,6 +10,20 @@
   // 18xx telemetry.
   kLinkUp = 1101,
   kLinkDown = 1102,
+  kConfigAdopted = 1201,
+  kConfigInEffect = 1201,
+  kConfigPublished = 1202,
+  kConfigUpdateInvalid = 1202,
+  kConfigRejected = 1203,
+  kEntryStarted = 1301,
+  kEntryReadiness = 1302,
+  kEntryStopping = 1303,
+  kEntryStopped = 1304,
+  kEntryFailed = 1305,
+  kLimitLeaseHeld = 1401,
+  kLimitLeaseLost = 1402,
+  kLimitsStoreDown = 1403,
+  kLimitRowMalformed = 1404,
   kAgentStarted = 1601,
   kAgentStartFailed = 1602,
   kAgentDraining = 1603,
@@ -18,6 +32,9 @@
   kAgentConfigRejected = 1606,
   kEngineCallFailed = 1607,
   kEngineCommandLost = 1608,
+  kPlatformAway = 1701,
+  kPlatformBack = 1702,
+  kVmListUnreadable = 1703,
 };
 
 }  // namespace carawayrelay
