--- a/src/process/admin_client.cc
+++ b/src/process/admin_client.cc
@@ -40,7 +40,7 @@
   Error last{ErrorCode::kUnavailable, "no entry"};
   for (const std::unique_ptr<HttpClient>& entry : entries_) {
     const Result<HttpReply> reply = entry->Send(call);
-    const Result<std::string> body =
+    Result<std::string> body =
         reply ? ToResult(reply.value()) : Result<std::string>(reply.error());
     if (!body && body.error().code == ErrorCode::kConflict &&
         reply.value().maybe_repeated) {
--- a/src/process/command_check.cc
+++ b/src/process/command_check.cc
@@ -55,7 +55,7 @@
 }  // namespace
 
 std::optional<FileKind> RecogniseFile(const std::string& text) {
-  static const std::array kKinds = {
+  static const std::array kinds = {
       KindFields{FileKind::kEntry,
                  {"listen_callers", "listen_admin", "listen_links",
                   "platform_url", "seed_agents", "seed_peers"}},
@@ -69,7 +69,7 @@
   }
   std::optional<FileKind> best;
   std::ptrdiff_t best_count = 0;
-  for (const KindFields& kind : kKinds) {
+  for (const KindFields& kind : kinds) {
     const auto count =
         std::count_if(kind.fields.begin(), kind.fields.end(),
                       [&](auto field) { return parsed.contains(field); });
--- a/src/process/command_job.cc
+++ b/src/process/command_job.cc
@@ -46,7 +46,7 @@
         std::this_thread::sleep_for(kRetryWait);
       }
       const Result<HttpReply> reply = http_->Send(call);
-      const Result<std::string> body =
+      Result<std::string> body =
           reply ? ToResult(reply.value()) : Result<std::string>(reply.error());
       if (body) {
         return body;
