--- a/src/process/config_watch.cc
+++ b/src/process/config_watch.cc
@@ -149,7 +149,7 @@
     if (adopted.value()) {
       LogInfo(LogEvent::kConfigAdopted, "configuration version {} with hash {}",
               ToInt(config->version()), config->content_hash());
-      on_event_(ConfigAdopted{config});
+      on_event_(ConfigChanged{config});
     }
     return adopted.value();
   }
--- a/src/process/config_watch.h
+++ b/src/process/config_watch.h
@@ -15,7 +15,7 @@
 namespace carawayrelay {
 
 // A newer configuration is in effect in this process.
-struct ConfigAdopted {
+struct ConfigChanged {
   ConfigPtr config;
 };
 
@@ -24,7 +24,7 @@
   std::vector<VmInfo> vms;
 };
 
-using ConfigEvent = std::variant<ConfigAdopted, VmsChanged>;
+using ConfigEvent = std::variant<ConfigChanged, VmsChanged>;
 
 // What the config thread knows, for operators.
 struct ConfigState {
--- a/tests/process/config_watch_test.cc
+++ b/tests/process/config_watch_test.cc
@@ -84,7 +84,7 @@
   const auto client = PlatformClient::Make({.base_url = platform.url()});
   ConfigStore(*client.value()).Publish(kNoConfig, DocumentWithZone("a"));
   const TimePoint start = BootClock::now();
-  CHECK(Next<ConfigAdopted>().config->IsZoneOut("a"));
+  CHECK(Next<ConfigChanged>().config->IsZoneOut("a"));
   CHECK(BootClock::now() - start < std::chrono::seconds(5));
 }
 
@@ -93,7 +93,7 @@
                   "ConfigWatch, versions from peers, adopts only newer ones") {
   Start();
   Offer(5, "five");
-  CHECK(Next<ConfigAdopted>().config->IsZoneOut("five"));
+  CHECK(Next<ConfigChanged>().config->IsZoneOut("five"));
   Offer(4, "four");
   watch->TryOffer(ConfigVersion{6}, "wrong hash", DocumentWithZone("six"));
   CHECK(State().config->version() == ConfigVersion{5});
--- /dev/null
+++ b/tests/version/operators_test.cc
@@ -0,0 +1,44 @@
+#include "carawayrelay/operators.h"
+
+#include <doctest/doctest.h>
+
+#include "carawayrelay/version.h"
+
+namespace carawayrelay {
+namespace {
+
+struct OperatorsFixture {
+  operators::ConfigBuilder builder;
+  Findings findings;
+};
+
+// Guards against a library that writes fields the entry does not accept.
+TEST_CASE_FIXTURE(OperatorsFixture,
+                  "ConfigBuilder, whole document, is accepted unchanged") {
+  builder.Add(operators::Workspace{
+      .name = "w", .rate_per_second = 2.5, .burst = 5, .weight = 2});
+  builder.Add(operators::HashKey("k", "w", "secret"));
+  builder.Add(operators::Route{.name = "r",
+                               .kind = operators::RouteKind::kService,
+                               .repeatable = false,
+                               .workspaces = {"w"}});
+  builder.TakeZoneOut("z1");
+  const auto document = ParseConfigDocument(builder.ToJson(), findings);
+  REQUIRE(document);
+  CHECK(ToJson(*document) == builder.ToJson());
+  const auto config = ConfigSnapshot::Make(ConfigVersion{1}, builder.ToJson());
+  REQUIRE(config);
+  CHECK(config.value()->Authenticate("cr_k_secret") != nullptr);
+  CHECK(config.value()->Authenticate("cr_k_other") == nullptr);
+}
+
+TEST_CASE_FIXTURE(OperatorsFixture,
+                  "ConfigBuilder, unknown workspace, is found by the check") {
+  builder.Add(operators::Route{.name = "r", .workspaces = {"nobody"}});
+  CHECK_FALSE(ParseConfigDocument(builder.ToJson(), findings));
+  REQUIRE(findings.items().size() == 1);
+  CHECK(findings.items()[0].path == "/routes/0/workspaces/0");
+}
+
+}  // namespace
+}  // namespace carawayrelay
