--- a/src/process/link_thread.cc
+++ b/src/process/link_thread.cc
@@ -320,6 +320,11 @@
 
   // Delivers the events that no paused connection can hold.
   void Redeliver() {
+    // A receiver that stopped first never takes an event, and trying again
+    // would keep Stop() from ending.
+    if (stopping_) {
+      undelivered_.clear();
+    }
     while (!undelivered_.empty()) {
       if (!deliver_(undelivered_.front())) {
         redeliver_timer_.expires_after(kRedeliverDelay);
--- /dev/null
+++ b/tests/process/chat_api_test.cc
@@ -0,0 +1,100 @@
+#include <doctest/doctest.h>
+
+#include <nlohmann/json.hpp>
+
+#include "carawayrelay/process.h"
+
+namespace carawayrelay {
+namespace {
+
+struct ChatApiFixture {
+  HttpRequest request{.method = "POST", .path = "/v1/chat/completions"};
+
+  std::variant<CallerRequest, Refusal> Parse(const std::string& body) {
+    request.body = body;
+    return ParseChatCall(request);
+  }
+  bool IsInvalid(const std::string& body) {
+    const auto parsed = Parse(body);
+    const auto* refusal = std::get_if<Refusal>(&parsed);
+    return refusal != nullptr && refusal->code == RefusalCode::kInvalidRequest;
+  }
+};
+
+TEST_CASE_FIXTURE(ChatApiFixture, "ChatApi, valid call, is read") {
+  request.headers = {{"authorization", "bearer cr_a_b"}, {"x-other", "1"}};
+  const auto parsed =
+      Parse(R"({"model":"m","messages":[{"role":"user"}],"stream":true})");
+  const auto* call = std::get_if<CallerRequest>(&parsed);
+  REQUIRE(call != nullptr);
+  CHECK(call->route == "m");
+  CHECK(call->stream);
+  CHECK(call->bearer_token == "cr_a_b");
+  CHECK(call->body.find("cr_a_b") == std::string::npos);
+}
+
+TEST_CASE_FIXTURE(ChatApiFixture, "ChatApi, malformed calls, are refused") {
+  CHECK(IsInvalid("{"));
+  CHECK(IsInvalid("[]"));
+  CHECK(IsInvalid(R"({"messages":[1]})"));
+  CHECK(IsInvalid(R"({"model":"m","messages":[]})"));
+  CHECK(IsInvalid(R"({"model":"m","messages":[1],"stream":"yes"})"));
+}
+
+// Guards against a stack overflow in the JSON writer.
+TEST_CASE_FIXTURE(ChatApiFixture, "ChatApi, deep nesting, is refused") {
+  const std::string deep(1000000, '[');
+  CHECK(IsInvalid(R"({"model":"m","messages":)" + deep));
+}
+
+// Guards against a key that reaches a backend server inside the body.
+TEST_CASE_FIXTURE(ChatApiFixture, "ChatApi, key outside header, is refused") {
+  request.headers = {{"authorization", "Bearer cr_a_secret"}};
+  CHECK(IsInvalid(
+      R"({"model":"m","messages":[1],"api_key":"cr_a_\u0073ecret"})"));
+  request.path = "/services/s/x";
+  request.query = "key=cr_a_secret";
+  CHECK(std::holds_alternative<Refusal>(ParseServiceCall(request)));
+}
+
+// Guards against checking one model and running another.
+TEST_CASE_FIXTURE(ChatApiFixture, "ChatApi, repeated model, forwards one") {
+  const auto parsed = Parse(R"({"model":"a","messages":[1],"model":"b"})");
+  const auto& call = std::get<CallerRequest>(parsed);
+  const auto body = nlohmann::json::parse(call.body);
+  CHECK(body["model"] == call.route);
+  CHECK(call.body.find("\"model\"") == call.body.rfind("\"model\""));
+}
+
+TEST_CASE_FIXTURE(ChatApiFixture, "ChatApi, service call, keeps the target") {
+  request = {.method = "PUT", .path = "/services/s/a/b", .query = "q=1"};
+  const auto parsed = ParseServiceCall(request);
+  const auto* call = std::get_if<CallerRequest>(&parsed);
+  REQUIRE(call != nullptr);
+  CHECK(call->route == "s");
+  CHECK(call->path == "/a/b?q=1");
+  CHECK(call->method == "PUT");
+}
+
+// Guards against an end marker that reaches a caller before the answer is
+// known to be whole.
+TEST_CASE_FIXTURE(ChatApiFixture, "WithoutDoneEvent, marker, is removed") {
+  CHECK(WithoutDoneEvent("data: {}\n\ndata: [DONE]\n\n") == "data: {}\n\n");
+  CHECK(WithoutDoneEvent("data: [DONE]\n\n").empty());
+  const std::string quoted = "data: {\"a\":\"data: [DONE]\"}\n\n";
+  CHECK(WithoutDoneEvent(quoted) == quoted);
+}
+
+TEST_CASE_FIXTURE(ChatApiFixture, "ToErrorJson, refusal, has all fields") {
+  const auto error = nlohmann::json::parse(
+      ToErrorJson({.code = RefusalCode::kRateLimited,
+                   .reason = "bad \xff byte",
+                   .retry_after = std::chrono::milliseconds(1500)}))["error"];
+  CHECK(error["code"] == "rate_limited");
+  CHECK(error["type"] == "rate_limit_error");
+  CHECK(error["run_state"] == "not_run");
+  CHECK(error["retry_after"] == 1.5);
+}
+
+}  // namespace
+}  // namespace carawayrelay
