--- a/include/carawayrelay/request.h
+++ b/include/carawayrelay/request.h
@@ -12,5 +12,6 @@
 #include "request/overloaded.h"
 #include "request/refusal.h"
 #include "request/retry_policy.h"
+#include "request/sse_parser.h"
 #include "request/token_bucket.h"
 #include "request/trace_context.h"
--- a/src/main.cc
+++ b/src/main.cc
@@ -1,20 +1,37 @@
-#include <gflags/gflags.h>
-
-#include <cstdio>
+#include <cstdlib>
+#include <iostream>
 #include <string>
+#include <vector>
 
 #include "carawayrelay/process.h"
 
-DEFINE_string(settings, "", "settings file of the process");
+namespace {
+
+std::string GetEnvironment(const std::string& name) {
+  const char* value = std::getenv(name.c_str());
+  return value == nullptr ? std::string() : std::string(value);
+}
+
+int Refuse(const carawayrelay::Error& error) {
+  std::cerr << "carawayrelay: " << error.message
+            << "; see 'carawayrelay --help'\n";
+  return static_cast<int>(carawayrelay::ToExitCode(error.code));
+}
+
+}  // namespace
 
 int main(int argc, char** argv) {
-  gflags::SetVersionString(RELAY_VERSION);
-  gflags::SetUsageMessage("carawayrelay <subcommand> [options]");
-  gflags::ParseCommandLineFlags(&argc, &argv, /*remove_flags=*/true);
-  const std::string command = argc > 1 ? argv[1] : "";
-  if (command == "entry") {
-    return carawayrelay::RunEntry(FLAGS_settings);
+  const auto line = carawayrelay::SplitCommandLine(
+      std::vector<std::string>(argv + 1, argv + argc));
+  if (!line) {
+    return Refuse(line.error());
+  }
+  const auto command = carawayrelay::ParseCommand(line.value());
+  if (!command) {
+    return Refuse(command.error());
   }
-  std::fprintf(stderr, "usage: carawayrelay entry --settings=FILE\n");
-  return 2;
+  return carawayrelay::RunCommand(
+      command.value(),
+      carawayrelay::MakeContext(line.value().options, GetEnvironment, std::cout,
+                                std::cerr));
 }
