Share the events of both roles; notice callers that disconnect

HttpExchange::IsGone() also reports a closed connection, through RESTinio's connection state listener.

--- a/src/process/config_watch.h
+++ b/src/process/config_watch.h
@@ -9,16 +9,12 @@
 #include <vector>
 
 #include "carawayrelay/version.h"
+#include "process/common_event.h"
 #include "process/config_store.h"
 #include "process/platform_client.h"
 
 namespace carawayrelay {
 
-// A newer configuration is in effect in this process.
-struct ConfigAdopted {
-  ConfigPtr config;
-};
-
 // The list of live and leaving VMs changed.
 struct VmsChanged {
   std::vector<VmInfo> vms;
--- a/src/process/dispatch_event.h
+++ b/src/process/dispatch_event.h
@@ -11,11 +11,13 @@
 #include "carawayrelay/connection.h"
 #include "carawayrelay/request.h"
 #include "carawayrelay/version.h"
+#include "process/common_event.h"
 #include "process/link_thread.h"
 
 namespace carawayrelay {
 
-// Events of the dispatcher.
+// Events of the dispatcher, besides those in common_event.h. ConfigAdopted is
+// ignored unless its version is higher.
 
 struct RequestArrived {
   CallerRequest request;
@@ -32,11 +34,6 @@
   RequestId request{0};
 };
 
-// A version to work under from now on. Ignored unless it is higher.
-struct ConfigAdopted {
-  ConfigPtr config;
-};
-
 // Answer that was stored for a request that must run at most once.
 struct StoredAnswer {
   int http_status = 0;
@@ -66,12 +63,6 @@
   std::string reason;
 };
 
-// Begins the graceful shutdown.
-struct StopRequested {};
-
-// Time passed; see Dispatcher::NextDeadline().
-struct Tick {};
-
 using DispatchEvent = std::variant<RequestArrived,
                                    ModelsAsked,
                                    CallerGone,
@@ -88,11 +79,6 @@
 // Actions of the dispatcher. Each accepted or refused request gets exactly one
 // of Answer, FinishStream, BreakStream and Refuse, unless its caller is gone.
 
-struct SendMessage {
-  ConnectionId connection{0};
-  Message message;
-};
-
 struct CloseConnection {
   ConnectionId connection{0};
 };
@@ -165,9 +151,6 @@
   bool ready = false;
 };
 
-// No request is left after StopRequested.
-struct Drained {};
-
 // One finished request, for metrics.
 struct RequestObserved {
   std::string workspace;
--- a/src/process/gate_event.h
+++ b/src/process/gate_event.h
@@ -5,6 +5,7 @@
 
 #include "carawayrelay/connection.h"
 #include "carawayrelay/version.h"
+#include "process/common_event.h"
 #include "process/engine_call.h"
 #include "process/link_thread.h"
 
@@ -18,12 +19,6 @@
   int waiting = 0;
 };
 
-// Sent by the driver at least every Gate::kTickInterval.
-struct Tick {};
-
-// The process was asked to stop.
-struct StopRequested {};
-
 using GateEvent = std::variant<LinkUp,
                                LinkMessage,
                                LinkDown,
@@ -36,11 +31,6 @@
                                Tick,
                                StopRequested>;
 
-struct SendMessage {
-  ConnectionId connection{0};
-  Message message;
-};
-
 struct StartCall {
   EngineCall call;
 };
@@ -50,19 +40,12 @@
   CallId call{0};
 };
 
-struct ConfigAdopted {
-  ConfigPtr config;
-};
-
 // A newer configuration of a peer was not usable.
 struct ConfigRejected {
   ConfigVersion version = kNoConfig;
   std::string reason;
 };
 
-// No call is left and the process may end.
-struct Drained {};
-
 using GateAction = std::variant<SendMessage,
                                 StartCall,
                                 CancelCall,
--- a/src/process/http_server.cc
+++ b/src/process/http_server.cc
@@ -6,6 +6,7 @@
 #include <mutex>
 #include <restinio/all.hpp>
 #include <thread>
+#include <unordered_map>
 #include <utility>
 
 #include "process/endpoint.h"
@@ -24,8 +25,41 @@
 // Two, so that RESTinio keeps reading and notices a caller that disconnects.
 constexpr size_t kMaxPipelined = 2;
 
-using Traits =
-    restinio::traits_t<restinio::asio_timer_manager_t, restinio::null_logger_t>;
+using ClosedFlag = std::shared_ptr<std::atomic<bool>>;
+
+// Tells the exchanges of a connection that it closed. All calls run on the
+// thread of the server.
+class ConnectionWatch {
+ public:
+  ClosedFlag FlagOf(restinio::connection_id_t connection) {
+    ClosedFlag& flag = flags_[connection];
+    if (!flag) {
+      flag = std::make_shared<std::atomic<bool>>(false);
+    }
+    return flag;
+  }
+
+  void state_changed(
+      const restinio::connection_state::notice_t& notice) noexcept {
+    if (!std::holds_alternative<restinio::connection_state::closed_t>(
+            notice.cause())) {
+      return;
+    }
+    const auto it = flags_.find(notice.connection_id());
+    if (it != flags_.end()) {
+      *it->second = true;
+      flags_.erase(it);
+    }
+  }
+
+ private:
+  std::unordered_map<restinio::connection_id_t, ClosedFlag> flags_;
+};
+
+struct Traits : restinio::traits_t<restinio::asio_timer_manager_t,
+                                   restinio::null_logger_t> {
+  using connection_state_listener_t = ConnectionWatch;
+};
 using ChunkedBuilder = restinio::response_builder_t<restinio::chunked_output_t>;
 
 const char* ReasonPhrase(int status) {
@@ -100,8 +134,9 @@
 
 class HttpExchange::Impl : public std::enable_shared_from_this<Impl> {
  public:
-  explicit Impl(restinio::request_handle_t request)
+  Impl(restinio::request_handle_t request, ClosedFlag is_closed)
       : request_(std::move(request)),
+        is_closed_(std::move(is_closed)),
         connection_(restinio::impl::access_req_connection(*request_)),
         request_id_(request_->request_id()) {}
 
@@ -164,7 +199,7 @@
     AbortLocked();
   }
 
-  bool IsGone() const { return gone_; }
+  bool IsGone() const { return gone_ || *is_closed_; }
 
  private:
   // Ends the response without the terminating chunk and closes the connection.
@@ -183,6 +218,7 @@
 
   std::mutex mutex_;
   restinio::request_handle_t request_;
+  ClosedFlag is_closed_;
   restinio::impl::connection_handle_t connection_;
   restinio::request_id_t request_id_;
   std::optional<ChunkedBuilder> stream_;
@@ -251,6 +287,7 @@
       const asio::ip::tcp::endpoint& endpoint,
       Handler handler) {
     restinio::server_settings_t<Traits> settings;
+    const auto watch = std::make_shared<ConnectionWatch>();
     settings.port(endpoint.port())
         .protocol(endpoint.protocol())
         .address(endpoint.address())
@@ -268,21 +305,24 @@
         .incoming_http_msg_limits(
             restinio::incoming_http_msg_limits_t{}.max_body_size(
                 options.max_body_bytes + kBodyMargin))
-        .request_handler(
-            [handler = std::move(handler), max_body = options.max_body_bytes](
-                const restinio::request_handle_t& request) {
-              return Handle(handler, max_body, request);
-            });
+        .connection_state_listener(watch)
+        .request_handler([handler = std::move(handler),
+                          max_body = options.max_body_bytes,
+                          watch](const restinio::request_handle_t& request) {
+          return Handle(handler, max_body, request,
+                        watch->FlagOf(request->connection_id()));
+        });
     return settings;
   }
 
   static restinio::request_handling_status_t Handle(
       const Handler& handler,
       size_t max_body,
-      const restinio::request_handle_t& request) {
+      const restinio::request_handle_t& request,
+      ClosedFlag is_closed) {
     HttpRequest http_request = ToHttpRequest(*request);
-    HttpExchangePtr exchange(
-        new HttpExchange(std::make_shared<HttpExchange::Impl>(request)));
+    HttpExchangePtr exchange(new HttpExchange(
+        std::make_shared<HttpExchange::Impl>(request, std::move(is_closed))));
     if (http_request.body.size() > max_body) {
       exchange->Reply(
           HttpStatus(RefusalCode::kTooLarge),
--- a/src/process/http_server.h
+++ b/src/process/http_server.h
@@ -41,7 +41,7 @@
   void EndStream();
   // Closes the connection, so that a started stream cannot pass as complete.
   void Abort();
-  // True once a write failed or the connection was aborted.
+  // True once the connection closed, a write failed or it was aborted.
   bool IsGone() const;
 
  private:
