--- a/src/process/config_watch.h
+++ b/src/process/config_watch.h
@@ -9,22 +9,18 @@
 #include <vector>
 
 #include "carawayrelay/version.h"
+#include "process/common_event.h"
 #include "process/config_store.h"
 #include "process/platform_client.h"
 
 namespace carawayrelay {
 
-// A newer configuration is in effect in this process.
-struct ConfigChanged {
-  ConfigPtr config;
-};
-
 // The list of live and leaving VMs changed.
 struct VmsChanged {
   std::vector<VmInfo> vms;
 };
 
-using ConfigEvent = std::variant<ConfigChanged, VmsChanged>;
+using ConfigEvent = std::variant<ConfigAdopted, VmsChanged>;
 
 // What the config thread knows, for operators.
 struct ConfigState {
--- a/src/process/dispatch_event.h
+++ b/src/process/dispatch_event.h
@@ -16,7 +16,8 @@
 
 namespace carawayrelay {
 
-// Events of the dispatcher.
+// Events of the dispatcher, besides those in common_event.h. ConfigAdopted is
+// ignored unless its version is higher.
 
 struct RequestArrived {
   CallerRequest request;
