--- a/tools/harness/caller.cc
+++ b/tools/harness/caller.cc
@@ -166,7 +166,8 @@
 }  // namespace
 
 std::string ToText(const CallError& error) {
-  static constexpr const char* kKinds[] = {"no whole response", "refused", "broken"};
+  static constexpr const char* kKinds[] = {"no whole response", "refused",
+                                           "broken"};
   std::string text = kKinds[static_cast<size_t>(error.kind)];
   text += " (status " + std::to_string(error.http_status);
   for (const std::string& detail : {error.code, error.run_state}) {
