Keep the rings of the harness until the last push has returned

A trial of the demo crashed in Ring::Push(): the consumer had already popped the item and destroyed the ring while the producer was still notifying.

--- a/tools/harness/demo.cc
+++ b/tools/harness/demo.cc
@@ -170,13 +170,15 @@
   for (const EntryPlan& entry : fleet.plan().entries) {
     callers.emplace_back(http, fleet.EntryUrl(entry.node), online_key_.token);
   }
-  Ring<OnlineOutcome> finished(static_cast<size_t>(options_.concurrency));
+  // Shared, because Push() still uses the ring after Pop() has returned.
+  const auto finished = std::make_shared<Ring<OnlineOutcome>>(
+      static_cast<size_t>(options_.concurrency));
   int started = 0;
   const auto start_next = [&] {
     const ChatCall call = OnlineCall(started);
     callers[static_cast<size_t>(started) % callers.size()].Chat(
-        call, [&finished, call](CallOutcome<ChatAnswer> outcome) {
-          finished.Push({call, std::move(outcome)});
+        call, [finished, call](CallOutcome<ChatAnswer> outcome) {
+          finished->Push({call, std::move(outcome)});
         });
     ++started;
   };
@@ -184,7 +186,7 @@
     start_next();
   }
   for (int ended = 0; ended < started; ++ended) {
-    const std::optional<OnlineOutcome> outcome = finished.Pop();
+    const std::optional<OnlineOutcome> outcome = finished->Pop();
     CheckOnline(*outcome);
     if (started < options_.online_requests &&
         !stop.WaitFor(std::chrono::milliseconds(0))) {
--- a/tools/harness/http_runner.cc
+++ b/tools/harness/http_runner.cc
@@ -180,10 +180,11 @@
 }
 
 CallResult HttpRunner::Run(CallSpec spec) {
-  Ring<CallResult> results(1);
+  // Shared, because Push() still uses the ring after Pop() has returned.
+  const auto results = std::make_shared<Ring<CallResult>>(1);
   Start(std::move(spec),
-        [&](CallResult result) { results.Push(std::move(result)); });
-  return results.Pop().value_or(CallResult{});
+        [results](CallResult result) { results->Push(std::move(result)); });
+  return results->Pop().value_or(CallResult{});
 }
 
 }  // namespace carawayrelay::tools
