--- a/tools/harness/demo.cc
+++ b/tools/harness/demo.cc
@@ -33,6 +33,7 @@
     backend.node = std::string("agent-") + zone;
     backend.zone = std::string("zone-") + zone;
     backend.routes = {kModel};
+    backend.standin_flags = {"--cold_ms=1000"};
     plan.backends.push_back(backend);
   }
   BackendPlan service;
