--- /dev/null
+++ b/src/process/session_lease.cc
@@ -0,0 +1,94 @@
+#include "process/session_lease.h"
+
+#include <cassert>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace carawayrelay {
+namespace {
+
+using nlohmann::json;
+
+// Sightings that were not refreshed for this many lease times are dropped.
+constexpr int kForgetAfterLeaseTimes = 20;
+constexpr std::chrono::milliseconds kRetryDelay{200};
+
+}  // namespace
+
+std::string ToJson(const SessionRecord& record) {
+  return json{{"session", record.session},
+              {"renewals", record.renewals},
+              {"lapsed", record.lapsed}}
+      .dump();
+}
+
+Result<SessionRecord> ParseSessionRecord(const std::string& text) {
+  try {
+    const json row = json::parse(text);
+    SessionRecord record;
+    row.at("session").get_to(record.session);
+    row.at("renewals").get_to(record.renewals);
+    row.at("lapsed").get_to(record.lapsed);
+    return record;
+  } catch (const json::exception& e) {
+    return Error{ErrorCode::kInternal, std::string("session row: ") + e.what()};
+  }
+}
+
+std::string NodeOfSession(const std::string& session) {
+  return session.substr(0, session.rfind(':'));
+}
+
+SessionLease::SessionLease(std::string session, Options options)
+    : session_(std::move(session)), options_(options) {
+  assert(options_.renew_interval + options_.margin < options_.lease_time);
+}
+
+SessionRecord SessionLease::NextRecord() const {
+  return {.session = session_, .renewals = renewals_ + 1};
+}
+
+void SessionLease::OnRenewed(TimePoint started) {
+  assert(!is_lost_);
+  ++renewals_;
+  // Counted from the start: an observer can have seen the new value at any time
+  // after it.
+  held_until_ = started + options_.lease_time - options_.margin;
+  next_renewal_ = started + options_.renew_interval;
+}
+
+void SessionLease::OnNotRenewed(TimePoint now) {
+  // A renewal whose effect is unknown may be in the row, so the next one must
+  // differ from it.
+  ++renewals_;
+  next_renewal_ = now + kRetryDelay;
+}
+
+void SessionLease::OnLost() {
+  is_lost_ = true;
+  held_until_ = TimePoint{};
+}
+
+SessionObserver::Verdict SessionObserver::Observe(
+    const std::string& session,
+    const std::optional<SessionRecord>& row,
+    TimePoint now) {
+  std::erase_if(sightings_, [&](const auto& entry) {
+    return now - entry.second.last_seen > lease_time_ * kForgetAfterLeaseTimes;
+  });
+  if (!row || row->session != session || row->lapsed) {
+    sightings_.erase(session);
+    return Verdict::kLapsed;
+  }
+  const auto [it, is_new] = sightings_.try_emplace(
+      session, Sighting{row->renewals, now, now});
+  Sighting& sighting = it->second;
+  if (sighting.renewals != row->renewals) {
+    sighting = {row->renewals, now, now};
+  }
+  sighting.last_seen = now;
+  return now - sighting.first_seen >= lease_time_ ? Verdict::kExpired
+                                                  : Verdict::kLive;
+}
+
+}  // namespace carawayrelay
