--- /dev/null
+++ b/src/process/chunk_store.cc
@@ -0,0 +1,292 @@
+#include "process/chunk_store.h"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <set>
+#include <utility>
+
+namespace carawayrelay {
+namespace {
+
+const std::string kJobs = "jobs";
+const std::string kChunks = "chunks";
+const std::string kSessions = "sessions";
+
+// Candidates of one scan. More would only be claimed by others meanwhile.
+constexpr size_t kMaxCandidates = 8;
+// Sessions observed in one scan, which bounds its reads.
+constexpr size_t kMaxObserved = 8;
+
+std::string JobKey(const std::string& workspace, const std::string& job) {
+  return workspace + "/" + job;
+}
+
+// Chunks of a job, sorted by whether they can be claimed.
+struct ChunkSurvey {
+  std::vector<ClaimCandidate> free;
+  std::vector<ClaimCandidate> claimed_by_others;
+  JobCounts counts;
+  std::uint64_t done = 0;
+};
+
+Result<ChunkSurvey> Survey(const JobRecord& job,
+                           const std::vector<KeyedRow>& rows,
+                           const std::string& session) {
+  std::map<std::string, const Row*> by_key;
+  for (const KeyedRow& row : rows) {
+    by_key.emplace(row.key, &row.row);
+  }
+  ChunkSurvey survey;
+  for (std::uint64_t n = 0; n < job.ChunkCount(); ++n) {
+    const auto it = by_key.find(ChunkKey(job.id, n));
+    if (it == by_key.end()) {
+      survey.free.push_back({.chunk = n});
+      continue;
+    }
+    BOOST_OUTCOME_TRY(const ChunkRecord record,
+                      ParseChunkRecord(it->second->value));
+    ClaimCandidate candidate{n, record, it->second->etag};
+    if (record.state == ChunkState::kDone) {
+      ++survey.done;
+      survey.counts.succeeded += record.counts.succeeded;
+      survey.counts.failed += record.counts.failed;
+    } else if (record.state == ChunkState::kOpen || record.IsOwnedBy(session)) {
+      survey.free.push_back(std::move(candidate));
+    } else {
+      survey.claimed_by_others.push_back(std::move(candidate));
+    }
+  }
+  return survey;
+}
+
+}  // namespace
+
+ChunkStore::ChunkStore(StoreAccess access,
+                       std::chrono::milliseconds lease_time,
+                       Clock clock)
+    : access_(access),
+      jobs_(std::move(access), JobStore::Options{}),
+      observer_(lease_time),
+      clock_(std::move(clock)) {}
+
+Result<JobScan> ChunkStore::Scan(const std::string& workspace,
+                                 const std::string& job,
+                                 const std::string& session,
+                                 std::chrono::sys_seconds now) {
+  const Result<Row> row = access_.read_row(kJobs, JobKey(workspace, job));
+  if (!row) {
+    if (row.error().code == ErrorCode::kNotFound) {
+      return JobScan{.verdict = JobVerdict::kMissing};
+    }
+    return row.error();
+  }
+  BOOST_OUTCOME_TRY(const JobRecord record, ParseJobRecord(row.value().value));
+  if (record.state != JobState::kRunning) {
+    BOOST_OUTCOME_TRY(jobs_.RemoveActive(job));
+    return JobScan{.verdict = JobVerdict::kEnded};
+  }
+  BOOST_OUTCOME_TRY(const std::vector<KeyedRow> rows,
+                    ListAllRows(access_, kChunks, job + "/"));
+  BOOST_OUTCOME_TRY(ChunkSurvey survey, Survey(record, rows, session));
+  if (survey.done == record.ChunkCount()) {
+    BOOST_OUTCOME_TRY(
+        EndCompletedJob(record, survey.counts, row.value().etag, now));
+    return JobScan{.verdict = JobVerdict::kEnded};
+  }
+  JobScan scan;
+  if (!survey.free.empty()) {
+    // Entries start at different places, so that few claims collide.
+    const size_t start =
+        std::hash<std::string>{}(session + job) % survey.free.size();
+    std::rotate(survey.free.begin(),
+                survey.free.begin() + static_cast<std::ptrdiff_t>(start),
+                survey.free.end());
+    survey.free.resize(std::min(survey.free.size(), kMaxCandidates));
+    scan.candidates = std::move(survey.free);
+    return scan;
+  }
+  std::map<std::string, bool> lapsed;
+  for (ClaimCandidate& candidate : survey.claimed_by_others) {
+    const std::string& owner = candidate.record.session;
+    if (!lapsed.contains(owner) && lapsed.size() < kMaxObserved) {
+      BOOST_OUTCOME_TRY(const bool is_lapsed, IsLapsed(owner));
+      lapsed.emplace(owner, is_lapsed);
+    }
+    const auto it = lapsed.find(owner);
+    if (it != lapsed.end() && it->second &&
+        scan.candidates.size() < kMaxCandidates) {
+      scan.candidates.push_back(std::move(candidate));
+    }
+  }
+  return scan;
+}
+
+Result<ClaimedChunk> ChunkStore::Claim(const std::string& workspace,
+                                       const std::string& job,
+                                       const ClaimCandidate& candidate,
+                                       const std::string& session) {
+  BOOST_OUTCOME_TRY(const Row job_row,
+                    access_.read_row(kJobs, JobKey(workspace, job)));
+  BOOST_OUTCOME_TRY(const JobRecord record, ParseJobRecord(job_row.value));
+  if (record.state != JobState::kRunning) {
+    return Error{ErrorCode::kConflict, "the job has ended"};
+  }
+  const std::string key = ChunkKey(job, candidate.chunk);
+  ClaimedChunk claimed{.job = job,
+                       .workspace = workspace,
+                       .chunk = candidate.chunk,
+                       .record = ClaimChunk(candidate.record, session)};
+  const std::string value = ToJson(claimed.record);
+  BOOST_OUTCOME_TRY(
+      claimed.etag,
+      candidate.etag.empty()
+          ? access_.create_row(kChunks, key, value)
+          : access_.update_row(kChunks, key, value, candidate.etag));
+  const ChunkRange range = record.ChunkAt(candidate.chunk);
+  claimed.first_item = range.first_item;
+  BOOST_OUTCOME_TRY(const FileRecord file,
+                    jobs_.ReadFile(workspace, record.input_file));
+  BOOST_OUTCOME_TRY(const std::string segment,
+                    access_.read_object(file.SegmentObject(range.segment)));
+  BatchLines lines = ParseBatchLines(segment);
+  if (!lines.findings.empty() ||
+      lines.items.size() < range.first_in_segment + range.items) {
+    return Error{ErrorCode::kInternal, "input file " + file.id +
+                                           " does not match its row: " +
+                                           ToText(lines.findings)};
+  }
+  const auto first =
+      lines.items.begin() + static_cast<std::ptrdiff_t>(range.first_in_segment);
+  claimed.items.assign(
+      std::make_move_iterator(first),
+      std::make_move_iterator(first +
+                              static_cast<std::ptrdiff_t>(range.items)));
+  return claimed;
+}
+
+Result<CommitVerdict> ChunkStore::Commit(const ClaimedChunk& chunk,
+                                         const ChunkResult& result) {
+  BOOST_OUTCOME_TRY(
+      const Row job_row,
+      access_.read_row(kJobs, JobKey(chunk.workspace, chunk.job)));
+  BOOST_OUTCOME_TRY(const JobRecord job, ParseJobRecord(job_row.value));
+  if (job.state != JobState::kRunning) {
+    return CommitVerdict::kJobEnded;
+  }
+  const std::string object =
+      ResultObject(chunk.job, chunk.chunk, chunk.record.fence);
+  BOOST_OUTCOME_TRY(access_.write_object(
+      object, JoinResultLines(result.output_lines, result.error_lines)));
+  const std::string key = ChunkKey(chunk.job, chunk.chunk);
+  const std::string value =
+      ToJson(CommitChunk(chunk.record, object, result.counts));
+  const Result<std::string> updated =
+      access_.update_row(kChunks, key, value, chunk.etag);
+  if (updated) {
+    return CommitVerdict::kCommitted;
+  }
+  if (updated.error().code != ErrorCode::kConflict) {
+    return updated.error();
+  }
+  // An earlier call whose response was lost may have committed the chunk.
+  BOOST_OUTCOME_TRY(const Row row, access_.read_row(kChunks, key));
+  return row.value == value ? CommitVerdict::kCommitted
+                            : CommitVerdict::kChunkLost;
+}
+
+Result<void> ChunkStore::Release(const ClaimedChunk& chunk) {
+  BOOST_OUTCOME_TRY(
+      access_.update_row(kChunks, ChunkKey(chunk.job, chunk.chunk),
+                         ToJson(ReleaseChunk(chunk.record)), chunk.etag));
+  return Success();
+}
+
+Result<void> ChunkStore::Renew(SessionLease& lease) {
+  const TimePoint started = clock_();
+  const std::string node = NodeOfSession(lease.session());
+  const Result<Row> row = access_.read_row(kSessions, node);
+  Result<std::string> written = Error{ErrorCode::kUnavailable, ""};
+  if (row) {
+    BOOST_OUTCOME_TRY(const SessionRecord record,
+                      ParseSessionRecord(row.value().value));
+    const bool is_own = record.session == lease.session();
+    // A session that has started ends when the row is no longer its own. One
+    // that has not started replaces whatever is there.
+    if (lease.has_started() && (!is_own || record.lapsed)) {
+      lease.OnLost();
+      return Error{ErrorCode::kConflict, "the session was ended by another"};
+    }
+    written = access_.update_row(kSessions, node, ToJson(lease.NextRecord()),
+                                 row.value().etag);
+  } else if (row.error().code == ErrorCode::kNotFound && !lease.has_started()) {
+    written =
+        access_.create_row(kSessions, node, ToJson(lease.NextRecord()));
+  } else if (row.error().code == ErrorCode::kNotFound) {
+    lease.OnLost();
+    return Error{ErrorCode::kConflict, "the session row is gone"};
+  } else {
+    written = row.error();
+  }
+  if (!written) {
+    lease.OnNotRenewed(clock_());
+    return written.error();
+  }
+  lease.OnRenewed(started);
+  return Success();
+}
+
+Result<void> ChunkStore::EndSession(const SessionLease& lease) {
+  const std::string node = NodeOfSession(lease.session());
+  BOOST_OUTCOME_TRY(const Row row, access_.read_row(kSessions, node));
+  BOOST_OUTCOME_TRY(SessionRecord record, ParseSessionRecord(row.value));
+  if (record.session == lease.session() && !record.lapsed) {
+    record.lapsed = true;
+    BOOST_OUTCOME_TRY(access_.update_row(kSessions, node, ToJson(record),
+                                         row.etag));
+  }
+  return Success();
+}
+
+Result<bool> ChunkStore::IsLapsed(const std::string& session) {
+  const std::string node = NodeOfSession(session);
+  const TimePoint before = clock_();
+  const Result<Row> row = access_.read_row(kSessions, node);
+  std::optional<SessionRecord> record;
+  if (row) {
+    BOOST_OUTCOME_TRY(record, ParseSessionRecord(row.value().value));
+  } else if (row.error().code != ErrorCode::kNotFound) {
+    return row.error();
+  }
+  switch (observer_.Observe(session, record, before, clock_())) {
+    case SessionObserver::Verdict::kLive:
+      return false;
+    case SessionObserver::Verdict::kLapsed:
+      return true;
+    case SessionObserver::Verdict::kExpired:
+      break;
+  }
+  record->lapsed = true;
+  const Result<std::string> marked = access_.update_row(
+      kSessions, node, ToJson(*record), row.value().etag);
+  if (!marked && marked.error().code != ErrorCode::kConflict) {
+    return marked.error();
+  }
+  return marked.has_value();
+}
+
+Result<void> ChunkStore::EndCompletedJob(const JobRecord& job,
+                                         const JobCounts& counts,
+                                         const std::string& etag,
+                                         std::chrono::sys_seconds now) {
+  const Result<std::string> updated =
+      access_.update_row(kJobs, JobKey(job.workspace, job.id),
+                         ToJson(CompleteJob(job, counts, now)), etag);
+  // On a conflict another entry ended the job.
+  if (!updated && updated.error().code != ErrorCode::kConflict) {
+    return updated.error();
+  }
+  return jobs_.RemoveActive(job.id);
+}
+
+}  // namespace carawayrelay
--- a/src/process/file_record.cc
+++ b/src/process/file_record.cc
@@ -12,7 +12,8 @@
 }
 
 std::string FileRecord::SegmentObject(size_t segment) const {
-  return "files/" + id + "/" + std::to_string(segment);
+  return "files/" + id + "/" + std::to_string(segment_bytes) + "-" +
+         std::to_string(segment);
 }
 
 std::string ToJson(const FileRecord& record) {
@@ -21,6 +22,7 @@
               {"filename", record.filename},
               {"content_hash", record.content_hash},
               {"bytes", record.bytes},
+              {"segment_bytes", record.segment_bytes},
               {"created_at", record.created_at.time_since_epoch().count()},
               {"models", record.models},
               {"segments", record.segments}}
@@ -36,6 +38,7 @@
     row.at("filename").get_to(record.filename);
     row.at("content_hash").get_to(record.content_hash);
     row.at("bytes").get_to(record.bytes);
+    row.at("segment_bytes").get_to(record.segment_bytes);
     record.created_at = std::chrono::sys_seconds(
         std::chrono::seconds(row.at("created_at").get<std::int64_t>()));
     row.at("models").get_to(record.models);
--- a/src/process/file_record.h
+++ b/src/process/file_record.h
@@ -17,6 +17,9 @@
   std::string filename;
   std::string content_hash;
   std::uint64_t bytes = 0;
+  // Size limit of segments at the upload. Part of the object names, because
+  // objects are written once and a later upload may use another limit.
+  std::uint64_t segment_bytes = 0;
   std::chrono::sys_seconds created_at;
   std::vector<std::string> models;      // distinct, sorted
   std::vector<std::uint64_t> segments;  // items in each segment
--- /dev/null
+++ b/src/process/job_store.cc
@@ -0,0 +1,278 @@
+#include "process/job_store.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "carawayrelay/version.h"
+
+namespace carawayrelay {
+namespace {
+
+using nlohmann::json;
+
+const std::string kFiles = "files";
+const std::string kJobs = "jobs";
+const std::string kChunks = "chunks";
+const std::string kActiveJobs = "active_jobs";
+
+constexpr size_t kIdDigits = 32;
+// A lost race means that another writer made progress, so few rounds are enough.
+constexpr int kCancelRounds = 8;
+
+std::string OwnedKey(const std::string& workspace, const std::string& id) {
+  return workspace + "/" + id;
+}
+
+struct DoneChunks {
+  std::vector<std::uint64_t> numbers;
+  std::vector<std::string> objects;
+  JobCounts counts;
+};
+
+Result<DoneChunks> ReadDoneChunks(const StoreAccess& access,
+                                  const std::string& job) {
+  BOOST_OUTCOME_TRY(const std::vector<KeyedRow> rows,
+                    ListAllRows(access, kChunks, job + "/"));
+  DoneChunks done;
+  for (const KeyedRow& row : rows) {
+    BOOST_OUTCOME_TRY(const ChunkRecord chunk,
+                      ParseChunkRecord(row.row.value));
+    if (chunk.state == ChunkState::kDone) {
+      done.numbers.push_back(std::stoull(row.key.substr(job.size() + 1)));
+      done.objects.push_back(chunk.result_object);
+      done.counts.succeeded += chunk.counts.succeeded;
+      done.counts.failed += chunk.counts.failed;
+    }
+  }
+  return done;
+}
+
+}  // namespace
+
+JobStore::JobStore(StoreAccess access, Options options)
+    : access_(std::move(access)), options_(options) {}
+
+Result<FileRecord> JobStore::SaveFile(const std::string& workspace,
+                                      const std::string& filename,
+                                      const std::string& content,
+                                      const std::vector<std::string>& models,
+                                      std::chrono::sys_seconds now) {
+  FileRecord file;
+  file.content_hash = Sha256Hex(content);
+  file.id =
+      "file-" + Sha256Hex(std::to_string(workspace.size()) + ":" + workspace +
+                          file.content_hash)
+                    .substr(0, kIdDigits);
+  Result<FileRecord> earlier = ReadFile(workspace, file.id);
+  if (earlier || earlier.error().code != ErrorCode::kNotFound) {
+    return earlier;
+  }
+  file.workspace = workspace;
+  file.segment_bytes = options_.segment_bytes;
+  file.filename = filename;
+  file.bytes = content.size();
+  file.created_at = now;
+  file.models = models;
+  const std::vector<LineSegment> segments =
+      SplitLines(content, options_.segment_bytes);
+  for (size_t i = 0; i < segments.size(); ++i) {
+    file.segments.push_back(segments[i].items);
+    BOOST_OUTCOME_TRY(access_.write_object(file.SegmentObject(i),
+                                           std::string(segments[i].text)));
+  }
+  const Result<std::string> created =
+      access_.create_row(kFiles, OwnedKey(workspace, file.id), ToJson(file));
+  if (created) {
+    return file;
+  }
+  if (created.error().code == ErrorCode::kConflict) {
+    return ReadFile(workspace, file.id);
+  }
+  return created.error();
+}
+
+Result<FileRecord> JobStore::ReadFile(const std::string& workspace,
+                                      const std::string& id) {
+  BOOST_OUTCOME_TRY(const Row row,
+                    access_.read_row(kFiles, OwnedKey(workspace, id)));
+  BOOST_OUTCOME_TRY(FileRecord file, ParseFileRecord(row.value));
+  // Workspace names may contain the separator of the key.
+  if (file.workspace != workspace || file.id != id) {
+    return Error{ErrorCode::kNotFound, "no file " + id};
+  }
+  return file;
+}
+
+Result<std::string> JobStore::ReadFileContent(const FileRecord& file) {
+  std::string content;
+  content.reserve(file.bytes);
+  for (size_t i = 0; i < file.segments.size(); ++i) {
+    BOOST_OUTCOME_TRY(const std::string segment,
+                      access_.read_object(file.SegmentObject(i)));
+    content += segment;
+  }
+  return content;
+}
+
+Result<JobRecord> JobStore::FindEarlier(const JobRecord& job) {
+  BOOST_OUTCOME_TRY(JobRecord earlier, ReadJob(job.workspace, job.id));
+  if (earlier.content_hash != job.content_hash) {
+    return Error{ErrorCode::kConflict,
+                 "a job of this name has other content"};
+  }
+  return earlier;
+}
+
+Result<JobRecord> JobStore::SaveJob(const JobRecord& job) {
+  Result<JobRecord> earlier = FindEarlier(job);
+  if (earlier || earlier.error().code != ErrorCode::kNotFound) {
+    return earlier;
+  }
+  // The index row comes first: a job row without one would never be run, while
+  // an index row without a job is harmless and stays until the job has ended.
+  BOOST_OUTCOME_TRY(AddActive(job));
+  const Result<std::string> created = access_.create_row(
+      kJobs, OwnedKey(job.workspace, job.id), ToJson(job));
+  if (created) {
+    return job;
+  }
+  if (created.error().code == ErrorCode::kConflict) {
+    return FindEarlier(job);
+  }
+  return created.error();
+}
+
+Result<JobRecord> JobStore::ReadJob(const std::string& workspace,
+                                    const std::string& id) {
+  BOOST_OUTCOME_TRY(const Row row,
+                    access_.read_row(kJobs, OwnedKey(workspace, id)));
+  BOOST_OUTCOME_TRY(JobRecord job, ParseJobRecord(row.value));
+  if (job.workspace != workspace || job.id != id) {
+    return Error{ErrorCode::kNotFound, "no batch job " + id};
+  }
+  return job;
+}
+
+Result<std::vector<JobRecord>> JobStore::ListJobs(const std::string& workspace,
+                                                  const std::string& after,
+                                                  size_t limit) {
+  BOOST_OUTCOME_TRY(
+      const std::vector<KeyedRow> rows,
+      access_.list_rows(kJobs, workspace + "/",
+                        after.empty() ? "" : OwnedKey(workspace, after),
+                        limit));
+  std::vector<JobRecord> jobs;
+  for (const KeyedRow& row : rows) {
+    BOOST_OUTCOME_TRY(JobRecord job, ParseJobRecord(row.row.value));
+    if (job.workspace == workspace) {
+      jobs.push_back(std::move(job));
+    }
+  }
+  return jobs;
+}
+
+Result<JobCounts> JobStore::CountResults(const JobRecord& job) {
+  if (job.state != JobState::kRunning) {
+    return job.counts;
+  }
+  BOOST_OUTCOME_TRY(const DoneChunks done, ReadDoneChunks(access_, job.id));
+  return done.counts;
+}
+
+Result<JobRecord> JobStore::CancelJob(const std::string& workspace,
+                                      const std::string& id,
+                                      std::chrono::sys_seconds now) {
+  for (int round = 0; round < kCancelRounds; ++round) {
+    BOOST_OUTCOME_TRY(const Row row,
+                      access_.read_row(kJobs, OwnedKey(workspace, id)));
+    BOOST_OUTCOME_TRY(JobRecord job, ParseJobRecord(row.value));
+    if (job.workspace != workspace || job.id != id) {
+      return Error{ErrorCode::kNotFound, "no batch job " + id};
+    }
+    if (job.state != JobState::kRunning) {
+      return job;
+    }
+    BOOST_OUTCOME_TRY(DoneChunks done, ReadDoneChunks(access_, id));
+    const JobRecord cancelled = carawayrelay::CancelJob(
+        std::move(job), std::move(done.numbers), done.counts, now);
+    const Result<std::string> updated = access_.update_row(
+        kJobs, OwnedKey(workspace, id), ToJson(cancelled), row.etag);
+    if (updated) {
+      // A row that stays is removed by the next entry that scans the job.
+      static_cast<void>(RemoveActive(id));
+      return cancelled;
+    }
+    if (updated.error().code != ErrorCode::kConflict) {
+      return updated.error();
+    }
+  }
+  return Error{ErrorCode::kUnavailable, "the job row changes too often"};
+}
+
+Result<std::string> JobStore::ReadResults(const JobRecord& job,
+                                          ResultKind kind) {
+  if (job.state == JobState::kRunning) {
+    return Error{ErrorCode::kNotFound, "the job has not ended"};
+  }
+  BOOST_OUTCOME_TRY(const DoneChunks done, ReadDoneChunks(access_, job.id));
+  std::string lines;
+  // A chunk of a cancelled job may have been committed after the cancellation.
+  size_t visible = 0;
+  for (size_t i = 0; i < done.numbers.size(); ++i) {
+    if (job.state == JobState::kCancelled) {
+      if (visible == job.result_chunks.size() ||
+          job.result_chunks[visible] != done.numbers[i]) {
+        continue;
+      }
+      ++visible;
+    }
+    BOOST_OUTCOME_TRY(const std::string object,
+                      access_.read_object(done.objects[i]));
+    const std::optional<std::string> part = ResultLines(object, kind);
+    if (!part) {
+      return Error{ErrorCode::kInternal,
+                   "result object " + done.objects[i] + " is damaged"};
+    }
+    lines += *part;
+  }
+  return lines;
+}
+
+Result<void> JobStore::AddActive(const JobRecord& job) {
+  const json row = {{"workspace", job.workspace}, {"models", job.models}};
+  const Result<std::string> created =
+      access_.create_row(kActiveJobs, job.id, row.dump());
+  if (!created && created.error().code != ErrorCode::kConflict) {
+    return created.error();
+  }
+  return Success();
+}
+
+Result<std::vector<ActiveJob>> JobStore::ListActive(const std::string& after,
+                                                    size_t limit) {
+  BOOST_OUTCOME_TRY(const std::vector<KeyedRow> rows,
+                    access_.list_rows(kActiveJobs, "", after, limit));
+  std::vector<ActiveJob> jobs;
+  for (const KeyedRow& row : rows) {
+    try {
+      const json value = json::parse(row.row.value);
+      jobs.push_back({.id = row.key,
+                      .workspace = value.at("workspace"),
+                      .models = value.at("models")});
+    } catch (const json::exception& e) {
+      return Error{ErrorCode::kInternal, std::string("index row: ") + e.what()};
+    }
+  }
+  return jobs;
+}
+
+Result<void> JobStore::RemoveActive(const std::string& id) {
+  const Result<Row> row = access_.read_row(kActiveJobs, id);
+  if (!row) {
+    return row.error().code == ErrorCode::kNotFound ? Result<void>(Success())
+                                                    : row.error();
+  }
+  return access_.delete_row(kActiveJobs, id, row.value().etag);
+}
+
+}  // namespace carawayrelay
--- a/src/process/session_lease.cc
+++ b/src/process/session_lease.cc
@@ -51,6 +51,7 @@
 void SessionLease::OnRenewed(TimePoint started) {
   assert(!is_lost_);
   ++renewals_;
+  has_started_ = true;
   // Counted from the start: an observer can have seen the new value at any time
   // after it.
   held_until_ = started + options_.lease_time - options_.margin;
@@ -72,22 +73,23 @@
 SessionObserver::Verdict SessionObserver::Observe(
     const std::string& session,
     const std::optional<SessionRecord>& row,
-    TimePoint now) {
+    TimePoint before,
+    TimePoint after) {
   std::erase_if(sightings_, [&](const auto& entry) {
-    return now - entry.second.last_seen > lease_time_ * kForgetAfterLeaseTimes;
+    return after - entry.second.last_seen > lease_time_ * kForgetAfterLeaseTimes;
   });
   if (!row || row->session != session || row->lapsed) {
     sightings_.erase(session);
     return Verdict::kLapsed;
   }
   const auto [it, is_new] = sightings_.try_emplace(
-      session, Sighting{row->renewals, now, now});
+      session, Sighting{row->renewals, after, after});
   Sighting& sighting = it->second;
   if (sighting.renewals != row->renewals) {
-    sighting = {row->renewals, now, now};
+    sighting = {row->renewals, after, after};
   }
-  sighting.last_seen = now;
-  return now - sighting.first_seen >= lease_time_ ? Verdict::kExpired
+  sighting.last_seen = after;
+  return before - sighting.first_seen >= lease_time_ ? Verdict::kExpired
                                                   : Verdict::kLive;
 }
 
--- a/src/process/session_lease.h
+++ b/src/process/session_lease.h
@@ -44,13 +44,15 @@
   TimePoint held_until() const { return held_until_; }
   bool IsHeld(TimePoint now) const { return now < held_until_; }
   bool is_lost() const { return is_lost_; }
+  // True once a renewal took effect.
+  bool has_started() const { return has_started_; }
   TimePoint next_renewal() const { return next_renewal_; }
 
   // The row value of the next renewal.
   SessionRecord NextRecord() const;
   // A renewal that began at `started` took effect.
   void OnRenewed(TimePoint started);
-  // A renewal failed or its effect is unknown.
+  // A renewal failed, with or without an effect on the row.
   void OnNotRenewed(TimePoint now);
   // The row names another session or is marked lapsed.
   void OnLost();
@@ -61,6 +63,7 @@
   std::uint64_t renewals_ = 0;
   TimePoint held_until_;
   TimePoint next_renewal_;
+  bool has_started_ = false;
   bool is_lost_ = false;
 };
 
@@ -77,10 +80,13 @@
     kLapsed,   // its chunks may be claimed
   };
 
-  // Judges `session` by the row of its node, read at `now`.
+  // Judges `session` by the row of its node, which was read between `before`
+  // and `after`. A new value counts as written at `after`, so a slow read never
+  // makes a session look older than it is.
   Verdict Observe(const std::string& session,
                   const std::optional<SessionRecord>& row,
-                  TimePoint now);
+                  TimePoint before,
+                  TimePoint after);
 
  private:
   struct Sighting {
--- a/src/request/batch_item.cc
+++ b/src/request/batch_item.cc
@@ -1,8 +1,8 @@
 #include "request/batch_item.h"
 
 #include <algorithm>
+#include <charconv>
 #include <nlohmann/json.hpp>
-#include <optional>
 #include <unordered_map>
 
 #include "request/overloaded.h"
@@ -176,4 +176,28 @@
   return line.dump(-1, ' ', false, json::error_handler_t::replace) + "\n";
 }
 
+std::string JoinResultLines(const std::string& output_lines,
+                            const std::string& error_lines) {
+  return std::to_string(output_lines.size()) + "\n" + output_lines +
+         error_lines;
+}
+
+std::optional<std::string> ResultLines(std::string_view object,
+                                       ResultKind kind) {
+  const size_t header = object.find('\n');
+  size_t output_bytes = 0;
+  if (header == std::string_view::npos ||
+      std::from_chars(object.data(), object.data() + header, output_bytes)
+              .ptr != object.data() + header) {
+    return std::nullopt;
+  }
+  object.remove_prefix(header + 1);
+  if (object.size() < output_bytes) {
+    return std::nullopt;
+  }
+  return std::string(kind == ResultKind::kOutput
+                         ? object.substr(0, output_bytes)
+                         : object.substr(output_bytes));
+}
+
 }  // namespace carawayrelay
--- a/src/request/batch_item.h
+++ b/src/request/batch_item.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -69,4 +70,15 @@
                              const std::string& custom_id,
                              const ItemOutcome& outcome);
 
+// Puts the output lines and error lines of a chunk into one object.
+std::string JoinResultLines(const std::string& output_lines,
+                            const std::string& error_lines);
+
+enum class ResultKind { kOutput, kError };
+
+// The lines of one kind in an object made by JoinResultLines(), or nothing when
+// the object is damaged.
+std::optional<std::string> ResultLines(std::string_view object,
+                                       ResultKind kind);
+
 }  // namespace carawayrelay
