--- /dev/null
+++ b/src/process/chunk_book.cc
@@ -0,0 +1,222 @@
+#include "process/chunk_book.h"
+
+#include <algorithm>
+#include <cassert>
+#include <iterator>
+#include <tuple>
+#include <utility>
+
+namespace carawayrelay {
+namespace {
+
+std::deque<size_t>* FindPending(
+    std::map<std::string, std::deque<size_t>>& pending,
+    const std::set<std::string>& routes) {
+  for (auto& [model, items] : pending) {
+    if (!items.empty() && routes.contains(model)) {
+      return &items;
+    }
+  }
+  return nullptr;
+}
+
+}  // namespace
+
+void ChunkBook::Add(ClaimedChunk chunk, TimePoint now) {
+  assert(!Contains(chunk.lease.id));
+  const std::string& workspace = chunk.lease.workspace;
+  if (HeldByWorkspace(workspace) == 0) {
+    // A workspace that was idle does not catch up on the time it asked for
+    // nothing.
+    double least = 0;
+    bool is_first = true;
+    for (const auto& [id, held] : chunks_) {
+      const double done = work_done_[held.claimed.lease.workspace];
+      least = is_first ? done : std::min(least, done);
+      is_first = false;
+    }
+    work_done_[workspace] = std::max(work_done_[workspace], least);
+  }
+  HeldChunk held{.items = std::vector<ItemState>(chunk.items.size()),
+                 .last_progress = now};
+  for (size_t i = 0; i < chunk.items.size(); ++i) {
+    held.pending[chunk.items[i].model].push_back(i);
+  }
+  held.claimed = std::move(chunk);
+  const ChunkId id = held.claimed.lease.id;
+  chunks_.emplace(id, std::move(held));
+}
+
+void ChunkBook::Remove(const ChunkId& id) {
+  chunks_.erase(id);
+  if (HeldOf(id.job).empty()) {
+    last_served_.erase(id.job);
+  }
+  if (chunks_.empty()) {
+    work_done_.clear();
+  }
+}
+
+std::optional<ItemRef> ChunkBook::Take(const std::set<std::string>& routes,
+                                       const WeightOf& weight_of,
+                                       TimePoint now) {
+  HeldChunk* best = nullptr;
+  std::deque<size_t>* best_items = nullptr;
+  std::tuple<double, std::uint64_t> best_rank;
+  for (auto& [id, held] : chunks_) {
+    std::deque<size_t>* items = FindPending(held.pending, routes);
+    if (items == nullptr) {
+      continue;
+    }
+    const std::tuple rank{work_done_[held.claimed.lease.workspace],
+                          last_served_[id.job]};
+    if (best == nullptr || rank < best_rank) {
+      best = &held;
+      best_items = items;
+      best_rank = rank;
+    }
+  }
+  if (best == nullptr) {
+    return std::nullopt;
+  }
+  const ChunkLease& lease = best->claimed.lease;
+  const double charge = 1 / weight_of(lease.workspace);
+  work_done_[lease.workspace] += charge;
+  last_served_[lease.id.job] = ++takes_;
+  const size_t index = best_items->front();
+  best_items->pop_front();
+  best->items[index].charge = charge;
+  ++best->running;
+  best->last_progress = now;
+  return ItemRef{lease.id, index};
+}
+
+void ChunkBook::Finish(const ItemRef& ref, ItemOutcome outcome, TimePoint now) {
+  HeldChunk& held = chunks_.at(ref.chunk);
+  ItemState& item = held.items.at(ref.index);
+  assert(!item.outcome && held.running > 0);
+  item.outcome = std::move(outcome);
+  --held.running;
+  ++held.finished;
+  held.last_progress = now;
+}
+
+void ChunkBook::Requeue(const ItemRef& ref,
+                        TryEnd end,
+                        const std::string& reason,
+                        TimePoint now) {
+  HeldChunk& held = chunks_.at(ref.chunk);
+  ItemState& item = held.items.at(ref.index);
+  assert(!item.outcome && held.running > 0);
+  if (std::optional<ItemError> error = CountTry(item, end, reason)) {
+    Finish(ref, *std::move(error), now);
+    return;
+  }
+  --held.running;
+  if (end == TryEnd::kNotRun) {
+    work_done_[held.claimed.lease.workspace] -= item.charge;
+  }
+  // At the end, so that an item that keeps failing does not hold up others.
+  held.pending[held.claimed.items[ref.index].model].push_back(ref.index);
+}
+
+std::optional<ItemError> ChunkBook::CountTry(ItemState& item,
+                                             TryEnd end,
+                                             const std::string& reason) const {
+  const auto check = [&](int& count, int limit, const char* code,
+                         const char* what) -> std::optional<ItemError> {
+    if (++count < limit) {
+      return std::nullopt;
+    }
+    return ItemError{code, std::string(what) + " " + std::to_string(count) +
+                               " times, last: " + reason};
+  };
+  switch (end) {
+    case TryEnd::kNotRun:
+      return check(item.not_run, limits_.not_run, "no_backend",
+                   "no backend server took the item,");
+    case TryEnd::kConnectionLost:
+      return check(item.lost_connections, limits_.lost_connections,
+                   "connection_lost", "the connection was lost");
+    case TryEnd::kPreempted:
+      return check(item.preemptions, limits_.preemptions, "cancelled",
+                   "the item was cancelled for online work");
+    case TryEnd::kBackendFailed:
+      return check(item.failed_tries, limits_.failed_tries, "backend_failed",
+                   "the backend server failed");
+  }
+  return std::nullopt;
+}
+
+const ChunkLease& ChunkBook::Lease(const ChunkId& id) const {
+  return chunks_.at(id).claimed.lease;
+}
+
+const BatchItem& ChunkBook::Item(const ItemRef& ref) const {
+  return chunks_.at(ref.chunk).claimed.items.at(ref.index);
+}
+
+bool ChunkBook::IsComplete(const ChunkId& id) const {
+  const HeldChunk& held = chunks_.at(id);
+  return held.finished == held.items.size();
+}
+
+ChunkResult ChunkBook::BuildResult(const ChunkId& id) const {
+  assert(IsComplete(id));
+  const HeldChunk& held = chunks_.at(id);
+  ChunkResult result;
+  for (size_t i = 0; i < held.items.size(); ++i) {
+    const ItemOutcome& outcome = *held.items[i].outcome;
+    const std::uint64_t number = held.claimed.lease.first_item + i;
+    const std::string line =
+        FormatResultLine(id.job + "_item_" + std::to_string(number),
+                         held.claimed.items[i].custom_id, outcome);
+    if (IsSuccess(outcome)) {
+      result.output_lines += line;
+      ++result.counts.succeeded;
+    } else {
+      result.error_lines += line;
+      ++result.counts.failed;
+    }
+  }
+  return result;
+}
+
+std::vector<ChunkId> ChunkBook::Ids() const {
+  std::vector<ChunkId> ids;
+  ids.reserve(chunks_.size());
+  for (const auto& [id, held] : chunks_) {
+    ids.push_back(id);
+  }
+  return ids;
+}
+
+std::set<std::uint64_t> ChunkBook::HeldOf(const std::string& job) const {
+  std::set<std::uint64_t> numbers;
+  for (auto it = chunks_.lower_bound({job, 0});
+       it != chunks_.end() && it->first.job == job; ++it) {
+    numbers.insert(it->first.number);
+  }
+  return numbers;
+}
+
+size_t ChunkBook::HeldByWorkspace(const std::string& workspace) const {
+  return static_cast<size_t>(
+      std::count_if(chunks_.begin(), chunks_.end(), [&](const auto& entry) {
+        return entry.second.claimed.lease.workspace == workspace;
+      }));
+}
+
+std::optional<ChunkId> ChunkBook::FindIdle(TimePoint limit) const {
+  std::optional<ChunkId> best;
+  for (const auto& [id, held] : chunks_) {
+    if (held.running == 0 && held.finished < held.items.size() &&
+        held.last_progress < limit &&
+        (!best || held.finished < chunks_.at(*best).finished)) {
+      best = id;
+    }
+  }
+  return best;
+}
+
+}  // namespace carawayrelay
--- a/src/process/chunk_record.h
+++ b/src/process/chunk_record.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "carawayrelay/request.h"
 #include "process/job_record.h"
@@ -44,6 +46,41 @@
                          std::uint64_t chunk,
                          Fence fence);
 
+struct ChunkId {
+  std::string job;
+  std::uint64_t number = 0;
+
+  friend auto operator<=>(const ChunkId&, const ChunkId&) = default;
+};
+
+// A chunk that may be claimed, as read from its row.
+struct ClaimCandidate {
+  std::uint64_t chunk = 0;
+  ChunkRecord record;
+  std::string etag;  // empty when the chunk has no row
+};
+
+// The claim of a chunk by this entry.
+struct ChunkLease {
+  ChunkId id;
+  std::string workspace;
+  ChunkRecord record;
+  std::string etag;
+  std::uint64_t first_item = 0;  // counted over the whole job
+};
+
+struct ClaimedChunk {
+  ChunkLease lease;
+  std::vector<BatchItem> items;
+};
+
+// Result of a chunk of which every item has an outcome.
+struct ChunkResult {
+  std::string output_lines;
+  std::string error_lines;
+  JobCounts counts;
+};
+
 std::string ToJson(const ChunkRecord& record);
 // Fails with kInternal when the row is damaged.
 Result<ChunkRecord> ParseChunkRecord(const std::string& text);
--- a/src/process/chunk_store.cc
+++ b/src/process/chunk_store.cc
@@ -32,7 +32,8 @@
 
 Result<ChunkSurvey> Survey(const JobRecord& job,
                            const std::vector<KeyedRow>& rows,
-                           const std::string& session) {
+                           const std::string& session,
+                           const std::set<std::uint64_t>& held) {
   std::map<std::string, const Row*> by_key;
   for (const KeyedRow& row : rows) {
     by_key.emplace(row.key, &row.row);
@@ -40,6 +41,9 @@
   ChunkSurvey survey;
   for (std::uint64_t n = 0; n < job.ChunkCount(); ++n) {
     const auto it = by_key.find(ChunkKey(job.id, n));
+    if (held.contains(n)) {
+      continue;
+    }
     if (it == by_key.end()) {
       survey.free.push_back({.chunk = n});
       continue;
@@ -73,6 +77,7 @@
 Result<JobScan> ChunkStore::Scan(const std::string& workspace,
                                  const std::string& job,
                                  const std::string& session,
+                                 const std::set<std::uint64_t>& held,
                                  std::chrono::sys_seconds now) {
   const Result<Row> row = access_.read_row(kJobs, JobKey(workspace, job));
   if (!row) {
@@ -88,7 +93,7 @@
   }
   BOOST_OUTCOME_TRY(const std::vector<KeyedRow> rows,
                     ListAllRows(access_, kChunks, job + "/"));
-  BOOST_OUTCOME_TRY(ChunkSurvey survey, Survey(record, rows, session));
+  BOOST_OUTCOME_TRY(ChunkSurvey survey, Survey(record, rows, session, held));
   if (survey.done == record.ChunkCount()) {
     BOOST_OUTCOME_TRY(
         EndCompletedJob(record, survey.counts, row.value().etag, now));
@@ -106,8 +111,16 @@
     scan.candidates = std::move(survey.free);
     return scan;
   }
+  // Each scan starts with another owner, so that all of them are observed.
+  std::vector<ClaimCandidate>& others = survey.claimed_by_others;
+  if (!others.empty()) {
+    std::rotate(
+        others.begin(),
+        others.begin() + static_cast<std::ptrdiff_t>(scans_++ % others.size()),
+        others.end());
+  }
   std::map<std::string, bool> lapsed;
-  for (ClaimCandidate& candidate : survey.claimed_by_others) {
+  for (ClaimCandidate& candidate : others) {
     const std::string& owner = candidate.record.session;
     if (!lapsed.contains(owner) && lapsed.size() < kMaxObserved) {
       BOOST_OUTCOME_TRY(const bool is_lapsed, IsLapsed(owner));
@@ -122,6 +135,20 @@
   return scan;
 }
 
+Result<JobScan> ChunkStore::Check(const std::string& workspace,
+                                  const std::string& job) {
+  const Result<JobRecord> record = jobs_.ReadJob(workspace, job);
+  if (!record) {
+    if (record.error().code == ErrorCode::kNotFound) {
+      return JobScan{.verdict = JobVerdict::kMissing};
+    }
+    return record.error();
+  }
+  return JobScan{.verdict = record.value().state == JobState::kRunning
+                                ? JobVerdict::kRunning
+                                : JobVerdict::kEnded};
+}
+
 Result<ClaimedChunk> ChunkStore::Claim(const std::string& workspace,
                                        const std::string& job,
                                        const ClaimCandidate& candidate,
@@ -133,18 +160,18 @@
     return Error{ErrorCode::kConflict, "the job has ended"};
   }
   const std::string key = ChunkKey(job, candidate.chunk);
-  ClaimedChunk claimed{.job = job,
-                       .workspace = workspace,
-                       .chunk = candidate.chunk,
-                       .record = ClaimChunk(candidate.record, session)};
-  const std::string value = ToJson(claimed.record);
+  ClaimedChunk claimed{
+      .lease = {.id = {job, candidate.chunk},
+                .workspace = workspace,
+                .record = ClaimChunk(candidate.record, session)}};
+  const std::string value = ToJson(claimed.lease.record);
   BOOST_OUTCOME_TRY(
-      claimed.etag,
+      claimed.lease.etag,
       candidate.etag.empty()
           ? access_.create_row(kChunks, key, value)
           : access_.update_row(kChunks, key, value, candidate.etag));
   const ChunkRange range = record.ChunkAt(candidate.chunk);
-  claimed.first_item = range.first_item;
+  claimed.lease.first_item = range.first_item;
   BOOST_OUTCOME_TRY(const FileRecord file,
                     jobs_.ReadFile(workspace, record.input_file));
   BOOST_OUTCOME_TRY(const std::string segment,
@@ -152,53 +179,52 @@
   BatchLines lines = ParseBatchLines(segment);
   if (!lines.findings.empty() ||
       lines.items.size() < range.first_in_segment + range.items) {
-    return Error{ErrorCode::kInternal, "input file " + file.id +
-                                           " does not match its row: " +
-                                           ToText(lines.findings)};
+    return Error{ErrorCode::kInternal,
+                 "input file " + file.id +
+                     " does not match its row: " + ToText(lines.findings)};
   }
   const auto first =
       lines.items.begin() + static_cast<std::ptrdiff_t>(range.first_in_segment);
-  claimed.items.assign(
-      std::make_move_iterator(first),
-      std::make_move_iterator(first +
-                              static_cast<std::ptrdiff_t>(range.items)));
+  claimed.items.assign(std::make_move_iterator(first),
+                       std::make_move_iterator(
+                           first + static_cast<std::ptrdiff_t>(range.items)));
   return claimed;
 }
 
-Result<CommitVerdict> ChunkStore::Commit(const ClaimedChunk& chunk,
+Result<CommitVerdict> ChunkStore::Commit(const ChunkLease& lease,
                                          const ChunkResult& result) {
   BOOST_OUTCOME_TRY(
       const Row job_row,
-      access_.read_row(kJobs, JobKey(chunk.workspace, chunk.job)));
+      access_.read_row(kJobs, JobKey(lease.workspace, lease.id.job)));
   BOOST_OUTCOME_TRY(const JobRecord job, ParseJobRecord(job_row.value));
   if (job.state != JobState::kRunning) {
     return CommitVerdict::kJobEnded;
   }
   const std::string object =
-      ResultObject(chunk.job, chunk.chunk, chunk.record.fence);
+      ResultObject(lease.id.job, lease.id.number, lease.record.fence);
   BOOST_OUTCOME_TRY(access_.write_object(
       object, JoinResultLines(result.output_lines, result.error_lines)));
-  const std::string key = ChunkKey(chunk.job, chunk.chunk);
+  const std::string key = ChunkKey(lease.id.job, lease.id.number);
   const std::string value =
-      ToJson(CommitChunk(chunk.record, object, result.counts));
+      ToJson(CommitChunk(lease.record, object, result.counts));
   const Result<std::string> updated =
-      access_.update_row(kChunks, key, value, chunk.etag);
+      access_.update_row(kChunks, key, value, lease.etag);
   if (updated) {
     return CommitVerdict::kCommitted;
   }
   if (updated.error().code != ErrorCode::kConflict) {
     return updated.error();
   }
-  // An earlier call whose response was lost may have committed the chunk.
+  // An earlier call whose response was lost may have committed the lease.
   BOOST_OUTCOME_TRY(const Row row, access_.read_row(kChunks, key));
   return row.value == value ? CommitVerdict::kCommitted
                             : CommitVerdict::kChunkLost;
 }
 
-Result<void> ChunkStore::Release(const ClaimedChunk& chunk) {
+Result<void> ChunkStore::Release(const ChunkLease& lease) {
   BOOST_OUTCOME_TRY(
-      access_.update_row(kChunks, ChunkKey(chunk.job, chunk.chunk),
-                         ToJson(ReleaseChunk(chunk.record)), chunk.etag));
+      access_.update_row(kChunks, ChunkKey(lease.id.job, lease.id.number),
+                         ToJson(ReleaseChunk(lease.record)), lease.etag));
   return Success();
 }
 
@@ -220,8 +246,7 @@
     written = access_.update_row(kSessions, node, ToJson(lease.NextRecord()),
                                  row.value().etag);
   } else if (row.error().code == ErrorCode::kNotFound && !lease.has_started()) {
-    written =
-        access_.create_row(kSessions, node, ToJson(lease.NextRecord()));
+    written = access_.create_row(kSessions, node, ToJson(lease.NextRecord()));
   } else if (row.error().code == ErrorCode::kNotFound) {
     lease.OnLost();
     return Error{ErrorCode::kConflict, "the session row is gone"};
@@ -242,8 +267,8 @@
   BOOST_OUTCOME_TRY(SessionRecord record, ParseSessionRecord(row.value));
   if (record.session == lease.session() && !record.lapsed) {
     record.lapsed = true;
-    BOOST_OUTCOME_TRY(access_.update_row(kSessions, node, ToJson(record),
-                                         row.etag));
+    BOOST_OUTCOME_TRY(
+        access_.update_row(kSessions, node, ToJson(record), row.etag));
   }
   return Success();
 }
@@ -267,8 +292,8 @@
       break;
   }
   record->lapsed = true;
-  const Result<std::string> marked = access_.update_row(
-      kSessions, node, ToJson(*record), row.value().etag);
+  const Result<std::string> marked =
+      access_.update_row(kSessions, node, ToJson(*record), row.value().etag);
   if (!marked && marked.error().code != ErrorCode::kConflict) {
     return marked.error();
   }
--- a/src/process/chunk_store.h
+++ b/src/process/chunk_store.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -16,13 +17,6 @@
 
 namespace carawayrelay {
 
-// A chunk that may be claimed, as read from its row.
-struct ClaimCandidate {
-  std::uint64_t chunk = 0;
-  ChunkRecord record;
-  std::string etag;  // empty when the chunk has no row
-};
-
 enum class JobVerdict {
   kRunning,
   kEnded,    // completed or cancelled
@@ -34,24 +28,6 @@
   std::vector<ClaimCandidate> candidates;
 };
 
-// A chunk claimed by this entry, with its items.
-struct ClaimedChunk {
-  std::string job;
-  std::string workspace;
-  std::uint64_t chunk = 0;
-  ChunkRecord record;
-  std::string etag;
-  std::uint64_t first_item = 0;
-  std::vector<BatchItem> items;
-};
-
-// Result of a chunk of which every item has an outcome.
-struct ChunkResult {
-  std::string output_lines;
-  std::string error_lines;
-  JobCounts counts;
-};
-
 enum class CommitVerdict {
   kCommitted,
   kChunkLost,  // another session owns the chunk
@@ -71,20 +47,24 @@
   // Reads a job and its chunk rows. Ends the job when all chunks are done, and
   // removes ended jobs from the index. Observes the sessions of owners when no
   // chunk is free otherwise. Candidates include chunks that `session` owns
-  // according to the rows, for an owner that does not know of its claim.
+  // according to the rows but that are not in `held`: the response to their
+  // claim was lost.
   Result<JobScan> Scan(const std::string& workspace,
                        const std::string& job,
                        const std::string& session,
+                       const std::set<std::uint64_t>& held,
                        std::chrono::sys_seconds now);
+  // Like Scan(), but reads the job row only.
+  Result<JobScan> Check(const std::string& workspace, const std::string& job);
   // Fails with kConflict when another entry was faster.
   Result<ClaimedChunk> Claim(const std::string& workspace,
                              const std::string& job,
                              const ClaimCandidate& candidate,
                              const std::string& session);
   // May be repeated with the same arguments after kUnavailable and kUnknown.
-  Result<CommitVerdict> Commit(const ClaimedChunk& chunk,
+  Result<CommitVerdict> Commit(const ChunkLease& lease,
                                const ChunkResult& result);
-  Result<void> Release(const ClaimedChunk& chunk);
+  Result<void> Release(const ChunkLease& lease);
 
   // Renews the session and records the outcome in `lease`.
   Result<void> Renew(SessionLease& lease);
@@ -103,6 +83,7 @@
   JobStore jobs_;
   SessionObserver observer_;
   Clock clock_;
+  size_t scans_ = 0;
 };
 
 }  // namespace carawayrelay
--- a/src/process/job_store.cc
+++ b/src/process/job_store.cc
@@ -16,7 +16,8 @@
 const std::string kActiveJobs = "active_jobs";
 
 constexpr size_t kIdDigits = 32;
-// A lost race means that another writer made progress, so few rounds are enough.
+// A lost race means that another writer made progress, so few rounds are
+// enough.
 constexpr int kCancelRounds = 8;
 
 std::string OwnedKey(const std::string& workspace, const std::string& id) {
@@ -35,8 +36,7 @@
                     ListAllRows(access, kChunks, job + "/"));
   DoneChunks done;
   for (const KeyedRow& row : rows) {
-    BOOST_OUTCOME_TRY(const ChunkRecord chunk,
-                      ParseChunkRecord(row.row.value));
+    BOOST_OUTCOME_TRY(const ChunkRecord chunk, ParseChunkRecord(row.row.value));
     if (chunk.state == ChunkState::kDone) {
       done.numbers.push_back(std::stoull(row.key.substr(job.size() + 1)));
       done.objects.push_back(chunk.result_object);
@@ -59,10 +59,9 @@
                                       std::chrono::sys_seconds now) {
   FileRecord file;
   file.content_hash = Sha256Hex(content);
-  file.id =
-      "file-" + Sha256Hex(std::to_string(workspace.size()) + ":" + workspace +
-                          file.content_hash)
-                    .substr(0, kIdDigits);
+  file.id = "file-" + Sha256Hex(std::to_string(workspace.size()) + ":" +
+                                workspace + file.content_hash)
+                          .substr(0, kIdDigits);
   Result<FileRecord> earlier = ReadFile(workspace, file.id);
   if (earlier || earlier.error().code != ErrorCode::kNotFound) {
     return earlier;
@@ -117,8 +116,7 @@
 Result<JobRecord> JobStore::FindEarlier(const JobRecord& job) {
   BOOST_OUTCOME_TRY(JobRecord earlier, ReadJob(job.workspace, job.id));
   if (earlier.content_hash != job.content_hash) {
-    return Error{ErrorCode::kConflict,
-                 "a job of this name has other content"};
+    return Error{ErrorCode::kConflict, "a job of this name has other content"};
   }
   return earlier;
 }
@@ -131,8 +129,8 @@
   // The index row comes first: a job row without one would never be run, while
   // an index row without a job is harmless and stays until the job has ended.
   BOOST_OUTCOME_TRY(AddActive(job));
-  const Result<std::string> created = access_.create_row(
-      kJobs, OwnedKey(job.workspace, job.id), ToJson(job));
+  const Result<std::string> created =
+      access_.create_row(kJobs, OwnedKey(job.workspace, job.id), ToJson(job));
   if (created) {
     return job;
   }
--- a/src/process/session_lease.cc
+++ b/src/process/session_lease.cc
@@ -76,21 +76,22 @@
     TimePoint before,
     TimePoint after) {
   std::erase_if(sightings_, [&](const auto& entry) {
-    return after - entry.second.last_seen > lease_time_ * kForgetAfterLeaseTimes;
+    return after - entry.second.last_seen >
+           lease_time_ * kForgetAfterLeaseTimes;
   });
   if (!row || row->session != session || row->lapsed) {
     sightings_.erase(session);
     return Verdict::kLapsed;
   }
-  const auto [it, is_new] = sightings_.try_emplace(
-      session, Sighting{row->renewals, after, after});
+  const auto [it, is_new] =
+      sightings_.try_emplace(session, Sighting{row->renewals, after, after});
   Sighting& sighting = it->second;
   if (sighting.renewals != row->renewals) {
     sighting = {row->renewals, after, after};
   }
   sighting.last_seen = after;
   return before - sighting.first_seen >= lease_time_ ? Verdict::kExpired
-                                                  : Verdict::kLive;
+                                                     : Verdict::kLive;
 }
 
 }  // namespace carawayrelay
--- a/src/process/store_access.cc
+++ b/src/process/store_access.cc
@@ -16,8 +16,8 @@
           -> Result<Row> { return client.ReadRow(table, key); },
       .list_rows = [&client](const std::string& table,
                              const std::string& prefix,
-                             const std::string& after, size_t limit)
-          -> Result<std::vector<KeyedRow>> {
+                             const std::string& after,
+                             size_t limit) -> Result<std::vector<KeyedRow>> {
         return client.ListRows(table, prefix, after, limit);
       },
       .create_row = [&client](const std::string& table, const std::string& key,
--- a/src/request/batch_item.cc
+++ b/src/request/batch_item.cc
@@ -116,8 +116,8 @@
 std::string ToText(const std::vector<LineFinding>& findings) {
   std::string text;
   for (const LineFinding& finding : findings) {
-    text += "line " + std::to_string(finding.line) + ": " + finding.message +
-            "\n";
+    text +=
+        "line " + std::to_string(finding.line) + ": " + finding.message + "\n";
   }
   return text;
 }
