--- a/include/carawayrelay/process.h
+++ b/include/carawayrelay/process.h
@@ -3,6 +3,7 @@
 // Public header of the process library: what lives as long as the process.
 
 #include "process/admin_api.h"
+#include "process/batch_thread.h"
 #include "process/config_store.h"
 #include "process/config_watch.h"
 #include "process/events.h"
--- /dev/null
+++ b/src/process/batch_api.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "carawayrelay/request.h"
+#include "carawayrelay/version.h"
+#include "process/batch_event.h"
+#include "process/http_server.h"
+#include "process/job_store.h"
+
+namespace carawayrelay {
+
+// Serves the HTTP interface of files and batch jobs, in the JSON shape that
+// clients of this interface know. Blocking.
+class BatchApi {
+ public:
+  struct Options {
+    std::uint64_t items_per_chunk = 100;
+  };
+
+  struct Reply {
+    int http_status = 200;
+    HttpHeaders headers;
+    std::string body;
+    // What the dispatcher should know at once.
+    std::optional<BatchEvent> event;
+  };
+
+  // `random_id` returns a value that no other call returns. `store` must
+  // outlive this object.
+  BatchApi(JobStore& store,
+           Options options,
+           std::function<std::string()> random_id);
+
+  // True for the paths that Handle() serves.
+  static bool IsBatchPath(const std::string& path);
+
+  // `workspace` is that of the caller's key.
+  Reply Handle(const HttpRequest& request,
+               const std::string& workspace,
+               const ConfigSnapshot& config,
+               std::chrono::sys_seconds now);
+
+ private:
+  Reply CreateFile(const HttpRequest& request,
+                   const std::string& workspace,
+                   std::chrono::sys_seconds now);
+  Reply ShowFile(const std::string& workspace, const std::string& id);
+  Reply FileContent(const std::string& workspace, const std::string& id);
+  Reply CreateJob(const HttpRequest& request,
+                  const std::string& workspace,
+                  const ConfigSnapshot& config,
+                  std::chrono::sys_seconds now);
+  Reply ShowJob(const std::string& workspace, const std::string& id);
+  Reply ListJobs(const HttpRequest& request, const std::string& workspace);
+  Reply CancelJob(const std::string& workspace,
+                  const std::string& id,
+                  std::chrono::sys_seconds now);
+
+  JobStore& store_;
+  Options options_;
+  std::function<std::string()> random_id_;
+};
+
+}  // namespace carawayrelay
--- /dev/null
+++ b/src/process/batch_api_thread.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <atomic>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+
+#include "carawayrelay/request.h"
+#include "carawayrelay/version.h"
+#include "process/batch_api.h"
+#include "process/batch_event.h"
+#include "process/http_server.h"
+#include "process/platform_client.h"
+#include "process/ring.h"
+
+namespace carawayrelay {
+
+// An authenticated request to the files and batches interface.
+struct BatchHttpCall {
+  HttpRequest request;
+  std::string workspace;
+  ConfigPtr config;
+  HttpExchangePtr exchange;
+};
+
+// The `batch-api` thread: serves files and batches. Apart from `batch-store`,
+// so that a long upload cannot delay the renewal of the session.
+class BatchApiThread {
+ public:
+  // May block.
+  using Deliver = std::function<void(BatchEvent event)>;
+
+  struct Options {
+    BatchApi::Options api;
+    JobStore::Options store;
+    PlatformClient::Options platform;
+    size_t call_capacity = 256;
+    // Limit of the bodies that wait in the ring.
+    size_t max_waiting_bytes = size_t{256} << 20;
+  };
+
+  static Result<std::unique_ptr<BatchApiThread>> Make(const Options& options,
+                                                      Deliver deliver);
+  ~BatchApiThread();
+
+  // Returns false and leaves the call untouched when there is no room for it.
+  bool TryCall(BatchHttpCall& call);
+  // Serves what is in the ring and joins the thread.
+  void Stop();
+
+ private:
+  BatchApiThread(const Options& options,
+                 std::unique_ptr<PlatformClient> client,
+                 Deliver deliver);
+
+  void Run();
+
+  Options options_;
+  std::unique_ptr<PlatformClient> client_;
+  JobStore store_;
+  BatchApi api_;
+  Deliver deliver_;
+  Ring<BatchHttpCall> calls_;
+  std::atomic<size_t> waiting_bytes_ = 0;
+  std::thread thread_;
+};
+
+}  // namespace carawayrelay
--- /dev/null
+++ b/src/process/batch_thread.cc
@@ -0,0 +1,128 @@
+#include "process/batch_thread.h"
+
+#include <cassert>
+#include <utility>
+
+#include "process/log.h"
+
+namespace carawayrelay {
+namespace {
+
+// Longest time until the dispatcher looks at its timers.
+constexpr std::chrono::milliseconds kTickInterval{100};
+// Lists, scans, claims, commits and releases that are under way at once: one
+// list, two of each other kind for each chunk, and one scan for each known job.
+constexpr size_t kRequestsPerChunk = 2;
+
+}  // namespace
+
+Result<std::unique_ptr<BatchThread>> BatchThread::Make(
+    const Options& options,
+    Send send,
+    std::function<void()> on_space) {
+  std::unique_ptr<BatchThread> made(new BatchThread(options, std::move(send)));
+  made->events_.SetSpaceCallback(std::move(on_space));
+  const auto deliver = [thread = made.get()](BatchEvent event) {
+    thread->events_.Push(std::move(event));
+  };
+  BOOST_OUTCOME_TRY(made->store_,
+                    BatchStoreThread::Make(
+                        {.node = options.node,
+                         .lease = options.lease,
+                         .platform = options.platform,
+                         .request_capacity =
+                             options.dispatcher.max_chunks * kRequestsPerChunk +
+                             options.dispatcher.jobs.max_known + 1},
+                        deliver));
+  BOOST_OUTCOME_TRY(made->api_,
+                    BatchApiThread::Make({.api = options.api,
+                                          .store = options.store,
+                                          .platform = options.platform},
+                                         deliver));
+  made->thread_ = std::thread([thread = made.get()] { thread->Run(); });
+  return made;
+}
+
+BatchThread::BatchThread(const Options& options, Send send)
+    : options_(options),
+      send_(std::move(send)),
+      events_(options.event_capacity),
+      dispatcher_(options.dispatcher) {}
+
+BatchThread::~BatchThread() {
+  Stop();
+}
+
+bool BatchThread::DeliverLink(LinkEvent& event) {
+  BatchEvent wrapped =
+      std::visit([](auto& e) -> BatchEvent { return std::move(e); }, event);
+  if (events_.TryPush(wrapped)) {
+    return true;
+  }
+  std::visit(Overloaded{[&](LinkUp& e) { event = std::move(e); },
+                        [&](LinkMessage& e) { event = std::move(e); },
+                        [&](LinkDown& e) { event = std::move(e); },
+                        [](auto& other) { assert(false); }},
+             wrapped);
+  return false;
+}
+
+void BatchThread::SetConfig(ConfigPtr config) {
+  events_.Push(BatchConfigChanged{std::move(config)});
+}
+
+bool BatchThread::TryCall(BatchHttpCall& call) {
+  return api_->TryCall(call);
+}
+
+void BatchThread::Stop() {
+  if (api_) {
+    api_->Stop();
+  }
+  if (thread_.joinable()) {
+    events_.Push(BatchStopRequested{});
+    thread_.join();
+  }
+  // Closed first, so that the store thread cannot wait for room in it.
+  events_.Close();
+  if (store_) {
+    store_->Stop();
+  }
+}
+
+void BatchThread::Run() {
+  std::optional<TimePoint> stop_deadline;
+  while (!is_finished_) {
+    std::optional<BatchEvent> event =
+        events_.PopUntil(BootClock::now() + kTickInterval);
+    const TimePoint now = BootClock::now();
+    if (event && std::holds_alternative<BatchStopRequested>(*event)) {
+      stop_deadline = now + options_.stop_time;
+    }
+    if (stop_deadline && now >= *stop_deadline) {
+      break;
+    }
+    for (BatchAction& action : dispatcher_.Handle(
+             event ? *std::move(event) : BatchEvent(BatchTick{}), now)) {
+      Perform(action);
+    }
+  }
+  LogInfo(LogEvent::kBatchStopped, "batch work stopped with {} chunks held",
+          dispatcher_.held_chunks());
+}
+
+void BatchThread::Perform(BatchAction& action) {
+  std::visit(
+      Overloaded{
+          [&](SendToAgent& a) { send_(a.connection, std::move(a.message)); },
+          [&](BatchStoreRequest& a) {
+            // The dispatcher bounds its requests by its options.
+            const bool is_taken = store_->TryRequest(std::move(a));
+            assert(is_taken);
+            static_cast<void>(is_taken);
+          },
+          [&](BatchStopFinished&) { is_finished_ = true; }},
+      action);
+}
+
+}  // namespace carawayrelay
--- a/src/process/events.h
+++ b/src/process/events.h
@@ -16,6 +16,10 @@
   kPlatformAway = 1701,
   kPlatformBack = 1702,
   kVmListUnreadable = 1703,
+  kBatchSessionStarted = 1501,
+  kBatchSessionLost = 1502,
+  kBatchStoreFailing = 1503,
+  kBatchStopped = 1504,
 };
 
 }  // namespace carawayrelay
--- a/src/process/job_store.cc
+++ b/src/process/job_store.cc
@@ -134,10 +134,15 @@
   if (created) {
     return job;
   }
-  if (created.error().code == ErrorCode::kConflict) {
-    return FindEarlier(job);
+  if (created.error().code != ErrorCode::kConflict) {
+    return created.error();
   }
-  return created.error();
+  Result<JobRecord> other = FindEarlier(job);
+  if (!other && other.error().code == ErrorCode::kUnavailable) {
+    // A concurrent call made the job, which may be the one asked for.
+    return Error{ErrorCode::kUnknown, other.error().message};
+  }
+  return other;
 }
 
 Result<JobRecord> JobStore::ReadJob(const std::string& workspace,
