--- a/src/process/batch_api.cc
+++ b/src/process/batch_api.cc
@@ -7,8 +7,8 @@
 #include <string_view>
 #include <utility>
 
-#include "process/batch_dispatcher.h"
 #include "process/batch_json.h"
+#include "process/batch_route.h"
 #include "process/batch_upload.h"
 #include "process/refusal_json.h"
 
--- a/src/process/batch_dispatcher.h
+++ b/src/process/batch_dispatcher.h
@@ -18,12 +18,6 @@
 
 namespace carawayrelay {
 
-// Returns why items of `workspace` for `model` cannot run under `config`, or
-// nothing when they can.
-std::optional<ItemError> CheckBatchRoute(const ConfigSnapshot& config,
-                                         const std::string& workspace,
-                                         const std::string& model);
-
 // All decisions of an entry about batch work: which chunks it holds, which
 // items run where, and when results are committed.
 class BatchDispatcher {
--- a/src/process/batch_thread.cc
+++ b/src/process/batch_thread.cc
@@ -25,15 +25,15 @@
   const auto deliver = [thread = made.get()](BatchEvent event) {
     thread->events_.Push(std::move(event));
   };
-  BOOST_OUTCOME_TRY(made->store_,
-                    BatchStoreThread::Make(
-                        {.node = options.node,
-                         .lease = options.lease,
-                         .platform = options.platform,
-                         .request_capacity =
-                             options.dispatcher.max_chunks * kRequestsPerChunk +
-                             options.dispatcher.jobs.max_known + 1},
-                        deliver));
+  BOOST_OUTCOME_TRY(
+      made->store_,
+      BatchStoreThread::Make(
+          {.worker = {.node = options.node, .lease = options.lease},
+           .platform = options.platform,
+           .request_capacity =
+               options.dispatcher.max_chunks * kRequestsPerChunk +
+               options.dispatcher.jobs.max_known + 1},
+          deliver));
   BOOST_OUTCOME_TRY(made->api_,
                     BatchApiThread::Make({.api = options.api,
                                           .store = options.store,
--- a/src/process/events.h
+++ b/src/process/events.h
@@ -13,13 +13,13 @@
   kConfigAdopted = 1201,
   kConfigPublished = 1202,
   kConfigRejected = 1203,
-  kPlatformAway = 1701,
-  kPlatformBack = 1702,
-  kVmListUnreadable = 1703,
   kBatchSessionStarted = 1501,
   kBatchSessionLost = 1502,
   kBatchStoreFailing = 1503,
   kBatchStopped = 1504,
+  kPlatformAway = 1701,
+  kPlatformBack = 1702,
+  kVmListUnreadable = 1703,
 };
 
 }  // namespace carawayrelay
