--- a/src/process/batch_api.cc
+++ b/src/process/batch_api.cc
@@ -24,7 +24,7 @@
 constexpr size_t kMaxFindings = 1000;
 constexpr size_t kMaxNameBytes = 512;
 
-BatchApi::Reply Refuse(Refusal refusal) {
+BatchApi::Reply Refuse(const Refusal& refusal) {
   return {.http_status = HttpStatus(refusal.code),
           .headers = RefusalHeaders(refusal),
           .body = ToJson(refusal)};
@@ -63,7 +63,7 @@
       refusal.run_state = RunState::kUnknown;
       break;
   }
-  return Refuse(std::move(refusal));
+  return Refuse(refusal);
 }
 
 BatchApi::Reply Json(std::string body) {
@@ -299,9 +299,9 @@
   if (!file) {
     return RefuseError(file.error());
   }
-  if (std::optional<Refusal> refusal =
+  if (const std::optional<Refusal> refusal =
           CheckModels(config, workspace, file.value().models)) {
-    return Refuse(*std::move(refusal));
+    return Refuse(*refusal);
   }
   const std::string id = JobId(workspace, fields->name, random_id_());
   const JobRecord job =
--- a/tests/process/batch_model.h
+++ b/tests/process/batch_model.h
@@ -435,12 +435,18 @@
     }
   }
 
-  // An entry must not act after its session was marked lapsed.
+  // An entry must not act after its session was marked lapsed or its chunk was
+  // claimed by another.
   void CheckOwner(const Entry& entry, const Submit& submit) {
     const Row& row = store_.Table("sessions").at(entry.node);
     if (ParseSessionRecord(row.value).value().lapsed) {
       violations_.push_back(entry.node + " acts without a session");
     }
+    const std::string key = ChunkKey(submit.chunk->job, submit.chunk->chunk);
+    const Row& chunk = store_.Table("chunks").at(key);
+    if (ParseChunkRecord(chunk.value).value().fence != submit.chunk->fence) {
+      violations_.push_back(entry.node + " acts for a lost chunk " + key);
+    }
   }
 
   void RunAgent(Entry& entry) {
--- /dev/null
+++ b/tests/process/chunk_book_test.cc
@@ -0,0 +1,104 @@
+#include "process/chunk_book.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+namespace carawayrelay {
+namespace {
+
+struct ChunkBookFixture {
+  const TimePoint now{std::chrono::hours(1)};
+  ChunkBook book{{.failed_tries = 3, .lost_connections = 5}};
+
+  ChunkId AddChunk(const std::string& job,
+                   const std::string& workspace,
+                   size_t items,
+                   const std::string& model = "m") {
+    ClaimedChunk chunk;
+    chunk.lease = {.id = {job, book.HeldOf(job).size()},
+                   .workspace = workspace};
+    for (size_t i = 0; i < items; ++i) {
+      chunk.items.push_back({std::to_string(i), model, "{}"});
+    }
+    book.Add(chunk, now);
+    return chunk.lease.id;
+  }
+
+  std::optional<ItemRef> Take(const std::string& route = "m") {
+    return book.Take(
+        {route}, [](const std::string& w) { return w == "heavy" ? 3 : 1; },
+        now);
+  }
+
+  int CountTakes(const std::string& job, int takes) {
+    int count = 0;
+    for (int i = 0; i < takes; ++i) {
+      count += Take()->chunk.job == job ? 1 : 0;
+    }
+    return count;
+  }
+};
+
+// Guards against an item that fails and keeps its chunk from being committed.
+TEST_CASE_FIXTURE(ChunkBookFixture,
+                  "ChunkBook, three failed tries, end the item as failed") {
+  const ChunkId id = AddChunk("j", "w", 1);
+  for (int i = 0; i < 3; ++i) {
+    CHECK_FALSE(book.IsComplete(id));
+    book.Requeue(*Take(), TryEnd::kNotRun, "busy", now);
+    book.Requeue(*Take(), TryEnd::kPreempted, "online", now);
+    book.Requeue(*Take(), TryEnd::kConnectionLost, "gone", now);
+    book.Requeue(*Take(), TryEnd::kBackendFailed, "status 500", now);
+  }
+  REQUIRE(book.IsComplete(id));
+  const ChunkResult result = book.BuildResult(id);
+  CHECK(result.counts.failed == 1);
+  CHECK(result.error_lines.find("failed 3 times, last: status 500") !=
+        std::string::npos);
+}
+
+// Guards against an item that crashes one backend server after the other.
+TEST_CASE_FIXTURE(ChunkBookFixture,
+                  "ChunkBook, many lost connections, end the item as failed") {
+  const ChunkId id = AddChunk("j", "w", 1);
+  for (int i = 0; i < 5; ++i) {
+    book.Requeue(*Take(), TryEnd::kConnectionLost, "gone", now);
+  }
+  CHECK(book.IsComplete(id));
+}
+
+// Guards against a workspace with many jobs that crowds out another.
+TEST_CASE_FIXTURE(
+    ChunkBookFixture,
+    "ChunkBook, two workspaces, share by weight and not by jobs") {
+  AddChunk("a1", "w", 50);
+  AddChunk("a2", "w", 50);
+  AddChunk("b", "v", 50);
+  AddChunk("c", "heavy", 50);
+  CHECK(CountTakes("c", 50) == doctest::Approx(30).epsilon(0.1));
+  CHECK(CountTakes("b", 25) == doctest::Approx(5).epsilon(0.3));
+  CHECK(CountTakes("a1", 20) == doctest::Approx(2).epsilon(0.6));
+}
+
+// Guards against a workspace that was idle and then gets all capacity.
+TEST_CASE_FIXTURE(ChunkBookFixture,
+                  "ChunkBook, workspace that returns, does not catch up") {
+  AddChunk("a", "w", 200);
+  CHECK(CountTakes("a", 100) == 100);
+  AddChunk("b", "v", 200);
+  CHECK(CountTakes("b", 20) == doctest::Approx(10).epsilon(0.1));
+}
+
+// Guards against one model without backend servers that holds up the others.
+TEST_CASE_FIXTURE(ChunkBookFixture,
+                  "ChunkBook, route without items, leaves others pending") {
+  AddChunk("a", "w", 1, "cold");
+  AddChunk("b", "w", 1, "m");
+  CHECK(Take()->chunk.job == "b");
+  CHECK_FALSE(Take());
+  CHECK(book.FindIdle(now + std::chrono::seconds(1))->job == "a");
+}
+
+}  // namespace
+}  // namespace carawayrelay
