--- a/include/carawayrelay/process.h
+++ b/include/carawayrelay/process.h
@@ -3,6 +3,7 @@
 // Public header of the process library: what lives as long as the process.
 
 #include "process/admin_api.h"
+#include "process/batch_thread.h"
 #include "process/admin_client.h"
 #include "process/agent_process.h"
 #include "process/agent_settings.h"
