--- a/include/carawayrelay/process.h
+++ b/include/carawayrelay/process.h
@@ -3,12 +3,12 @@
 // Public header of the process library: what lives as long as the process.
 
 #include "process/admin_api.h"
-#include "process/batch_thread.h"
 #include "process/admin_client.h"
 #include "process/agent_process.h"
 #include "process/agent_settings.h"
 #include "process/api_reply.h"
 #include "process/backend_table.h"
+#include "process/batch_thread.h"
 #include "process/caller_replies.h"
 #include "process/chat_api.h"
 #include "process/command.h"
--- a/include/carawayrelay/request.h
+++ b/include/carawayrelay/request.h
@@ -3,8 +3,8 @@
 // Public header of the request library: values and decisions that live for one
 // request, attempt or batch item.
 
-#include "request/batch_item.h"
 #include "request/backend_choice.h"
+#include "request/batch_item.h"
 #include "request/boot_clock.h"
 #include "request/caller_request.h"
 #include "request/error.h"
--- a/tools/lib.sh
+++ b/tools/lib.sh
@@ -20,7 +20,7 @@
   local dir=$1
   shift
   # Relative paths let checkouts in different folders share the compiler cache.
-  export CCACHE_BASEDIR=$PWD CCACHE_NOHASHDIR=1
+  export CCACHE_BASEDIR=$PWD CCACHE_NOHASHDIR=1 CCACHE_SLOPPINESS=pch_defines,time_macros
   cmake -S . -B "$dir" -G Ninja -DCMAKE_CXX_COMPILER_LAUNCHER=ccache "$@" >/dev/null &&
     cmake --build "$dir" -j "${RELAY_JOBS:-$(nproc)}"
 }
