--- a/src/process/dispatch_event.h
+++ b/src/process/dispatch_event.h
@@ -12,6 +12,7 @@
 #include "carawayrelay/request.h"
 #include "carawayrelay/version.h"
 #include "process/common_event.h"
+#include "process/limit_lease_book.h"
 #include "process/link_thread.h"
 
 namespace carawayrelay {
@@ -70,6 +71,7 @@
                                    LinkMessage,
                                    LinkDown,
                                    ConfigAdopted,
+                                   LimitLeaseEvent,
                                    IntentRecorded,
                                    IntentExists,
                                    IntentFailed,
@@ -151,6 +153,11 @@
   bool ready = false;
 };
 
+// Who acknowledged the fences of the limit leases that this entry holds.
+struct ReportAcknowledged {
+  std::vector<AcknowledgedNodes> shards;
+};
+
 // One finished request, for metrics.
 struct RequestObserved {
   std::string workspace;
@@ -177,6 +184,7 @@
                                     ProposeConfig,
                                     ReportReady,
                                     Drained,
+                                    ReportAcknowledged,
                                     RequestObserved>;
 
 using DispatchActions = std::vector<DispatchAction>;
--- a/src/process/dispatch_thread.cc
+++ b/src/process/dispatch_thread.cc
@@ -199,6 +199,12 @@
   drained_changed_.notify_all();
 }
 
+void DispatchThread::Perform(ReportAcknowledged& action) {
+  if (hooks_.acknowledged) {
+    hooks_.acknowledged(action.shards);
+  }
+}
+
 void DispatchThread::Perform(RequestObserved& action) {
   if (hooks_.observe) {
     hooks_.observe(action);
--- a/src/process/dispatch_thread.h
+++ b/src/process/dispatch_thread.h
@@ -38,6 +38,8 @@
     // Hands a configuration of another process to the thread that checks it.
     // Unset: it is checked on the dispatch thread.
     std::function<void(ConfigUpdate)> propose_config;
+    // Called regularly with what the limits thread must know.
+    std::function<void(const std::vector<AcknowledgedNodes>&)> acknowledged;
     // Called for each finished request, for metrics.
     std::function<void(const RequestObserved&)> observe;
     // Called after each version that took effect.
@@ -83,6 +85,7 @@
   void Perform(ProposeConfig& action);
   void Perform(ReportReady& action);
   void Perform(Drained& action);
+  void Perform(ReportAcknowledged& action);
   void Perform(RequestObserved& action);
 
   Hooks hooks_;
--- a/src/process/dispatcher.cc
+++ b/src/process/dispatcher.cc
@@ -11,17 +11,26 @@
 
 // Time after which a caller should try another entry or the same one again.
 constexpr milliseconds kRetrySoon{1000};
+constexpr milliseconds kAcknowledgedReportInterval{300};
+
+using LimitState = std::variant<LocalLimits, SharedLimits>;
+
+LimitState MakeLimits(const std::optional<SharedLimits::Options>& options) {
+  return options ? LimitState(SharedLimits(*options)) : LimitState();
+}
 
 }  // namespace
 
 Dispatcher::Dispatcher(Options options)
     : options_(std::move(options)),
       rng_(options_.seed),
+      limits_(MakeLimits(options_.shared_limits)),
       backends_(options_.choice) {}
 
 DispatchActions Dispatcher::Handle(DispatchEvent event, TimePoint now) {
   now_ = now;
   std::visit([this](auto& e) { On(e); }, event);
+  AdvanceLimits();
   if (is_draining_ && !is_drained_ && requests_.size() == 0) {
     is_drained_ = true;
     Emit(Drained{});
@@ -30,11 +39,17 @@
 }
 
 std::optional<TimePoint> Dispatcher::NextDeadline() const {
-  const std::optional<TimePoint> deadline = requests_.NextDeadline();
-  if (!deadline || !next_pump_) {
-    return deadline ? deadline : next_pump_;
+  std::optional<TimePoint> deadline = requests_.NextDeadline();
+  const auto include = [&](TimePoint other) {
+    deadline = deadline ? std::min(*deadline, other) : other;
+  };
+  if (next_pump_) {
+    include(*next_pump_);
   }
-  return std::min(*deadline, *next_pump_);
+  if (const auto* shared = std::get_if<SharedLimits>(&limits_)) {
+    include(shared->NextDeadline(now_));
+  }
+  return deadline;
 }
 
 void Dispatcher::On(RequestArrived& event) {
@@ -52,13 +67,31 @@
                                           .access = *access,
                                           .deadline = deadline,
                                           .span = span});
-  if (access->repeatable || request.call.idempotency_key.empty()) {
+  const Admission admission =
+      access->workspace.empty()
+          ? Admission::kAdmitted
+          : AdmitByRate(access->workspace, request.call.id);
+  switch (admission) {
+    case Admission::kAdmitted:
+      Proceed(request);
+      break;
+    case Admission::kWaiting:
+      request.phase = RequestPhase::kAdmission;
+      break;
+    case Admission::kRefused:
+      FinishRefused(request, OverRate(access->workspace));
+      break;
+  }
+}
+
+void Dispatcher::Proceed(ActiveRequest& request) {
+  if (request.access.repeatable || request.call.idempotency_key.empty()) {
     Enqueue(request);
     return;
   }
   request.phase = RequestPhase::kIntent;
   Emit(RecordIntent{.request = request.call.id,
-                    .workspace = access->workspace,
+                    .workspace = request.access.workspace,
                     .key = request.call.idempotency_key,
                     .content_hash = Sha256Hex(
                         request.call.method + '\n' + request.call.route + '\n' +
@@ -103,17 +136,91 @@
                .retry_after = kRetrySoon});
     return std::nullopt;
   }
-  if (!access.workspace.empty() && !limits_.TrySpend(access.workspace, now_)) {
-    RefuseNew(
-        call, access.workspace,
-        {.code = RefusalCode::kRateLimited,
-         .reason = "workspace '" + access.workspace + "' is over its rate",
-         .retry_after = limits_.RetryAfter(access.workspace, now_)});
-    return std::nullopt;
-  }
   return access;
 }
 
+Admission Dispatcher::AdmitByRate(const std::string& workspace,
+                                  RequestId request) {
+  return std::visit(
+      Overloaded{
+          [&](LocalLimits& limits) {
+            return limits.TrySpend(workspace, now_) ? Admission::kAdmitted
+                                                    : Admission::kRefused;
+          },
+          [&](SharedLimits& limits) {
+            return limits.Admit(workspace, request, now_);
+          },
+      },
+      limits_);
+}
+
+std::chrono::milliseconds Dispatcher::RateRetryAfter(
+    const std::string& workspace) {
+  return std::visit(Overloaded{
+                        [&](LocalLimits& limits) {
+                          return limits.RetryAfter(workspace, now_);
+                        },
+                        [&](SharedLimits& limits) {
+                          return limits.RetryAfter(workspace);
+                        },
+                    },
+                    limits_);
+}
+
+Refusal Dispatcher::OverRate(const std::string& workspace) {
+  return {.code = RefusalCode::kRateLimited,
+          .reason = "workspace '" + workspace + "' is over its rate",
+          .retry_after = RateRetryAfter(workspace)};
+}
+
+void Dispatcher::AdvanceLimits() {
+  auto* shared = std::get_if<SharedLimits>(&limits_);
+  if (shared == nullptr) {
+    return;
+  }
+  shared->Advance(now_);
+  for (SendMessage& message : shared->TakeMessages()) {
+    Emit(std::move(message));
+  }
+  for (const AdmissionResult& result : shared->TakeResults()) {
+    HandleAdmission(result);
+  }
+  if (now_ >= next_acknowledged_report_) {
+    next_acknowledged_report_ = now_ + kAcknowledgedReportInterval;
+    Emit(ReportAcknowledged{shared->Acknowledged()});
+  }
+}
+
+void Dispatcher::HandleAdmission(const AdmissionResult& result) {
+  ActiveRequest* request = requests_.Find(result.request);
+  if (request == nullptr || request->phase != RequestPhase::kAdmission) {
+    return;
+  }
+  if (result.admitted) {
+    Proceed(*request);
+  } else {
+    FinishRefused(*request, OverRate(request->access.workspace));
+  }
+}
+
+void Dispatcher::On(LimitLeaseEvent& event) {
+  if (auto* shared = std::get_if<SharedLimits>(&limits_)) {
+    shared->HandleLease(event, now_);
+  }
+}
+
+void Dispatcher::OnPeer(LinkMessage& event) {
+  auto* shared = std::get_if<SharedLimits>(&limits_);
+  if (shared == nullptr) {
+    return;
+  }
+  if (const auto* ask = std::get_if<LimitAsk>(&event.message)) {
+    shared->HandleAsk(event.connection, *ask, now_);
+  } else if (const auto* grant = std::get_if<LimitGrant>(&event.message)) {
+    shared->HandleGrant(*grant, now_);
+  }
+}
+
 void Dispatcher::RefuseNew(const CallerRequest& call,
                            const std::string& workspace,
                            Refusal refusal) {
@@ -168,7 +275,13 @@
     return;
   }
   config_ = std::move(event.config);
-  limits_.AdoptConfig(*config_, now_);
+  std::visit(Overloaded{
+                 [&](LocalLimits& limits) {
+                   limits.AdoptConfig(*config_, now_);
+                 },
+                 [&](SharedLimits& limits) { limits.AdoptConfig(config_); },
+             },
+             limits_);
   if (!config_->IsZoneOut(options_.zone)) {
     zone_out_since_.reset();
   } else if (!zone_out_since_) {
@@ -178,8 +291,9 @@
     Abandon(*requests_.Find(id), {.code = RefusalCode::kUnauthorized,
                                   .reason = "the key was withdrawn"});
   }
-  for (const RequestPhase phase : {RequestPhase::kIntent, RequestPhase::kQueued,
-                                   RequestPhase::kAwaitConfig}) {
+  for (const RequestPhase phase :
+       {RequestPhase::kAdmission, RequestPhase::kIntent, RequestPhase::kQueued,
+        RequestPhase::kAwaitConfig}) {
     for (const RequestId id : requests_.InPhase(phase)) {
       ActiveRequest& request = *requests_.Find(id);
       if (Recheck(request) && phase == RequestPhase::kAwaitConfig) {
@@ -293,6 +407,9 @@
   while (const std::optional<RequestId> id = requests_.FirstExpired(now_)) {
     ActiveRequest& request = *requests_.Find(*id);
     switch (request.phase) {
+      case RequestPhase::kAdmission:
+        Abandon(request, OverRate(request.access.workspace));
+        break;
       case RequestPhase::kIntent:
         Abandon(request, {.code = RefusalCode::kStoreDown,
                           .reason = "the intent was not stored in time",
@@ -322,6 +439,12 @@
 }
 
 void Dispatcher::On(LinkUp& event) {
+  auto* shared = std::get_if<SharedLimits>(&limits_);
+  if (shared != nullptr && event.peer.role == Role::kEntry &&
+      event.peer.link_class == LinkClass::kPeer) {
+    shared->PeerUp(event.connection, event.peer.node);
+    return;
+  }
   if (event.peer.role != Role::kAgent ||
       event.peer.link_class != LinkClass::kOnline ||
       event.peer.protocol_version != kProtocolVersion) {
@@ -345,10 +468,15 @@
     if (update->version > config_version()) {
       Emit(ProposeConfig{std::move(*update)});
     }
+  } else {
+    OnPeer(event);
   }
 }
 
 void Dispatcher::On(LinkDown& event) {
+  if (auto* shared = std::get_if<SharedLimits>(&limits_)) {
+    shared->PeerDown(event.connection);
+  }
   const std::vector<RequestId> running = requests_.RunningOn(event.connection);
   backends_.Erase(event.connection);
   for (const RequestId id : running) {
--- a/src/process/dispatcher.h
+++ b/src/process/dispatcher.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <variant>
 
 #include "carawayrelay/request.h"
 #include "carawayrelay/version.h"
@@ -13,6 +14,7 @@
 #include "process/dispatch_event.h"
 #include "process/local_limits.h"
 #include "process/request_table.h"
+#include "process/shared_limits.h"
 
 namespace carawayrelay {
 
@@ -25,6 +27,8 @@
     std::string zone;
     ChoicePolicy choice = PowerOfTwoChoices{};
     FairPolicy fairness = VirtualTokenCounter{};
+    // Counts rate limits over all entries; without it this entry limits alone.
+    std::optional<SharedLimits::Options> shared_limits;
     RetryPolicy retry;
     // Requests that may wait for each route.
     size_t queue_capacity = 1024;
@@ -67,6 +71,7 @@
   void On(LinkMessage& event);
   void On(LinkDown& event);
   void On(ConfigAdopted& event);
+  void On(LimitLeaseEvent& event);
   void On(IntentRecorded& event);
   void On(IntentExists& event);
   void On(IntentFailed& event);
@@ -80,6 +85,17 @@
 
   // Why no new request is taken now, or nothing.
   std::optional<Refusal> RefusalForAll() const;
+  // Messages of other entries.
+  void OnPeer(LinkMessage& event);
+  // Spends a token of the workspace, or lets the request wait for one.
+  Admission AdmitByRate(const std::string& workspace, RequestId request);
+  std::chrono::milliseconds RateRetryAfter(const std::string& workspace);
+  // Sends what the shared limits want sent and ends the waits for tokens.
+  void AdvanceLimits();
+  void HandleAdmission(const AdmissionResult& result);
+  Refusal OverRate(const std::string& workspace);
+  // Goes on with a request that has its token.
+  void Proceed(ActiveRequest& request);
   // Checks the request and returns its access, or nothing after refusing it.
   std::optional<Access> Admit(const CallerRequest& call);
   void RefuseNew(const CallerRequest& call,
@@ -122,7 +138,8 @@
   Options options_;
   std::mt19937_64 rng_;
   ConfigPtr config_;
-  LocalLimits limits_;
+  std::variant<LocalLimits, SharedLimits> limits_;
+  TimePoint next_acknowledged_report_;
   RequestTable requests_;
   BackendTable backends_;
   std::map<std::string, FairQueue> queues_;
--- a/src/process/dispatcher_attempts.cc
+++ b/src/process/dispatcher_attempts.cc
@@ -306,6 +306,11 @@
       QueueOf(request.call.route)
           .Remove(request.call.id, request.access.workspace);
       break;
+    case RequestPhase::kAdmission:
+      if (auto* shared = std::get_if<SharedLimits>(&limits_)) {
+        shared->Forget(request.call.id);
+      }
+      break;
     case RequestPhase::kIntent:
     case RequestPhase::kAwaitConfig:
     case RequestPhase::kBetween:
--- a/src/process/entry_command.cc
+++ b/src/process/entry_command.cc
@@ -7,6 +7,7 @@
 #include <sstream>
 
 #include "process/entry_process.h"
+#include "process/entry_services.h"
 #include "process/log.h"
 
 namespace carawayrelay {
@@ -21,11 +22,6 @@
   return std::move(text).str();
 }
 
-Result<ConfigPtr> ReadBootstrapConfig(const std::string& path) {
-  BOOST_OUTCOME_TRY(std::string text, ReadFile(path));
-  return ConfigSnapshot::Make(ConfigVersion{1}, std::move(text));
-}
-
 std::uint64_t RandomSeed() {
   std::random_device device;
   return (std::uint64_t{device()} << 32) | device();
@@ -56,19 +52,17 @@
   sigaddset(&signals, SIGINT);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
 
-  const std::string bootstrap_config = settings->bootstrap_config;
-  auto process = EntryProcess::Make(*std::move(settings), {});
+  EntryServices services(*settings);
+  EntryProcess::Hooks hooks = services.MakeHooks();
+  hooks.stop_services = [&services] { services.Stop(); };
+  auto process = EntryProcess::Make(*std::move(settings), std::move(hooks));
   if (!process) {
     LogError(LogEvent::kEntryFailed, "{}", process.error().message);
     return 1;
   }
-  if (!bootstrap_config.empty()) {
-    Result<ConfigPtr> config = ReadBootstrapConfig(bootstrap_config);
-    if (!config) {
-      LogError(LogEvent::kEntryFailed, "{}", config.error().message);
-      return 1;
-    }
-    process.value()->AdoptConfig(std::move(config).value());
+  if (const Result<void> started = services.Start(*process.value()); !started) {
+    LogError(LogEvent::kEntryFailed, "{}", started.error().message);
+    return 1;
   }
   int signal = 0;
   sigwait(&signals, &signal);
--- a/src/process/entry_process.cc
+++ b/src/process/entry_process.cc
@@ -105,7 +105,7 @@
         delivered = !hooks_.batch_links || hooks_.batch_links(event);
         break;
       case LinkClass::kPeer:
-        delivered = !hooks_.peer_links || hooks_.peer_links(event);
+        delivered = PushToDispatch(dispatch_, event);
         break;
     }
     if (delivered && is_down) {
@@ -143,7 +143,7 @@
       add(addresses, LinkClass::kBatch);
     }
   }
-  if (hooks_.peer_links) {
+  if (settings_.dispatcher.shared_limits) {
     add(settings_.seed_peers, LinkClass::kPeer);
     add(peers, LinkClass::kPeer);
   }
@@ -154,6 +154,9 @@
   LogInfo(LogEvent::kEntryStopping, "entry stops after its running requests");
   dispatch_.Push(StopRequested{});
   dispatch_.WaitDrained();
+  if (hooks_.stop_services) {
+    hooks_.stop_services();
+  }
   std::this_thread::sleep_for(kFlushTime);
   Stop();
   LogInfo(LogEvent::kEntryStopped, "entry stopped");
--- a/src/process/entry_process.h
+++ b/src/process/entry_process.h
@@ -25,10 +25,11 @@
     std::function<bool(HttpRequest&, HttpExchangePtr&)> callers_api;
     // API for operators; runs on the thread of the admin port.
     HttpServer::Handler admin_api;
-    // Events of batch connections and of connections to other entries, as in
-    // LinkThread::Deliver. Unset: such connections are not dialled.
+    // Events of batch connections, as in LinkThread::Deliver. Unset: such
+    // connections are not dialled.
     LinkThread::Deliver batch_links;
-    LinkThread::Deliver peer_links;
+    // Called after the last online request ended, while the threads still run.
+    std::function<void()> stop_services;
   };
 
   // Binds the addresses and starts the threads. Fails with kInvalid or
--- /dev/null
+++ b/src/process/entry_services.cc
@@ -0,0 +1,236 @@
+#include "process/entry_services.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "process/caller_replies.h"
+#include "process/intent_thread.h"
+#include "process/log.h"
+#include "process/platform_client.h"
+
+namespace carawayrelay {
+namespace {
+
+constexpr std::string_view kBearer = "Bearer ";
+
+std::string_view BearerToken(const HttpRequest& request) {
+  const auto it = request.headers.find("authorization");
+  if (it == request.headers.end() || !it->second.starts_with(kBearer)) {
+    return {};
+  }
+  return std::string_view(it->second).substr(kBearer.size());
+}
+
+// Takes a copy under the lock, so that Stop() can wait for users.
+template <class T>
+std::shared_ptr<T> Share(std::mutex& mutex, const std::shared_ptr<T>& pointer) {
+  std::lock_guard lock(mutex);
+  return pointer;
+}
+
+}  // namespace
+
+EntryServices::EntryServices(const EntrySettings& settings)
+    : settings_(settings) {}
+
+EntryServices::~EntryServices() {
+  Stop();
+}
+
+EntryProcess::Hooks EntryServices::MakeHooks() {
+  EntryProcess::Hooks hooks;
+  hooks.dispatch.propose_config = [this](ConfigUpdate update) {
+    if (const auto watch = Share(mutex_, watch_)) {
+      watch->TryOffer(update.version, std::move(update.content_hash),
+                      std::move(update.document));
+    }
+  };
+  hooks.dispatch.intent = [this](DispatchThread::IntentAction action) {
+    const auto intents = Share(mutex_, intents_);
+    return intents && intents->TryPush(std::move(action));
+  };
+  hooks.dispatch.config_adopted = [this](const ConfigPtr& config) {
+    {
+      std::lock_guard lock(mutex_);
+      config_ = config;
+    }
+    if (const auto batch = Share(mutex_, batch_)) {
+      batch->SetConfig(config);
+    }
+  };
+  hooks.dispatch.acknowledged =
+      [this](const std::vector<AcknowledgedNodes>& shards) {
+        if (const auto limits = Share(mutex_, limits_)) {
+          for (const AcknowledgedNodes& shard : shards) {
+            limits->TryPush(shard);
+          }
+        }
+      };
+  hooks.callers_api = [this](HttpRequest& request, HttpExchangePtr& exchange) {
+    return HandleCallersApi(request, exchange);
+  };
+  hooks.admin_api = [this](const HttpRequest& request,
+                           const HttpExchangePtr& exchange) {
+    HandleAdmin(request, exchange);
+  };
+  hooks.batch_links = [this](LinkEvent& event) {
+    const auto batch = Share(mutex_, batch_);
+    return batch && batch->DeliverLink(event);
+  };
+  return hooks;
+}
+
+Result<void> EntryServices::Start(EntryProcess& process) {
+  process_ = &process;
+  const PlatformClient::Options platform{.base_url = settings_.platform_url};
+  BOOST_OUTCOME_TRY(
+      auto batch,
+      BatchThread::Make(
+          {.node = settings_.node, .platform = platform},
+          [this](ConnectionId connection, Message message) {
+            process_->link().Send(connection, std::move(message));
+          },
+          [this] { process_->link().ResumeReading(); }));
+  BOOST_OUTCOME_TRY(auto limits_client, PlatformClient::Make(platform));
+  auto limits = std::make_shared<LimitsThread>(
+      LimitsThread::Options{.node = settings_.node},
+      std::move(limits_client), [this](LimitLeaseEvent event) {
+        process_->Post(std::move(event));
+      });
+  BOOST_OUTCOME_TRY(auto intents_client, PlatformClient::Make(platform));
+  auto intents = std::make_shared<IntentThread>(
+      std::move(intents_client), [this](DispatchEvent event) {
+        process_->Post(std::move(event));
+      });
+  {
+    std::lock_guard lock(mutex_);
+    intents_ = std::move(intents);
+    batch_ = std::move(batch);
+    limits_ = std::move(limits);
+  }
+  BOOST_OUTCOME_TRY(
+      auto watch,
+      ConfigWatch::Make({.platform = {.base_url = settings_.platform_url,
+                                      .request_timeout =
+                                          std::chrono::milliseconds(1000)}},
+                        [this](ConfigEvent event) {
+                          OnConfigEvent(std::move(event));
+                        }));
+  std::lock_guard lock(mutex_);
+  watch_ = std::move(watch);
+  admin_ = std::make_shared<AdminApi>(
+      *watch_,
+      AdminApi::Options{.node = settings_.node, .zone = settings_.zone});
+  return Success();
+}
+
+void EntryServices::Stop() {
+  std::shared_ptr<ConfigWatch> watch;
+  std::shared_ptr<AdminApi> admin;
+  std::shared_ptr<BatchThread> batch;
+  std::shared_ptr<LimitsThread> limits;
+  std::shared_ptr<IntentThread> intents;
+  {
+    std::lock_guard lock(mutex_);
+    watch = std::exchange(watch_, nullptr);
+    admin = std::exchange(admin_, nullptr);
+    batch = std::exchange(batch_, nullptr);
+    limits = std::exchange(limits_, nullptr);
+    intents = std::exchange(intents_, nullptr);
+  }
+  if (watch) {
+    watch->Stop();
+  }
+  if (intents) {
+    intents->Stop();
+  }
+  if (batch) {
+    batch->Stop();
+  }
+  if (limits) {
+    limits->Stop();
+  }
+}
+
+ConfigPtr EntryServices::config() const {
+  std::lock_guard lock(mutex_);
+  return config_;
+}
+
+bool EntryServices::HandleCallersApi(HttpRequest& request,
+                                     HttpExchangePtr& exchange) {
+  if (!BatchApi::IsBatchPath(request.path)) {
+    return false;
+  }
+  const ConfigPtr config = this->config();
+  const auto batch = Share(mutex_, batch_);
+  if (!config || !batch) {
+    ReplyRefusal(*exchange, {.code = RefusalCode::kNotReady,
+                             .reason = "this entry is not ready for jobs",
+                             .retry_after = std::chrono::seconds(1)});
+    return true;
+  }
+  const KeyConfig* key = config->Authenticate(BearerToken(request));
+  if (key == nullptr) {
+    ReplyRefusal(*exchange, {.code = RefusalCode::kUnauthorized,
+                             .reason = "missing, unknown or withdrawn key"});
+    return true;
+  }
+  BatchHttpCall call{.request = std::move(request),
+                     .workspace = key->workspace,
+                     .config = config,
+                     .exchange = std::move(exchange)};
+  if (!batch->TryCall(call)) {
+    ReplyRefusal(*call.exchange,
+                 {.code = RefusalCode::kOverloaded,
+                  .reason = "too many requests for jobs wait in this entry",
+                  .retry_after = std::chrono::seconds(1)});
+  }
+  return true;
+}
+
+void EntryServices::HandleAdmin(const HttpRequest& request,
+                                const HttpExchangePtr& exchange) {
+  if (const auto admin = Share(mutex_, admin_)) {
+    admin->Handle(request, exchange);
+  } else {
+    ReplyRefusal(*exchange, {.code = RefusalCode::kNotReady,
+                             .reason = "this entry starts or stops",
+                             .retry_after = std::chrono::seconds(1)});
+  }
+}
+
+void EntryServices::OnConfigEvent(ConfigEvent event) {
+  std::visit(Overloaded{
+                 [&](ConfigAdopted& e) {
+                   process_->AdoptConfig(std::move(e.config));
+                 },
+                 [&](VmsChanged& e) { OnVms(e.vms); },
+             },
+             event);
+}
+
+void EntryServices::OnVms(const std::vector<VmInfo>& vms) {
+  std::vector<std::string> agents;
+  std::vector<std::string> peers;
+  EntryNodes nodes;
+  for (const VmInfo& vm : vms) {
+    if (vm.role == "agent") {
+      agents.push_back(vm.address);
+    } else if (vm.node != settings_.node) {
+      peers.push_back(vm.address);
+    }
+    if (vm.role == "entry") {
+      nodes.listed.push_back(vm.node);
+      if (!vm.leaving) {
+        nodes.live.push_back(vm.node);
+      }
+    }
+  }
+  process_->SetNodes(agents, peers);
+  if (const auto limits = Share(mutex_, limits_)) {
+    limits->TryPush(nodes);
+  }
+}
+
+}  // namespace carawayrelay
--- /dev/null
+++ b/src/process/entry_services.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "carawayrelay/request.h"
+#include "carawayrelay/version.h"
+#include "process/admin_api.h"
+#include "process/batch_thread.h"
+#include "process/config_watch.h"
+#include "process/entry_process.h"
+#include "process/entry_settings.h"
+#include "process/intent_thread.h"
+#include "process/limits_thread.h"
+
+namespace carawayrelay {
+
+// The duties of an entry that need the platform: configuration, batch jobs and
+// rate limits over all entries. They plug into EntryProcess through its hooks,
+// which exist before the threads do; until Start() the hooks refuse.
+class EntryServices {
+ public:
+  explicit EntryServices(const EntrySettings& settings);
+  ~EntryServices();
+
+  EntryProcess::Hooks MakeHooks();
+  // Starts the threads. `process` must outlive Stop(). Fails with kInvalid for
+  // a malformed platform address.
+  Result<void> Start(EntryProcess& process);
+  // Hands leases back and joins the threads. Call it while the HTTP servers
+  // and the link thread of the process still run.
+  void Stop();
+
+ private:
+  bool HandleCallersApi(HttpRequest& request, HttpExchangePtr& exchange);
+  void HandleAdmin(const HttpRequest& request, const HttpExchangePtr& exchange);
+  void OnConfigEvent(ConfigEvent event);
+  void OnVms(const std::vector<VmInfo>& vms);
+  ConfigPtr config() const;
+
+  const EntrySettings settings_;
+  EntryProcess* process_ = nullptr;
+  // Guards the members below against the hooks of threads that start earlier.
+  mutable std::mutex mutex_;
+  ConfigPtr config_;
+  std::shared_ptr<ConfigWatch> watch_;
+  std::shared_ptr<AdminApi> admin_;
+  std::shared_ptr<BatchThread> batch_;
+  std::shared_ptr<LimitsThread> limits_;
+  std::shared_ptr<IntentThread> intents_;
+};
+
+}  // namespace carawayrelay
--- a/src/process/entry_settings.cc
+++ b/src/process/entry_settings.cc
@@ -101,6 +101,10 @@
                                               VirtualTokenCounter{}};
   options.fairness = fairness.at(reader.OptionalChoice(
       "fairness", {"fifo", "deficit_round_robin", "virtual_token_counter"}, 2));
+  // "local" gives each entry the whole rate; it is the baseline without leases.
+  if (reader.OptionalChoice("limits", {"shared", "local"}, 0) == 1) {
+    options.shared_limits.reset();
+  }
   options.retry.max_attempts = static_cast<int>(
       reader.OptionalNumber("max_attempts", 1, 3, options.retry.max_attempts));
 }
@@ -119,10 +123,12 @@
   settings.node = reader.RequiredString("node");
   settings.zone = reader.RequiredString("zone");
   settings.dispatcher.zone = settings.zone;
+  settings.dispatcher.shared_limits =
+      SharedLimits::Options{.node = settings.node};
   settings.listen_callers = ReadAddress(reader, "listen_callers", findings);
   settings.listen_admin = ReadAddress(reader, "listen_admin", findings);
   settings.listen_links = ReadAddress(reader, "listen_links", findings);
-  settings.platform_url = reader.OptionalString("platform_url", "");
+  settings.platform_url = reader.RequiredString("platform_url");
   if (!settings.platform_url.empty()) {
     if (!settings.platform_url.starts_with(kUrlScheme)) {
       findings.Add(reader.PathOf("platform_url"), "must begin with http://");
@@ -140,7 +146,6 @@
              [&](JsonReader& limits) { ReadLimits(limits, settings); });
   ReadObject(reader, "policies", findings,
              [&](JsonReader& policies) { ReadPolicies(policies, settings); });
-  settings.bootstrap_config = reader.OptionalString("bootstrap_config", "");
   reader.CheckUnknown();
   if (!findings.empty()) {
     return std::nullopt;
--- a/src/process/entry_settings.h
+++ b/src/process/entry_settings.h
@@ -19,15 +19,12 @@
   std::string listen_callers;
   std::string listen_admin;
   std::string listen_links;
-  std::string platform_url;  // "http://IP:port", or empty
+  std::string platform_url;  // "http://IP:port"
   std::vector<std::string> seed_agents;
   std::vector<std::string> seed_peers;
   LogLevel log_level = LogLevel::kInfo;
   size_t max_body_bytes = size_t{8} << 20;
   Dispatcher::Options dispatcher;
-  // File with a configuration document that counts as version 1. For
-  // development without a platform.
-  std::string bootstrap_config;
 };
 
 // Parses and checks the settings. Appends every problem with its JSON path to
--- a/src/process/limit_lease_book.cc
+++ b/src/process/limit_lease_book.cc
@@ -10,6 +10,8 @@
 
 // Lets the preferred node take a free lease first, which spreads the shards.
 constexpr std::chrono::milliseconds kOthersWait{700};
+// The list of VMs lags; a VM that it lacks for this long is not running.
+constexpr std::chrono::seconds kGoneAfter{30};
 
 Fence Next(Fence fence) {
   return Fence{ToInt(fence) + 1};
@@ -48,29 +50,54 @@
                       });
 }
 
-LimitRowWrite LimitLeaseBook::TakeOver(int index,
-                                       Shard& shard,
-                                       const EntryNodes& nodes) const {
+std::vector<std::string> LimitLeaseBook::GoneMembers(Shard& shard,
+                                                     const EntryNodes& nodes,
+                                                     TimePoint now) {
+  std::vector<std::string> gone;
+  if (nodes.listed.empty()) {
+    return gone;
+  }
+  for (const MemberShare& member : shard.row.members) {
+    if (std::find(nodes.listed.begin(), nodes.listed.end(), member.node) !=
+        nodes.listed.end()) {
+      shard.absent_since.erase(member.node);
+      continue;
+    }
+    const TimePoint since =
+        shard.absent_since.try_emplace(member.node, now).first->second;
+    if (now >= since + kGoneAfter) {
+      gone.push_back(member.node);
+    }
+  }
+  return gone;
+}
+
+LimitRowWrite LimitLeaseBook::TakeOver(
+    int index,
+    const Shard& shard,
+    const EntryNodes& nodes,
+    const std::vector<std::string>& gone) const {
   LimitRow row = shard.row;
   row.holder = node_;
   row.fence = Next(row.fence);
   row.renewal = 0;
-  row.members = NextMembers(row.members, nodes.live, nodes.gone, {});
+  row.members = NextMembers(row.members, nodes.live, gone, {});
   return {.shard = index, .row = std::move(row), .etag = shard.etag};
 }
 
 std::optional<LimitRowWrite> LimitLeaseBook::RenewOrChange(
     int index,
     const Shard& shard,
-    const EntryNodes& nodes) const {
+    const EntryNodes& nodes,
+    const std::vector<std::string>& gone) const {
   LimitRow row = shard.row;
   ++row.renewal;
   const bool may_change =
       shard.acknowledged_fence == row.fence && !nodes.live.empty();
-  if (may_change && !SameNodes(row.members, nodes.live, nodes.gone)) {
+  if (may_change && !SameNodes(row.members, nodes.live, gone)) {
     row.fence = Next(row.fence);
     row.members =
-        NextMembers(row.members, nodes.live, nodes.gone, shard.acknowledged);
+        NextMembers(row.members, nodes.live, gone, shard.acknowledged);
   }
   return LimitRowWrite{
       .shard = index, .row = std::move(row), .etag = shard.etag};
@@ -98,8 +125,9 @@
       events.push_back(ShardSeen{.shard = index, .row = *row});
     }
   }
+  const std::vector<std::string> gone = GoneMembers(shard, nodes, now);
   if (shard.held) {
-    return RenewOrChange(index, shard, nodes);
+    return RenewOrChange(index, shard, nodes, gone);
   }
   const bool preferred = IsPreferred(index, nodes);
   const Duration extra = preferred ? Duration::zero() : Duration(kOthersWait);
@@ -110,7 +138,7 @@
   if (now < shard.unchanged_since + wait) {
     return std::nullopt;
   }
-  return TakeOver(index, shard, nodes);
+  return TakeOver(index, shard, nodes, gone);
 }
 
 void LimitLeaseBook::HandleWritten(const LimitRowWrite& write,
--- a/src/process/limit_lease_book.h
+++ b/src/process/limit_lease_book.h
@@ -37,10 +37,17 @@
 using LimitLeaseEvent =
     std::variant<ShardSeen, LeaseHeld, LeaseRenewed, LeaseLost>;
 
-// Live and gone VMs according to the platform's list.
+// Entries in the platform's list of VMs.
 struct EntryNodes {
-  std::vector<std::string> live;
-  std::vector<std::string> gone;
+  std::vector<std::string> live;  // listed and not leaving
+  std::vector<std::string> listed;
+};
+
+// Nodes that acknowledged the fence of a lease that this process holds.
+struct AcknowledgedNodes {
+  int shard = 0;
+  Fence fence{0};
+  std::vector<std::string> nodes;
 };
 
 // A row to write by compare-and-set. An empty ETag means that the row must not
@@ -88,15 +95,24 @@
     bool held = false;
     Fence acknowledged_fence{0};
     std::vector<std::string> acknowledged;
+    // Members that the list of VMs lacks, and since when.
+    std::map<std::string, TimePoint> absent_since;
   };
 
   bool IsPreferred(int shard, const EntryNodes& nodes) const;
+  // Members that are absent for so long that they cannot be running.
+  static std::vector<std::string> GoneMembers(Shard& shard,
+                                              const EntryNodes& nodes,
+                                              TimePoint now);
   LimitRowWrite TakeOver(int index,
-                         Shard& shard,
-                         const EntryNodes& nodes) const;
-  std::optional<LimitRowWrite> RenewOrChange(int index,
-                                             const Shard& shard,
-                                             const EntryNodes& nodes) const;
+                         const Shard& shard,
+                         const EntryNodes& nodes,
+                         const std::vector<std::string>& gone) const;
+  std::optional<LimitRowWrite> RenewOrChange(
+      int index,
+      const Shard& shard,
+      const EntryNodes& nodes,
+      const std::vector<std::string>& gone) const;
 
   std::string node_;
   LimitTimes times_;
--- a/src/process/limits_thread.cc
+++ b/src/process/limits_thread.cc
@@ -60,7 +60,7 @@
 
 void LimitsThread::RunCommand(LimitsCommand command) {
   std::visit(Overloaded{
-                 [&](AcknowledgedCommand& c) {
+                 [&](AcknowledgedNodes& c) {
                    book_.SetAcknowledged(c.shard, c.fence, std::move(c.nodes));
                  },
                  [&](EntryNodes& nodes) { nodes_ = std::move(nodes); },
--- a/src/process/limits_thread.h
+++ b/src/process/limits_thread.h
@@ -14,13 +14,7 @@
 
 namespace carawayrelay {
 
-// Nodes that acknowledged the fence of a lease that this process holds.
-struct AcknowledgedCommand {
-  int shard = 0;
-  Fence fence{0};
-  std::vector<std::string> nodes;
-};
-using LimitsCommand = std::variant<AcknowledgedCommand, EntryNodes>;
+using LimitsCommand = std::variant<AcknowledgedNodes, EntryNodes>;
 
 // The `limits` thread: reads and writes the lease rows of the rate limiter.
 class LimitsThread {
--- a/src/process/request_table.h
+++ b/src/process/request_table.h
@@ -15,6 +15,7 @@
 namespace carawayrelay {
 
 enum class RequestPhase {
+  kAdmission,    // waits for tokens of the rate limit
   kIntent,       // waits for its intent row
   kQueued,       // waits for a backend server
   kAwaitConfig,  // waits for the configuration that an agent works under
--- /dev/null
+++ b/src/process/shared_limits.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <chrono>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "carawayrelay/connection.h"
+#include "carawayrelay/request.h"
+#include "carawayrelay/version.h"
+#include "process/common_event.h"
+#include "process/limit_holder.h"
+#include "process/limit_lease_book.h"
+#include "process/limit_member.h"
+
+namespace carawayrelay {
+
+// Rate limits counted over all entries: this entry's part as a member of every
+// shard and as the holder of some. Turns leases, answers and asks into
+// messages to the other entries.
+class SharedLimits {
+ public:
+  struct Options {
+    std::string node;
+    int shard_count = 4;
+    LimitTimes times;
+  };
+
+  explicit SharedLimits(const Options& options);
+
+  void AdoptConfig(ConfigPtr config);
+  // Connections to other entries.
+  void PeerUp(ConnectionId connection, const std::string& node);
+  void PeerDown(ConnectionId connection);
+  void HandleLease(const LimitLeaseEvent& event, TimePoint now);
+  void HandleAsk(ConnectionId from, const LimitAsk& ask, TimePoint now);
+  void HandleGrant(const LimitGrant& grant, TimePoint now);
+
+  Admission Admit(const std::string& workspace,
+                  RequestId request,
+                  TimePoint now);
+  void Forget(RequestId request) { member_.Forget(request); }
+  std::chrono::milliseconds RetryAfter(const std::string& workspace) const {
+    return member_.RetryAfter(workspace);
+  }
+
+  // Sends the asks that are due and ends waits that took too long.
+  void Advance(TimePoint now);
+  TimePoint NextDeadline(TimePoint now) const {
+    return member_.NextDeadline(now);
+  }
+
+  std::vector<SendMessage> TakeMessages();
+  std::vector<AdmissionResult> TakeResults();
+  // For each shard that this entry holds, who acknowledged its fence.
+  std::vector<AcknowledgedNodes> Acknowledged() const;
+
+ private:
+  LimitGrant Answer(const LimitAsk& ask, TimePoint now);
+  void AddResults(const std::vector<AdmissionResult>& results);
+
+  Options options_;
+  ConfigPtr config_;
+  LimitMember member_;
+  std::map<int, LimitHolder> holders_;
+  std::map<ConnectionId, std::string> peers_;
+  std::vector<SendMessage> messages_;
+  std::vector<AdmissionResult> results_;
+};
+
+}  // namespace carawayrelay
