Add the intents thread of an entry

Requests that must run at most once need a durable row that a resend through any entry finds. The thread writes these rows; IntentRecord holds the pure transitions. Not wired into the entry process yet.

--- /dev/null
+++ b/src/process/intent_record.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <string>
+
+#include "carawayrelay/request.h"
+#include "process/dispatch_event.h"
+
+namespace carawayrelay {
+
+enum class IntentState {
+  kPending,   // the request may run or may have run
+  kDone,      // the request ran
+  kReleased,  // the request did not run
+};
+
+// Row value of a request that must run at most once.
+struct IntentRecord {
+  IntentState state = IntentState::kPending;
+  std::string workspace;
+  std::string key;
+  std::string content_hash;
+  // Random, one for each RecordIntent. It makes values differ between writers
+  // and tells a writer whether the row is its own.
+  std::string nonce;
+  // Set when done, unless the answer cannot be stored.
+  std::optional<StoredAnswer> answer;
+};
+
+// Larger answers are not stored; a resend gets `unknown`.
+inline constexpr size_t kMaxStoredAnswer = size_t{1} << 20;
+
+IntentRecord NewIntent(const RecordIntent& request, const std::string& nonce);
+// Both need a pending record.
+IntentRecord CompletedIntent(const IntentRecord& record,
+                             std::optional<StoredAnswer> answer);
+IntentRecord ReleasedIntent(const IntentRecord& record);
+
+// Whether a new request may replace the row, because the earlier one did not
+// run.
+bool CanTakeOver(const IntentRecord& record);
+// What a resend learns from a row that it cannot take over.
+IntentExists AnswerResend(const IntentRecord& record,
+                          const RecordIntent& resend);
+// Whether the answer is small enough and valid UTF-8, as JSON needs.
+bool CanStore(const StoredAnswer& answer);
+
+std::string IntentRowKey(const std::string& workspace, const std::string& key);
+
+std::string ToJson(const IntentRecord& record);
+// Fails with kInternal when the row is damaged.
+Result<IntentRecord> ParseIntentRecord(const std::string& text);
+
+}  // namespace carawayrelay
--- /dev/null
+++ b/src/process/intent_thread.cc
@@ -0,0 +1,291 @@
+#include "process/intent_thread.h"
+
+#include <array>
+#include <chrono>
+#include <random>
+#include <variant>
+
+#include "process/log.h"
+
+namespace carawayrelay {
+namespace {
+
+constexpr const char* kTable = "intents";
+// With answers of 1 MiB the ring and the deferred writes hold at most 256 MiB
+// each.
+constexpr size_t kRingCapacity = 256;
+constexpr size_t kMaxDeferred = 256;
+// Several minutes of intents at a few hundred writes/s.
+constexpr size_t kMaxOwnRows = 65536;
+// Requests are refused at once in this time, instead of waiting for a timeout
+// each.
+constexpr std::chrono::milliseconds kStorePause{500};
+constexpr std::chrono::minutes kKeepTrying{10};
+// A write of unknown outcome may land after its timeout.
+constexpr std::chrono::seconds kLateWrite{30};
+constexpr int kMaxRecordTries = 3;
+
+std::string NewNonce() {
+  std::random_device random;
+  return fmt::format("{:08x}{:08x}{:08x}{:08x}", random(), random(), random(),
+                     random());
+}
+
+DispatchEvent Failed(const RecordIntent& request, std::string reason) {
+  return IntentFailed{.request = request.request, .reason = std::move(reason)};
+}
+
+DispatchEvent Recorded(const RecordIntent& request) {
+  return IntentRecorded{.request = request.request,
+                        .workspace = request.workspace,
+                        .key = request.key};
+}
+
+}  // namespace
+
+IntentThread::IntentThread(std::unique_ptr<PlatformClient> platform,
+                           Deliver deliver)
+    : platform_(std::move(platform)),
+      deliver_(std::move(deliver)),
+      ring_(kRingCapacity),
+      thread_([this] { Run(); }) {}
+
+IntentThread::~IntentThread() {
+  Stop();
+}
+
+bool IntentThread::TryPush(IntentAction action) {
+  // Large bodies are dropped here, so that the ring's memory is bounded.
+  if (auto* complete = std::get_if<CompleteIntent>(&action);
+      complete != nullptr && complete->answer.body.size() > kMaxStoredAnswer) {
+    // One byte more than the limit keeps the answer unstorable.
+    complete->answer.body.resize(kMaxStoredAnswer + 1);
+    complete->answer.body.shrink_to_fit();
+  }
+  return ring_.TryPush(std::move(action));
+}
+
+void IntentThread::Stop() {
+  ring_.Close();
+  if (thread_.joinable()) {
+    thread_.join();
+  }
+}
+
+void IntentThread::Run() {
+  TimePoint next_retry = BootClock::now() + kStorePause;
+  while (true) {
+    std::optional<IntentAction> action =
+        deferred_.empty() ? ring_.Pop() : ring_.PopUntil(next_retry);
+    if (action) {
+      std::visit([&](auto& a) { Handle(a); }, *action);
+    } else if (ring_.IsClosed() && ring_.size() == 0) {
+      break;
+    }
+    if (BootClock::now() >= next_retry) {
+      RetryDeferred();
+      next_retry = BootClock::now() + kStorePause;
+    }
+  }
+  RetryDeferred();
+  if (!deferred_.empty()) {
+    LogWarning(LogEvent::kIntentOutcomeLost,
+               "{} intent rows stay pending: the process stops",
+               deferred_.size());
+  }
+}
+
+void IntentThread::Handle(RecordIntent& request) {
+  if (IsStoreAway()) {
+    deliver_(Failed(request, "the store is unavailable"));
+    return;
+  }
+  deliver_(Record(request));
+}
+
+void IntentThread::Handle(CompleteIntent& complete) {
+  std::optional<OwnRow> row =
+      TakeOwn(IntentRowKey(complete.workspace, complete.key));
+  if (!row) {
+    return;
+  }
+  std::optional<StoredAnswer> answer;
+  if (CanStore(complete.answer)) {
+    answer = std::move(complete.answer);
+  }
+  Finish({.value = CompletedIntent(row->record, std::move(answer)),
+          .etag = std::move(row->etag),
+          .give_up = BootClock::now() + kKeepTrying});
+}
+
+void IntentThread::Handle(ReleaseIntent& release) {
+  std::optional<OwnRow> row =
+      TakeOwn(IntentRowKey(release.workspace, release.key));
+  if (!row) {
+    return;
+  }
+  Finish({.value = ReleasedIntent(row->record),
+          .etag = std::move(row->etag),
+          .give_up = BootClock::now() + kKeepTrying});
+}
+
+DispatchEvent IntentThread::Record(const RecordIntent& request) {
+  const std::string row_key = IntentRowKey(request.workspace, request.key);
+  const IntentRecord record = NewIntent(request, NewNonce());
+  std::string etag;
+  for (int i = 0; i < kMaxRecordTries; ++i) {
+    Result<std::string> written = WriteRow(row_key, record, etag);
+    if (written) {
+      Remember(row_key, {.record = record, .etag = written.value()});
+      return Recorded(request);
+    }
+    if (written.error().code != ErrorCode::kConflict) {
+      NoteStore(written.error());
+      if (written.error().code == ErrorCode::kUnknown) {
+        Defer({.value = ReleasedIntent(record),
+               .give_up = BootClock::now() + kLateWrite});
+      }
+      return Failed(request, written.error().message);
+    }
+    const Result<Row> row = platform_->ReadRow(kTable, row_key);
+    if (!row) {
+      NoteStore(row.error());
+      return Failed(request, row.error().message);
+    }
+    const Result<IntentRecord> found = ParseIntentRecord(row.value().value);
+    if (!found) {
+      LogError(LogEvent::kIntentRowMalformed, "row {}: {}", row_key,
+               found.error().message);
+      return Failed(request, found.error().message);
+    }
+    if (found.value().nonce == record.nonce) {
+      Remember(row_key, {.record = record, .etag = row.value().etag});
+      return Recorded(request);
+    }
+    if (!CanTakeOver(found.value())) {
+      return AnswerResend(found.value(), request);
+    }
+    etag = row.value().etag;
+  }
+  return Failed(request, "the intent row changes too often");
+}
+
+Result<std::string> IntentThread::WriteRow(const std::string& row_key,
+                                           const IntentRecord& record,
+                                           const std::string& etag) {
+  Result<std::string> written =
+      etag.empty()
+          ? platform_->CreateRow(kTable, row_key, ToJson(record))
+          : platform_->UpdateRow(kTable, row_key, ToJson(record), etag);
+  if (written) {
+    store_away_until_.reset();
+  }
+  return written;
+}
+
+void IntentThread::Remember(const std::string& row_key, OwnRow row) {
+  own_order_.emplace_back(row_key, row.record.nonce);
+  own_rows_.insert_or_assign(row_key, std::move(row));
+  if (own_order_.size() > kMaxOwnRows) {
+    const auto& [oldest_key, nonce] = own_order_.front();
+    const auto oldest = own_rows_.find(oldest_key);
+    if (oldest != own_rows_.end() && oldest->second.record.nonce == nonce) {
+      own_rows_.erase(oldest);
+    }
+    own_order_.pop_front();
+  }
+}
+
+std::optional<IntentThread::OwnRow> IntentThread::TakeOwn(
+    const std::string& row_key) {
+  auto node = own_rows_.extract(row_key);
+  if (node.empty()) {
+    return std::nullopt;
+  }
+  return std::move(node.mapped());
+}
+
+void IntentThread::Finish(FinalWrite write) {
+  if (IsStoreAway() || TryWrite(write) == WriteResult::kAgain) {
+    Defer(std::move(write));
+  }
+}
+
+IntentThread::WriteResult IntentThread::TryWrite(FinalWrite& write) {
+  const std::string row_key =
+      IntentRowKey(write.value.workspace, write.value.key);
+  if (write.etag.empty()) {
+    const Result<Row> row = platform_->ReadRow(kTable, row_key);
+    if (!row) {
+      if (row.error().code != ErrorCode::kNotFound) {
+        NoteStore(row.error());
+      }
+      return WriteResult::kAgain;
+    }
+    const Result<IntentRecord> found = ParseIntentRecord(row.value().value);
+    if (!found) {
+      LogError(LogEvent::kIntentRowMalformed, "row {}: {}", row_key,
+               found.error().message);
+      return WriteResult::kFinished;
+    }
+    if (found.value().nonce != write.value.nonce) {
+      // A write that takes over a released row may still land.
+      return CanTakeOver(found.value()) ? WriteResult::kAgain
+                                        : WriteResult::kFinished;
+    }
+    if (found.value().state != IntentState::kPending) {
+      return WriteResult::kFinished;
+    }
+    write.etag = row.value().etag;
+  }
+  const Result<std::string> written =
+      WriteRow(row_key, write.value, write.etag);
+  if (written) {
+    return WriteResult::kFinished;
+  }
+  // The row is read before the next try: it may have changed.
+  write.etag.clear();
+  if (written.error().code != ErrorCode::kConflict) {
+    NoteStore(written.error());
+  }
+  return WriteResult::kAgain;
+}
+
+void IntentThread::Defer(FinalWrite write) {
+  if (deferred_.size() >= kMaxDeferred) {
+    LogWarning(LogEvent::kIntentOutcomeLost,
+               "intent row {}/{} stays pending: too many writes wait",
+               write.value.workspace, write.value.key);
+    return;
+  }
+  deferred_.push_back(std::move(write));
+}
+
+void IntentThread::RetryDeferred() {
+  std::deque<FinalWrite> writes = std::exchange(deferred_, {});
+  for (FinalWrite& write : writes) {
+    if (!IsStoreAway() && TryWrite(write) == WriteResult::kFinished) {
+      continue;
+    }
+    if (BootClock::now() < write.give_up) {
+      deferred_.push_back(std::move(write));
+    } else {
+      LogWarning(LogEvent::kIntentOutcomeLost,
+                 "no final write to intent row {}/{}: given up",
+                 write.value.workspace, write.value.key);
+    }
+  }
+}
+
+bool IntentThread::IsStoreAway() const {
+  return store_away_until_ && BootClock::now() < *store_away_until_;
+}
+
+void IntentThread::NoteStore(const Error& error) {
+  if (!store_away_until_) {
+    LogWarning(LogEvent::kIntentStoreFailing, "intent rows: {}", error.message);
+  }
+  store_away_until_ = BootClock::now() + kStorePause;
+}
+
+}  // namespace carawayrelay
--- /dev/null
+++ b/src/process/intent_thread.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+#include <utility>
+
+#include "carawayrelay/request.h"
+#include "process/dispatch_event.h"
+#include "process/dispatch_thread.h"
+#include "process/intent_record.h"
+#include "process/platform_client.h"
+#include "process/ring.h"
+
+namespace carawayrelay {
+
+// The `intents` thread: writes the rows of requests that must run at most once.
+class IntentThread {
+ public:
+  using IntentAction = DispatchThread::IntentAction;
+  // Hands events to the dispatch thread; may wait for room in its ring.
+  using Deliver = std::function<void(DispatchEvent event)>;
+
+  IntentThread(std::unique_ptr<PlatformClient> platform, Deliver deliver);
+  ~IntentThread();
+
+  // Returns false when the ring is full. A lost CompleteIntent or
+  // ReleaseIntent leaves the row pending, and a resend gets `unknown`.
+  bool TryPush(IntentAction action);
+  // Writes what is queued, as far as the store allows, and joins the thread.
+  void Stop();
+
+ private:
+  // A row of this process.
+  struct OwnRow {
+    IntentRecord record;
+    std::string etag;
+  };
+  // The last write to an own row: done or released.
+  struct FinalWrite {
+    IntentRecord value;
+    // Empty when the row must be read first.
+    std::string etag;
+    TimePoint give_up;
+  };
+  enum class WriteResult { kFinished, kAgain };
+
+  void Run();
+  void Handle(RecordIntent& request);
+  void Handle(CompleteIntent& complete);
+  void Handle(ReleaseIntent& release);
+  DispatchEvent Record(const RecordIntent& request);
+  // The write at `etag` replaces a row; without, it creates one.
+  Result<std::string> WriteRow(const std::string& row_key,
+                               const IntentRecord& record,
+                               const std::string& etag);
+  void Remember(const std::string& row_key, OwnRow row);
+  std::optional<OwnRow> TakeOwn(const std::string& row_key);
+  void Finish(FinalWrite write);
+  WriteResult TryWrite(FinalWrite& write);
+  void Defer(FinalWrite write);
+  void RetryDeferred();
+  bool IsStoreAway() const;
+  void NoteStore(const Error& error);
+
+  std::unique_ptr<PlatformClient> platform_;
+  Deliver deliver_;
+  std::map<std::string, OwnRow> own_rows_;
+  // Row key and nonce, oldest first. Bounds own_rows_, because a request whose
+  // outcome is unknown is neither completed nor released.
+  std::deque<std::pair<std::string, std::string>> own_order_;
+  std::deque<FinalWrite> deferred_;
+  // No access to the store before this time, after one that failed.
+  std::optional<TimePoint> store_away_until_;
+  Ring<IntentAction> ring_;
+  std::thread thread_;
+};
+
+}  // namespace carawayrelay
--- /dev/null
+++ b/tests/process/intent_record_test.cc
@@ -0,0 +1,93 @@
+#include "process/intent_record.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+namespace carawayrelay {
+namespace {
+
+struct IntentRecordFixture {
+  RecordIntent request{.request = RequestId{7},
+                       .workspace = "ws",
+                       .key = "order-1",
+                       .content_hash = "abc"};
+  IntentRecord pending = NewIntent(request, "n1");
+  StoredAnswer answer{.http_status = 200,
+                      .content_type = "application/json",
+                      .body = "{\"a\":\"\\u00e4\"}\n"};
+};
+
+// Guards against running a request again whose outcome is not known.
+TEST_CASE_FIXTURE(IntentRecordFixture,
+                  "IntentRecord, pending, resend gets no answer") {
+  CHECK_FALSE(CanTakeOver(pending));
+  const IntentExists exists = AnswerResend(pending, request);
+  CHECK(exists.request == RequestId{7});
+  CHECK(exists.same_content);
+  CHECK_FALSE(exists.answer.has_value());
+}
+
+// Guards against losing the answer on its way through the row.
+TEST_CASE_FIXTURE(IntentRecordFixture,
+                  "IntentRecord, done, resend gets the stored answer") {
+  const auto row = ParseIntentRecord(ToJson(CompletedIntent(pending, answer)));
+  REQUIRE(row);
+  CHECK(row.value().state == IntentState::kDone);
+  CHECK(row.value().nonce == "n1");
+  CHECK_FALSE(CanTakeOver(row.value()));
+  const IntentExists exists = AnswerResend(row.value(), request);
+  REQUIRE(exists.answer.has_value());
+  CHECK(exists.answer->http_status == 200);
+  CHECK(exists.answer->content_type == "application/json");
+  CHECK(exists.answer->body == answer.body);
+}
+
+// Guards against giving one request the answer of another.
+TEST_CASE_FIXTURE(IntentRecordFixture,
+                  "IntentRecord, done with other content, gives no answer") {
+  request.content_hash = "other";
+  const IntentExists exists =
+      AnswerResend(CompletedIntent(pending, answer), request);
+  CHECK_FALSE(exists.same_content);
+  CHECK_FALSE(exists.answer.has_value());
+}
+
+// Guards against refusing a resend for ever after a request that did not run.
+TEST_CASE_FIXTURE(IntentRecordFixture,
+                  "IntentRecord, released, can be taken over") {
+  const auto row = ParseIntentRecord(ToJson(ReleasedIntent(pending)));
+  REQUIRE(row);
+  CHECK(CanTakeOver(row.value()));
+}
+
+// Guards against running a request again whose answer was too large to store.
+TEST_CASE_FIXTURE(IntentRecordFixture,
+                  "IntentRecord, done without answer, stays done") {
+  const auto row =
+      ParseIntentRecord(ToJson(CompletedIntent(pending, std::nullopt)));
+  REQUIRE(row);
+  CHECK_FALSE(CanTakeOver(row.value()));
+  CHECK_FALSE(AnswerResend(row.value(), request).answer.has_value());
+}
+
+// Guards against rows beyond the limit and against altered binary answers.
+TEST_CASE_FIXTURE(IntentRecordFixture,
+                  "IntentRecord, large or binary answer, cannot be stored") {
+  CHECK(CanStore(answer));
+  answer.body = "\xff\xfe";
+  CHECK_FALSE(CanStore(answer));
+  answer.body = std::string(kMaxStoredAnswer + 1, 'x');
+  CHECK_FALSE(CanStore(answer));
+}
+
+// Guards against taking a damaged row for one that may be taken over.
+TEST_CASE("IntentRecord, damaged row, parse fails") {
+  CHECK_FALSE(ParseIntentRecord("{"));
+  CHECK_FALSE(ParseIntentRecord("{}"));
+  CHECK_FALSE(ParseIntentRecord(
+      R"({"state":"x","workspace":"w","key":"k","content_hash":"h","nonce":"n"})"));
+}
+
+}  // namespace
+}  // namespace carawayrelay
