--- a/src/process/events.h
+++ b/src/process/events.h
@@ -39,6 +39,7 @@
   kPlatformAway = 1701,
   kPlatformBack = 1702,
   kVmListUnreadable = 1703,
+  kTraceExportFailed = 1801,
 };
 
 }  // namespace carawayrelay
--- /dev/null
+++ b/src/process/telemetry_thread.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "carawayrelay/request.h"
+#include "process/http_client.h"
+#include "process/ring.h"
+#include "process/span.h"
+
+namespace carawayrelay {
+
+// What the spans of one process have in common.
+struct SpanResource {
+  std::string service_name;
+  std::string instance_id;
+  std::string zone;
+};
+
+// The OTLP JSON document of an export request.
+std::string ToOtlpJson(const SpanResource& resource,
+                       const std::vector<Span>& spans);
+
+// The `telemetry` thread: sends spans to an OTLP collector.
+class TelemetryThread {
+ public:
+  struct Options {
+    SpanResource resource;
+    // "http://IP:port". When empty, all spans are dropped.
+    std::string endpoint;
+  };
+
+  // Fails with kInvalid when the endpoint is malformed.
+  static Result<std::unique_ptr<TelemetryThread>> Make(Options options);
+  ~TelemetryThread();
+
+  // Never waits. Returns false when the span was dropped.
+  bool TryPush(Span span);
+  // Sends the spans in the ring and joins the thread.
+  void Stop();
+
+  // Spans that found no room, had no endpoint or were in a failed batch.
+  std::uint64_t dropped_spans() const { return dropped_; }
+  std::uint64_t failed_batches() const { return failed_; }
+
+ private:
+  TelemetryThread(SpanResource resource, std::unique_ptr<HttpClient> client);
+
+  void Run();
+  std::vector<Span> NextBatch();
+  bool Export(const std::vector<Span>& batch);
+
+  SpanResource resource_;
+  std::unique_ptr<HttpClient> client_;
+  std::atomic<std::uint64_t> dropped_{0};
+  std::atomic<std::uint64_t> failed_{0};
+  std::optional<TimePoint> last_logged_;
+  Ring<Span> spans_;
+  std::thread thread_;
+};
+
+}  // namespace carawayrelay
