--- a/src/process/events.h
+++ b/src/process/events.h
@@ -20,6 +20,9 @@
   kEntryStopping = 1303,
   kEntryStopped = 1304,
   kEntryFailed = 1305,
+  kIntentStoreFailing = 1306,
+  kIntentRowMalformed = 1307,
+  kIntentOutcomeLost = 1308,
   kLimitLeaseHeld = 1401,
   kLimitLeaseLost = 1402,
   kLimitsStoreDown = 1403,
@@ -39,6 +42,7 @@
   kPlatformAway = 1701,
   kPlatformBack = 1702,
   kVmListUnreadable = 1703,
+  kTraceExportFailed = 1801,
 };
 
 }  // namespace carawayrelay
