--- a/src/process/agent_process.cc
+++ b/src/process/agent_process.cc
@@ -8,6 +8,7 @@
 #include <sstream>
 #include <utility>
 
+#include "process/exit_code.h"
 #include "process/log.h"
 
 namespace carawayrelay {
@@ -215,14 +216,14 @@
   const Result<std::string> text = ReadFile(settings_path);
   if (!text) {
     std::fprintf(stderr, "%s\n", text.error().message.c_str());
-    return 1;
+    return static_cast<int>(ExitCode::kInvalidInput);
   }
   Findings findings;
   std::optional<AgentSettings> settings =
       ParseAgentSettings(text.value(), findings);
   if (!settings) {
     std::fprintf(stderr, "%s\n", findings.ToText().c_str());
-    return 1;
+    return static_cast<int>(ExitCode::kInvalidInput);
   }
   InitLog(settings->node, LogLevel::kInfo);
   // All threads inherit the mask, so that only this one sees the signals.
--- a/src/process/entry_services.cc
+++ b/src/process/entry_services.cc
@@ -11,16 +11,6 @@
 namespace carawayrelay {
 namespace {
 
-constexpr std::string_view kBearer = "Bearer ";
-
-std::string_view BearerToken(const HttpRequest& request) {
-  const auto it = request.headers.find("authorization");
-  if (it == request.headers.end() || !it->second.starts_with(kBearer)) {
-    return {};
-  }
-  return std::string_view(it->second).substr(kBearer.size());
-}
-
 // Takes a copy under the lock, so that Stop() can wait for users.
 template <class T>
 std::shared_ptr<T> Share(std::mutex& mutex, const std::shared_ptr<T>& pointer) {
