Test the intents thread against the fake platform

A permanent error of the store no longer pauses the thread for all requests, and a completed row that the store refuses is written without its answer.

No full build was made.

--- a/src/process/intent_thread.cc
+++ b/src/process/intent_thread.cc
@@ -31,6 +31,11 @@
                      random());
 }
 
+bool IsTransient(const Error& error) {
+  return error.code == ErrorCode::kUnavailable ||
+         error.code == ErrorCode::kUnknown;
+}
+
 DispatchEvent Failed(const RecordIntent& request, std::string reason) {
   return IntentFailed{.request = request.request, .reason = std::move(reason)};
 }
@@ -245,9 +250,17 @@
   }
   // The row is read before the next try: it may have changed.
   write.etag.clear();
-  if (written.error().code != ErrorCode::kConflict) {
-    NoteStore(written.error());
+  if (written.error().code == ErrorCode::kConflict) {
+    return WriteResult::kAgain;
+  }
+  NoteStore(written.error());
+  if (!IsTransient(written.error()) &&
+      !std::exchange(write.value.answer, std::nullopt)) {
+    LogWarning(LogEvent::kIntentOutcomeLost, "intent row {} stays pending: {}",
+               row_key, written.error().message);
+    return WriteResult::kFinished;
   }
+  // The store may have refused the size of the answer.
   return WriteResult::kAgain;
 }
 
@@ -282,6 +295,10 @@
 }
 
 void IntentThread::NoteStore(const Error& error) {
+  // One request that the store refuses must not hold up the others.
+  if (!IsTransient(error)) {
+    return;
+  }
   if (!store_away_until_) {
     LogWarning(LogEvent::kIntentStoreFailing, "intent rows: {}", error.message);
   }
--- /dev/null
+++ b/tests/process/intent_thread_test.cc
@@ -0,0 +1,113 @@
+#include "process/intent_thread.h"
+
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <chrono>
+#include <string>
+#include <thread>
+
+#include "process/fake_platform.h"
+
+namespace carawayrelay {
+namespace {
+
+using Fault = FakePlatform::Fault;
+
+struct IntentThreadFixture {
+  static constexpr const char* kPath = "/v1/rows/intents/ws/order-1";
+  static constexpr std::chrono::seconds kPatience{10};
+
+  FakePlatform platform;
+  std::atomic<Fault> fault = Fault::kNone;
+  Ring<DispatchEvent> events{16};
+  std::unique_ptr<IntentThread> intents = Start();
+
+  std::unique_ptr<IntentThread> Start() {
+    platform.on_write = [this] { return fault.load(); };
+    return std::make_unique<IntentThread>(
+        PlatformClient::Make({.base_url = platform.url()}).value(),
+        [this](DispatchEvent event) { events.Push(std::move(event)); });
+  }
+
+  template <class Event>
+  Event Record(const std::string& hash) {
+    CHECK(intents->TryPush(RecordIntent{.request = RequestId{1},
+                                        .workspace = "ws",
+                                        .key = "order-1",
+                                        .content_hash = hash}));
+    std::optional<DispatchEvent> event =
+        events.PopUntil(BootClock::now() + kPatience);
+    REQUIRE(event);
+    REQUIRE(std::holds_alternative<Event>(*event));
+    return std::get<Event>(*event);
+  }
+
+  void Complete() {
+    CHECK(intents->TryPush(CompleteIntent{
+        .workspace = "ws",
+        .key = "order-1",
+        .answer = {
+            .http_status = 200, .content_type = "text/plain", .body = "hi"}}));
+  }
+
+  bool AwaitState(IntentState state) {
+    const TimePoint end = BootClock::now() + kPatience;
+    while (BootClock::now() < end) {
+      const auto row = ParseIntentRecord(platform.Get(kPath));
+      if (row && row.value().state == state) {
+        return true;
+      }
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    return false;
+  }
+};
+
+// Guards against running a completed request again.
+TEST_CASE_FIXTURE(IntentThreadFixture,
+                  "IntentThread, completed, resend gets the stored answer") {
+  Record<IntentRecorded>("a");
+  CHECK_FALSE(Record<IntentExists>("a").answer.has_value());
+  Complete();
+  const IntentExists exists = Record<IntentExists>("a");
+  REQUIRE(exists.answer.has_value());
+  CHECK(exists.answer->body == "hi");
+  CHECK_FALSE(Record<IntentExists>("b").same_content);
+}
+
+// Guards against refusing a resend of a request that did not run.
+TEST_CASE_FIXTURE(IntentThreadFixture,
+                  "IntentThread, released, resend is recorded") {
+  Record<IntentRecorded>("a");
+  CHECK(intents->TryPush(ReleaseIntent{.workspace = "ws", .key = "order-1"}));
+  Record<IntentRecorded>("a");
+  CHECK(AwaitState(IntentState::kPending));
+}
+
+// Guards against a row that blocks its key although the request never ran.
+TEST_CASE_FIXTURE(IntentThreadFixture,
+                  "IntentThread, write of unknown outcome, is released later") {
+  fault = Fault::kLoseResponse;
+  platform.reads_fail = true;
+  Record<IntentFailed>("a");
+  fault = Fault::kNone;
+  platform.reads_fail = false;
+  CHECK(AwaitState(IntentState::kReleased));
+  Record<IntentRecorded>("a");
+}
+
+// Guards against losing an answer while the store is away.
+TEST_CASE_FIXTURE(IntentThreadFixture,
+                  "IntentThread, store away, completes when it is back") {
+  Record<IntentRecorded>("a");
+  fault = Fault::kRefuse;
+  Complete();
+  std::this_thread::sleep_for(std::chrono::milliseconds(700));
+  CHECK(AwaitState(IntentState::kPending));
+  fault = Fault::kNone;
+  CHECK(AwaitState(IntentState::kDone));
+}
+
+}  // namespace
+}  // namespace carawayrelay
