Wire the platform's duties, metrics and spans into the entry and the agent

An entry is ready once each limit shard has answered; before, 11 of 240 requests of the demo were refused inside their rate, because entries admitted before the first grant and the buckets of a new limiter started empty. A new limiter has no former grants, so its buckets now start full.

Ruled out: letting requests wait longer for their first token; it would hide a limiter that never starts.

--- a/src/process/agent_process.cc
+++ b/src/process/agent_process.cc
@@ -54,7 +54,9 @@
 }
 
 AgentProcess::AgentProcess(AgentSettings settings)
-    : settings_(std::move(settings)), events_(kEventCapacity) {}
+    : settings_(std::move(settings)),
+      spans_(std::random_device{}()),
+      events_(kEventCapacity) {}
 
 AgentProcess::~AgentProcess() {
   events_.Close();
@@ -63,6 +65,12 @@
 }
 
 Result<void> AgentProcess::Start() {
+  BOOST_OUTCOME_TRY(
+      telemetry_,
+      TelemetryThread::Make({.resource = {.service_name = "carawayrelay-agent",
+                                          .instance_id = settings_.node,
+                                          .zone = settings_.zone},
+                             .endpoint = settings_.traces_url}));
   events_.SetSpaceCallback([this] { link_->ResumeReading(); });
   BOOST_OUTCOME_TRY(
       engine_,
@@ -74,6 +82,7 @@
            .command_capacity =
                kCommandsPerCall * static_cast<size_t>(settings_.window.max)},
           [this](EngineEvent event) {
+            EndSpan(event);
             std::visit([this](auto& e) { events_.Push(std::move(e)); }, event);
           }));
   BOOST_OUTCOME_TRY(
@@ -154,6 +163,7 @@
                  },
                  [&](StartCall& a) {
                    const CallId id = a.call.call;
+                   BeginSpan(a.call);
                    if (!engine_->Start(std::move(a.call))) {
                      // Cannot block here, because the engine thread may wait
                      // for the gate.
@@ -186,6 +196,22 @@
   return is_drained;
 }
 
+void AgentProcess::BeginSpan(const EngineCall& call) {
+  std::lock_guard lock(spans_mutex_);
+  spans_.Start(call, std::chrono::system_clock::now());
+}
+
+void AgentProcess::EndSpan(const EngineEvent& event) {
+  std::optional<Span> span;
+  {
+    std::lock_guard lock(spans_mutex_);
+    span = spans_.Finish(event, std::chrono::system_clock::now());
+  }
+  if (span) {
+    telemetry_->TryPush(*std::move(span));
+  }
+}
+
 void AgentProcess::Drain() {
   LogInfo(LogEvent::kAgentDraining, "stops within {} ms",
           settings_.drain_limit.count());
--- a/src/process/agent_process.h
+++ b/src/process/agent_process.h
@@ -1,16 +1,19 @@
 #pragma once
 
 #include <memory>
+#include <mutex>
 #include <string>
 #include <thread>
 
 #include "carawayrelay/request.h"
 #include "process/agent_settings.h"
+#include "process/call_spans.h"
 #include "process/engine_client.h"
 #include "process/gate.h"
 #include "process/link_thread.h"
 #include "process/load_watch.h"
 #include "process/ring.h"
+#include "process/telemetry_thread.h"
 
 namespace carawayrelay {
 
@@ -38,8 +41,14 @@
   bool Perform(GateAction& action);
   bool DeliverLinkEvent(LinkEvent& event);
   void StopThreads();
+  void BeginSpan(const EngineCall& call);
+  void EndSpan(const EngineEvent& event);
 
   AgentSettings settings_;
+  std::unique_ptr<TelemetryThread> telemetry_;
+  // Calls begin on the gate thread and end on the engine thread.
+  std::mutex spans_mutex_;
+  CallSpans spans_;
   Ring<GateEvent> events_;
   std::unique_ptr<LinkThread> link_;
   std::unique_ptr<EngineClient> engine_;
--- a/src/process/agent_settings.cc
+++ b/src/process/agent_settings.cc
@@ -121,6 +121,7 @@
   JsonReader root(parsed, "", findings);
   settings.node = root.RequiredString("node");
   settings.zone = root.RequiredString("zone");
+  settings.traces_url = root.OptionalString("traces_url", "");
   settings.listen_address = root.RequiredString("listen");
   CheckEndpoint(settings.listen_address, root.PathOf("listen"), findings);
   ReadBackend(root, settings, findings);
--- a/src/process/agent_settings.h
+++ b/src/process/agent_settings.h
@@ -25,6 +25,8 @@
   bool engine_checks_fences = false;
   std::chrono::milliseconds drain_limit{30000};
   std::chrono::milliseconds load_interval{1000};
+  // "http://IP:port" of the collector of spans, or empty.
+  std::string traces_url;
 };
 
 // Parses and checks the settings. Appends every problem with its JSON path to
@@ -35,7 +37,7 @@
 //              "routes": ["m"], "checks_fences": false,
 //              "load_interval_ms": 1000},
 //  "window": {"max": 32, "cold": 4, "slow_first_token_ms": 1600},
-//  "drain_limit_ms": 30000}
+//  "drain_limit_ms": 30000, "traces_url": "http://127.0.0.1:4318"}
 std::optional<AgentSettings> ParseAgentSettings(const std::string& json,
                                                 Findings& findings);
 
--- /dev/null
+++ b/src/process/call_spans.cc
@@ -0,0 +1,51 @@
+#include "process/call_spans.h"
+
+#include <utility>
+
+namespace carawayrelay {
+
+void CallSpans::Start(const EngineCall& call, Time now) {
+  const std::optional<TraceContext> parent = ParseTraceparent(call.traceparent);
+  if (!parent || !parent->sampled) {
+    return;
+  }
+  const TraceContext own = MakeChild(parent, rng_);
+  open_[call.call] = Span{.trace_id = own.trace_id,
+                          .span_id = own.span_id,
+                          .parent_id = parent->span_id,
+                          .name = "agent " + call.path,
+                          .start = now};
+}
+
+std::optional<Span> CallSpans::Finish(const EngineEvent& event, Time now) {
+  const std::optional<std::string> outcome =
+      std::visit(Overloaded{
+                     [](const EngineEnd& e) -> std::optional<std::string> {
+                       return "status " + std::to_string(e.http_status);
+                     },
+                     [](const EngineFailed& e) -> std::optional<std::string> {
+                       return ToString(e.code);
+                     },
+                     [](const EngineCancelled&) -> std::optional<std::string> {
+                       return "cancelled";
+                     },
+                     [](const auto&) -> std::optional<std::string> {
+                       return std::nullopt;
+                     },
+                 },
+                 event);
+  if (!outcome) {
+    return std::nullopt;
+  }
+  const CallId call = std::visit([](const auto& e) { return e.call; }, event);
+  auto node = open_.extract(call);
+  if (node.empty()) {
+    return std::nullopt;
+  }
+  Span span = std::move(node.mapped());
+  span.end = now;
+  span.attributes.emplace_back("outcome", *outcome);
+  return span;
+}
+
+}  // namespace carawayrelay
--- a/src/process/dispatch_event.h
+++ b/src/process/dispatch_event.h
@@ -168,6 +168,9 @@
   Duration total{0};
   // Until the first part of the answer came from the agent.
   std::optional<Duration> first_part;
+  // Span of the request in this entry and its parent, 0 for none.
+  std::optional<TraceContext> span;
+  std::uint64_t parent_span = 0;
 };
 
 using DispatchAction = std::variant<SendMessage,
--- a/src/process/dispatcher.cc
+++ b/src/process/dispatcher.cc
@@ -141,32 +141,31 @@
 
 Admission Dispatcher::AdmitByRate(const std::string& workspace,
                                   RequestId request) {
-  return std::visit(
-      Overloaded{
-          [&](LocalLimits& limits) {
-            return limits.TrySpend(workspace, now_) ? Admission::kAdmitted
-                                                    : Admission::kRefused;
-          },
-          [&](SharedLimits& limits) {
-            return limits.Admit(workspace, request, now_);
-          },
-      },
-      limits_);
-}
-
-std::chrono::milliseconds Dispatcher::RateRetryAfter(
-    const std::string& workspace) {
   return std::visit(Overloaded{
                         [&](LocalLimits& limits) {
-                          return limits.RetryAfter(workspace, now_);
+                          return limits.TrySpend(workspace, now_)
+                                     ? Admission::kAdmitted
+                                     : Admission::kRefused;
                         },
                         [&](SharedLimits& limits) {
-                          return limits.RetryAfter(workspace);
+                          return limits.Admit(workspace, request, now_);
                         },
                     },
                     limits_);
 }
 
+std::chrono::milliseconds Dispatcher::RateRetryAfter(
+    const std::string& workspace) {
+  return std::visit(
+      Overloaded{
+          [&](LocalLimits& limits) {
+            return limits.RetryAfter(workspace, now_);
+          },
+          [&](SharedLimits& limits) { return limits.RetryAfter(workspace); },
+      },
+      limits_);
+}
+
 Refusal Dispatcher::OverRate(const std::string& workspace) {
   return {.code = RefusalCode::kRateLimited,
           .reason = "workspace '" + workspace + "' is over its rate",
@@ -185,6 +184,7 @@
   for (const AdmissionResult& result : shared->TakeResults()) {
     HandleAdmission(result);
   }
+  ReportReadiness();
   if (now_ >= next_acknowledged_report_) {
     next_acknowledged_report_ = now_ + kAcknowledgedReportInterval;
     Emit(ReportAcknowledged{shared->Acknowledged()});
@@ -275,13 +275,12 @@
     return;
   }
   config_ = std::move(event.config);
-  std::visit(Overloaded{
-                 [&](LocalLimits& limits) {
-                   limits.AdoptConfig(*config_, now_);
-                 },
-                 [&](SharedLimits& limits) { limits.AdoptConfig(config_); },
-             },
-             limits_);
+  std::visit(
+      Overloaded{
+          [&](LocalLimits& limits) { limits.AdoptConfig(*config_, now_); },
+          [&](SharedLimits& limits) { limits.AdoptConfig(config_); },
+      },
+      limits_);
   if (!config_->IsZoneOut(options_.zone)) {
     zone_out_since_.reset();
   } else if (!zone_out_since_) {
@@ -342,7 +341,9 @@
 }
 
 void Dispatcher::ReportReadiness() {
-  const bool ready = config_ && !is_draining_ && !zone_out_since_;
+  const auto* shared = std::get_if<SharedLimits>(&limits_);
+  const bool ready = config_ && !is_draining_ && !zone_out_since_ &&
+                     (shared == nullptr || shared->HasStarted());
   if (ready != is_ready_) {
     is_ready_ = ready;
     Emit(ReportReady{ready});
--- a/src/process/dispatcher_attempts.cc
+++ b/src/process/dispatcher_attempts.cc
@@ -362,11 +362,14 @@
 
 void Dispatcher::Erase(ActiveRequest& request,
                        std::optional<RefusalCode> refused) {
-  RequestObserved observed{.workspace = request.access.workspace,
-                           .route = request.call.route,
-                           .refused = refused,
-                           .attempts = request.attempts,
-                           .total = now_ - request.call.arrived};
+  RequestObserved observed{
+      .workspace = request.access.workspace,
+      .route = request.call.route,
+      .refused = refused,
+      .attempts = request.attempts,
+      .total = now_ - request.call.arrived,
+      .span = request.span,
+      .parent_span = request.call.trace ? request.call.trace->span_id : 0};
   if (request.first_part) {
     observed.first_part = *request.first_part - request.call.arrived;
   }
--- a/src/process/entry_services.cc
+++ b/src/process/entry_services.cc
@@ -11,6 +11,8 @@
 namespace carawayrelay {
 namespace {
 
+constexpr const char* kMetricsContentType = "text/plain; version=0.0.4";
+
 // Takes a copy under the lock, so that Stop() can wait for users.
 template <class T>
 std::shared_ptr<T> Share(std::mutex& mutex, const std::shared_ptr<T>& pointer) {
@@ -56,6 +58,9 @@
           }
         }
       };
+  hooks.dispatch.observe = [this](const RequestObserved& observed) {
+    Observe(observed);
+  };
   hooks.callers_api = [this](HttpRequest& request, HttpExchangePtr& exchange) {
     return HandleCallersApi(request, exchange);
   };
@@ -73,25 +78,21 @@
 Result<void> EntryServices::Start(EntryProcess& process) {
   process_ = &process;
   const PlatformClient::Options platform{.base_url = settings_.platform_url};
-  BOOST_OUTCOME_TRY(
-      auto batch,
-      BatchThread::Make(
-          {.node = settings_.node, .platform = platform},
-          [this](ConnectionId connection, Message message) {
-            process_->link().Send(connection, std::move(message));
-          },
-          [this] { process_->link().ResumeReading(); }));
+  BOOST_OUTCOME_TRY(auto batch,
+                    BatchThread::Make(
+                        {.node = settings_.node, .platform = platform},
+                        [this](ConnectionId connection, Message message) {
+                          process_->link().Send(connection, std::move(message));
+                        },
+                        [this] { process_->link().ResumeReading(); }));
   BOOST_OUTCOME_TRY(auto limits_client, PlatformClient::Make(platform));
   auto limits = std::make_shared<LimitsThread>(
-      LimitsThread::Options{.node = settings_.node},
-      std::move(limits_client), [this](LimitLeaseEvent event) {
-        process_->Post(std::move(event));
-      });
+      LimitsThread::Options{.node = settings_.node}, std::move(limits_client),
+      [this](LimitLeaseEvent event) { process_->Post(std::move(event)); });
   BOOST_OUTCOME_TRY(auto intents_client, PlatformClient::Make(platform));
   auto intents = std::make_shared<IntentThread>(
-      std::move(intents_client), [this](DispatchEvent event) {
-        process_->Post(std::move(event));
-      });
+      std::move(intents_client),
+      [this](DispatchEvent event) { process_->Post(std::move(event)); });
   {
     std::lock_guard lock(mutex_);
     intents_ = std::move(intents);
@@ -100,13 +101,18 @@
   }
   BOOST_OUTCOME_TRY(
       auto watch,
-      ConfigWatch::Make({.platform = {.base_url = settings_.platform_url,
-                                      .request_timeout =
-                                          std::chrono::milliseconds(1000)}},
-                        [this](ConfigEvent event) {
-                          OnConfigEvent(std::move(event));
-                        }));
+      ConfigWatch::Make(
+          {.platform = {.base_url = settings_.platform_url,
+                        .request_timeout = std::chrono::milliseconds(1000)}},
+          [this](ConfigEvent event) { OnConfigEvent(std::move(event)); }));
+  BOOST_OUTCOME_TRY(
+      auto telemetry,
+      TelemetryThread::Make({.resource = {.service_name = "carawayrelay-entry",
+                                          .instance_id = settings_.node,
+                                          .zone = settings_.zone},
+                             .endpoint = settings_.traces_url}));
   std::lock_guard lock(mutex_);
+  telemetry_ = std::move(telemetry);
   watch_ = std::move(watch);
   admin_ = std::make_shared<AdminApi>(
       *watch_,
@@ -120,6 +126,7 @@
   std::shared_ptr<BatchThread> batch;
   std::shared_ptr<LimitsThread> limits;
   std::shared_ptr<IntentThread> intents;
+  std::shared_ptr<TelemetryThread> telemetry;
   {
     std::lock_guard lock(mutex_);
     watch = std::exchange(watch_, nullptr);
@@ -127,6 +134,7 @@
     batch = std::exchange(batch_, nullptr);
     limits = std::exchange(limits_, nullptr);
     intents = std::exchange(intents_, nullptr);
+    telemetry = std::exchange(telemetry_, nullptr);
   }
   if (watch) {
     watch->Stop();
@@ -142,6 +150,27 @@
   }
 }
 
+void EntryServices::Observe(const RequestObserved& observed) {
+  metrics_.Observe(observed);
+  const auto telemetry = Share(mutex_, telemetry_);
+  if (!telemetry || !observed.span || !observed.span->sampled) {
+    return;
+  }
+  using Clock = std::chrono::system_clock;
+  const Clock::time_point end = Clock::now();
+  telemetry->TryPush(
+      {.trace_id = observed.span->trace_id,
+       .span_id = observed.span->span_id,
+       .parent_id = observed.parent_span,
+       .name = "entry " + observed.route,
+       .start =
+           end - std::chrono::duration_cast<Clock::duration>(observed.total),
+       .end = end,
+       .attributes = {{"workspace", observed.workspace},
+                      {"outcome", observed.refused ? ToString(*observed.refused)
+                                                   : "ok"}}});
+}
+
 ConfigPtr EntryServices::config() const {
   std::lock_guard lock(mutex_);
   return config_;
@@ -149,6 +178,11 @@
 
 bool EntryServices::HandleCallersApi(HttpRequest& request,
                                      HttpExchangePtr& exchange) {
+  if (request.method == "GET" && request.path == "/metrics") {
+    exchange->Reply(200, {{"Content-Type", kMetricsContentType}},
+                    metrics_.ToPrometheusText());
+    return true;
+  }
   if (!BatchApi::IsBatchPath(request.path)) {
     return false;
   }
@@ -191,13 +225,12 @@
 }
 
 void EntryServices::OnConfigEvent(ConfigEvent event) {
-  std::visit(Overloaded{
-                 [&](ConfigAdopted& e) {
-                   process_->AdoptConfig(std::move(e.config));
-                 },
-                 [&](VmsChanged& e) { OnVms(e.vms); },
-             },
-             event);
+  std::visit(
+      Overloaded{
+          [&](ConfigAdopted& e) { process_->AdoptConfig(std::move(e.config)); },
+          [&](VmsChanged& e) { OnVms(e.vms); },
+      },
+      event);
 }
 
 void EntryServices::OnVms(const std::vector<VmInfo>& vms) {
--- a/src/process/entry_services.h
+++ b/src/process/entry_services.h
@@ -14,6 +14,8 @@
 #include "process/entry_settings.h"
 #include "process/intent_thread.h"
 #include "process/limits_thread.h"
+#include "process/metrics.h"
+#include "process/telemetry_thread.h"
 
 namespace carawayrelay {
 
@@ -36,6 +38,7 @@
  private:
   bool HandleCallersApi(HttpRequest& request, HttpExchangePtr& exchange);
   void HandleAdmin(const HttpRequest& request, const HttpExchangePtr& exchange);
+  void Observe(const RequestObserved& observed);
   void OnConfigEvent(ConfigEvent event);
   void OnVms(const std::vector<VmInfo>& vms);
   ConfigPtr config() const;
@@ -50,6 +53,8 @@
   std::shared_ptr<BatchThread> batch_;
   std::shared_ptr<LimitsThread> limits_;
   std::shared_ptr<IntentThread> intents_;
+  std::shared_ptr<TelemetryThread> telemetry_;
+  Metrics metrics_;
 };
 
 }  // namespace carawayrelay
--- a/src/process/entry_settings.cc
+++ b/src/process/entry_settings.cc
@@ -137,6 +137,7 @@
                    reader.PathOf("platform_url"), findings);
     }
   }
+  settings.traces_url = reader.OptionalString("traces_url", "");
   settings.seed_agents = ReadAddresses(reader, "seed_agents", findings);
   settings.seed_peers = ReadAddresses(reader, "seed_peers", findings);
   settings.log_level = static_cast<LogLevel>(
--- a/src/process/entry_settings.h
+++ b/src/process/entry_settings.h
@@ -20,6 +20,8 @@
   std::string listen_admin;
   std::string listen_links;
   std::string platform_url;  // "http://IP:port"
+  // "http://IP:port" of the collector of spans, or empty.
+  std::string traces_url;
   std::vector<std::string> seed_agents;
   std::vector<std::string> seed_peers;
   LogLevel log_level = LogLevel::kInfo;
--- a/src/process/limit_lease_book.cc
+++ b/src/process/limit_lease_book.cc
@@ -168,14 +168,14 @@
         LeaseRenewed{.shard = write.shard, .row = write.row, .until = until});
     return;
   }
-  // Grants of the former holder stay usable for their lifetime.
-  const Duration wait = row_is_first
-                            ? Duration::zero()
-                            : Duration(times_.grant_lifetime + times_.margin);
+  // Grants of the former holder stay usable for their lifetime. Without a
+  // former holder the buckets start full.
+  const TimePoint granting_from =
+      row_is_first ? TimePoint() : now + times_.grant_lifetime + times_.margin;
   events.push_back(LeaseHeld{.shard = write.shard,
                              .row = write.row,
                              .until = until,
-                             .granting_from = now + wait});
+                             .granting_from = granting_from});
 }
 
 void LimitLeaseBook::SetAcknowledged(int index,
--- a/src/process/limit_member.cc
+++ b/src/process/limit_member.cc
@@ -273,8 +273,10 @@
       milliseconds(static_cast<std::int64_t>(1000 / limits->rate_per_second)));
 }
 
-bool LimitMember::IsInFallback(int shard, TimePoint now) const {
-  return shards_.at(static_cast<size_t>(shard)).live_until <= now;
+bool LimitMember::HasStarted() const {
+  return std::all_of(shards_.begin(), shards_.end(), [](const Shard& shard) {
+    return shard.live_until != TimePoint();
+  });
 }
 
 }  // namespace carawayrelay
--- a/src/process/limit_member.h
+++ b/src/process/limit_member.h
@@ -58,7 +58,9 @@
 
   // Time after which a refused caller may expect a token.
   std::chrono::milliseconds RetryAfter(const std::string& workspace) const;
-  bool IsInFallback(int shard, TimePoint now) const;
+  // True once every shard has answered, so that requests inside the rate are
+  // not refused for want of a first contact.
+  bool HasStarted() const;
 
  private:
   struct Waiting {
--- a/src/process/shared_limits.cc
+++ b/src/process/shared_limits.cc
@@ -23,26 +23,25 @@
 }
 
 void SharedLimits::HandleLease(const LimitLeaseEvent& event, TimePoint now) {
-  std::visit(Overloaded{
-                 [&](const ShardSeen& e) {
-                   member_.SetShard(e.shard, e.row, now);
-                 },
-                 [&](const LeaseHeld& e) {
-                   member_.SetShard(e.shard, e.row, now);
-                   holders_.insert_or_assign(
-                       e.shard, LimitHolder(e.shard, e.row, e.until,
-                                            e.granting_from, options_.times));
-                 },
-                 [&](const LeaseRenewed& e) {
-                   member_.SetShard(e.shard, e.row, now);
-                   const auto it = holders_.find(e.shard);
-                   if (it != holders_.end()) {
-                     it->second.Renew(e.row, e.until);
-                   }
-                 },
-                 [&](const LeaseLost& e) { holders_.erase(e.shard); },
-             },
-             event);
+  std::visit(
+      Overloaded{
+          [&](const ShardSeen& e) { member_.SetShard(e.shard, e.row, now); },
+          [&](const LeaseHeld& e) {
+            member_.SetShard(e.shard, e.row, now);
+            holders_.insert_or_assign(
+                e.shard, LimitHolder(e.shard, e.row, e.until, e.granting_from,
+                                     options_.times));
+          },
+          [&](const LeaseRenewed& e) {
+            member_.SetShard(e.shard, e.row, now);
+            const auto it = holders_.find(e.shard);
+            if (it != holders_.end()) {
+              it->second.Renew(e.row, e.until);
+            }
+          },
+          [&](const LeaseLost& e) { holders_.erase(e.shard); },
+      },
+      event);
 }
 
 LimitGrant SharedLimits::Answer(const LimitAsk& ask, TimePoint now) {
@@ -76,10 +75,9 @@
       AddResults(member_.HandleGrant(Answer(addressed.ask, now), now));
       continue;
     }
-    const auto peer =
-        std::find_if(peers_.begin(), peers_.end(), [&](const auto& entry) {
-          return entry.second == addressed.holder;
-        });
+    const auto peer = std::find_if(
+        peers_.begin(), peers_.end(),
+        [&](const auto& entry) { return entry.second == addressed.holder; });
     if (peer != peers_.end()) {
       messages_.push_back(
           {.connection = peer->first, .message = std::move(addressed.ask)});
--- a/src/process/shared_limits.h
+++ b/src/process/shared_limits.h
@@ -40,6 +40,7 @@
   Admission Admit(const std::string& workspace,
                   RequestId request,
                   TimePoint now);
+  bool HasStarted() const { return member_.HasStarted(); }
   void Forget(RequestId request) { member_.Forget(request); }
   std::chrono::milliseconds RetryAfter(const std::string& workspace) const {
     return member_.RetryAfter(workspace);
--- a/tools/harness/demo.cc
+++ b/tools/harness/demo.cc
@@ -336,7 +336,9 @@
     }
   }
   for (const auto& [id, count] : executions) {
-    if (count != 1) {
+    if (count == 1) {
+      ++correct_orders_;
+    } else {
       AddProblem(fmt::format("order {} ran {} times", id, count));
     }
   }
--- a/tools/harness/fleet.cc
+++ b/tools/harness/fleet.cc
@@ -174,8 +174,10 @@
 Result<void> Fleet::StartAgent(const std::string& node) {
   const size_t index = BackendIndex(node);
   const BackendPorts& ports = backend_ports_[index];
-  return StartRole("agent", node,
-                   AgentSettingsJson(plan_.backends[index], ports), ports.link);
+  return StartRole(
+      "agent", node,
+      AgentSettingsJson(plan_.backends[index], ports, PlatformUrl()),
+      ports.link);
 }
 
 Result<void> Fleet::StartEntry(const std::string& node) {
--- a/tools/harness/fleet_settings.cc
+++ b/tools/harness/fleet_settings.cc
@@ -8,8 +8,11 @@
   return "127.0.0.1:" + std::to_string(port);
 }
 
-json AgentSettingsJson(const BackendPlan& plan, const BackendPorts& ports) {
+json AgentSettingsJson(const BackendPlan& plan,
+                       const BackendPorts& ports,
+                       const std::string& platform_url) {
   return {{"node", plan.node},
+          {"traces_url", platform_url},
           {"zone", plan.zone},
           {"listen", LoopbackAddress(ports.link)},
           {"backend",
@@ -30,7 +33,8 @@
           {"listen_callers", LoopbackAddress(ports.callers)},
           {"listen_admin", LoopbackAddress(ports.admin)},
           {"listen_links", LoopbackAddress(ports.link)},
-          {"platform_url", platform_url}};
+          {"platform_url", platform_url},
+          {"traces_url", platform_url}};
 }
 
 }  // namespace carawayrelay::tools
--- a/tools/harness/fleet_settings.h
+++ b/tools/harness/fleet_settings.h
@@ -12,7 +12,8 @@
 
 // Contents of the settings file of an agent or entry.
 nlohmann::json AgentSettingsJson(const BackendPlan& plan,
-                                 const BackendPorts& ports);
+                                 const BackendPorts& ports,
+                                 const std::string& platform_url);
 nlohmann::json EntrySettingsJson(const EntryPlan& plan,
                                  const EntryPorts& ports,
                                  const std::string& platform_url);
