--- a/src/request/fair_queue.cc
+++ b/src/request/fair_queue.cc
@@ -44,8 +44,8 @@
 
 void FairQueue::Return(QueuedRequest request) {
   const std::string workspace = request.workspace;
-  LaneFor(workspace, request.weight)
-      .waiting.push_front({.request = std::move(request), .is_charged = true});
+  Lane& lane = LaneFor(workspace, request.weight);
+  lane.waiting.push_front({.request = std::move(request), .is_charged = true});
   ++size_;
 }
 
--- a/tools/harness/demo.cc
+++ b/tools/harness/demo.cc
@@ -132,7 +132,6 @@
              between_tokens_.ToText());
   fmt::print("batch: {} of {} items correct\n", correct_batch_,
              options_.batch_items);
-  fmt::print("orders: {} of {} executed once\n", correct_orders_, kOrders);
   fmt::print("time: {:.1f} s\n", seconds);
   PrintTrace(fleet, stop);
 }
@@ -342,6 +341,10 @@
       AddProblem(fmt::format("order {} ran {} times", id, count));
     }
   }
+  fmt::print("orders: {} of {} executed once\n", correct_orders_, kOrders);
+  if (correct_orders_ != kOrders) {
+    AddProblem("not every order was executed");
+  }
 }
 
 void Demo::PrintTrace(Fleet& fleet, StopSignal& stop) {
