--- a/src/process/request_table.cc
+++ b/src/process/request_table.cc
@@ -1,10 +1,11 @@
 #include "process/request_table.h"
 
 #include <cassert>
+#include <utility>
 
 namespace carawayrelay {
 
-ActiveRequest& RequestTable::Add(ActiveRequest request) {
+ActiveRequest& RequestTable::Add(ActiveRequest&& request) {
   const RequestId id = request.call.id;
   if (!request.access.key_id.empty()) {
     by_key_[request.access.key_id].insert(id);
--- a/src/process/request_table.h
+++ b/src/process/request_table.h
@@ -57,7 +57,7 @@
 class RequestTable {
  public:
   // The reference stays valid until Erase().
-  ActiveRequest& Add(ActiveRequest request);
+  ActiveRequest& Add(ActiveRequest&& request);
   ActiveRequest* Find(RequestId id);
   void Erase(RequestId id);
   size_t size() const { return requests_.size(); }
