--- /dev/null
+++ b/src/connection/outbound_call.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace carawayrelay {
+
+// One HTTP call to a backend server or to the store, unique in the process.
+enum class OutboundId : std::uint64_t {};
+
+using HeaderList = std::vector<std::pair<std::string, std::string>>;
+
+struct OutboundCall {
+  OutboundId id{0};
+  std::string address;  // "IP:port"
+  std::string method;
+  std::string target;  // path and query
+  HeaderList headers;
+  std::string body;
+  std::chrono::milliseconds connect_limit{500};
+  // For the whole call; 0 is no limit.
+  std::chrono::milliseconds total_limit{0};
+  // Whether the connection may serve further calls.
+  bool keeps_connection = false;
+};
+
+struct CallHead {
+  OutboundId id{0};
+  int status = 0;
+  HeaderList headers;  // names in lower case
+};
+
+struct CallData {
+  OutboundId id{0};
+  std::string bytes;
+};
+
+struct CallEnd {
+  OutboundId id{0};
+  bool is_whole = false;
+  // Whether bytes of the call may have reached the other side.
+  bool was_sent = false;
+  std::string reason;  // empty when whole
+};
+
+using CallEvent = std::variant<CallHead, CallData, CallEnd>;
+
+// The value of the header `name` (lower case), or an empty string.
+inline std::string FindHeader(const HeaderList& headers,
+                              const std::string& name) {
+  for (const auto& [key, value] : headers) {
+    if (key == name) {
+      return value;
+    }
+  }
+  return {};
+}
+
+}  // namespace carawayrelay
--- a/src/process/admin_api.cc
+++ b/src/process/admin_api.cc
@@ -26,11 +26,6 @@
                   body.dump(-1, ' ', false, json::error_handler_t::replace));
 }
 
-void ReplyRefusal(const HttpExchangePtr& exchange, const Refusal& refusal) {
-  exchange->Reply(HttpStatus(refusal.code), RefusalHeaders(refusal),
-                  ToJson(refusal));
-}
-
 // Adds `fields` to the JSON of the refusal.
 void ReplyRefusalWith(const HttpExchangePtr& exchange,
                       const Refusal& refusal,
@@ -42,9 +37,9 @@
 }
 
 void ReplyOverloaded(const HttpExchangePtr& exchange) {
-  ReplyRefusal(exchange, {.code = RefusalCode::kOverloaded,
-                          .reason = "too many operators' requests wait",
-                          .retry_after = kOverloadRetry});
+  ReplyRefusal(*exchange, {.code = RefusalCode::kOverloaded,
+                           .reason = "too many operators' requests wait",
+                           .retry_after = kOverloadRetry});
 }
 
 void ReplyFindings(const HttpExchangePtr& exchange, const Findings& findings) {
@@ -133,7 +128,7 @@
                        {{"current_version", current}});
                  },
                  [&](const ConfigFailed& failed) {
-                   ReplyRefusal(exchange, ToRefusal(failed.error));
+                   ReplyRefusal(*exchange, ToRefusal(failed.error));
                  },
              },
              outcome);
@@ -141,9 +136,10 @@
 
 void ReplyConfig(const HttpExchangePtr& exchange, const ConfigState& state) {
   if (state.config == nullptr && !state.platform_age) {
-    ReplyRefusal(exchange, {.code = RefusalCode::kStoreDown,
-                            .reason = "the configuration has not been read yet",
-                            .retry_after = kStoreRetry});
+    ReplyRefusal(*exchange,
+                 {.code = RefusalCode::kStoreDown,
+                  .reason = "the configuration has not been read yet",
+                  .retry_after = kStoreRetry});
     return;
   }
   if (state.config == nullptr) {
@@ -203,9 +199,9 @@
   } else if (request.path == "/admin/status" && request.method == "GET") {
     GetStatus(exchange);
   } else {
-    ReplyRefusal(exchange, {.code = RefusalCode::kNotFound,
-                            .reason = "no operation " + request.method + " " +
-                                      request.path});
+    ReplyRefusal(*exchange, {.code = RefusalCode::kNotFound,
+                             .reason = "no operation " + request.method + " " +
+                                       request.path});
   }
 }
 
--- a/src/process/batch_dispatcher.cc
+++ b/src/process/batch_dispatcher.cc
@@ -185,9 +185,9 @@
   DropJob(event.job);
 }
 
-void BatchDispatcher::On(BatchTick& event, TimePoint now) {}
+void BatchDispatcher::On(Tick& event, TimePoint now) {}
 
-void BatchDispatcher::On(BatchStopRequested& event, TimePoint now) {
+void BatchDispatcher::On(StopRequested& event, TimePoint now) {
   stopping_ = true;
 }
 
--- a/src/process/batch_dispatcher.h
+++ b/src/process/batch_dispatcher.h
@@ -79,8 +79,8 @@
   void On(ChunkReleased& event, TimePoint now);
   void On(JobCreatedHere& event, TimePoint now);
   void On(JobCancelledHere& event, TimePoint now);
-  void On(BatchTick& event, TimePoint now);
-  void On(BatchStopRequested& event, TimePoint now);
+  void On(Tick& event, TimePoint now);
+  void On(StopRequested& event, TimePoint now);
 
   void OnPart(Part& part);
   void OnEnd(const End& end, TimePoint now);
--- a/src/process/batch_event.h
+++ b/src/process/batch_event.h
@@ -11,6 +11,7 @@
 #include "carawayrelay/version.h"
 #include "process/chunk_record.h"
 #include "process/chunk_store.h"
+#include "process/common_event.h"
 #include "process/job_store.h"
 #include "process/link_thread.h"
 
@@ -67,9 +68,6 @@
   std::string job;
 };
 
-struct BatchTick {};
-struct BatchStopRequested {};
-
 using BatchEvent = std::variant<LinkUp,
                                 LinkMessage,
                                 LinkDown,
@@ -82,8 +80,8 @@
                                 ChunkReleased,
                                 JobCreatedHere,
                                 JobCancelledHere,
-                                BatchTick,
-                                BatchStopRequested>;
+                                Tick,
+                                StopRequested>;
 
 // Store operations, answered by the event named.
 
--- a/src/process/batch_thread.cc
+++ b/src/process/batch_thread.cc
@@ -80,7 +80,7 @@
     api_->Stop();
   }
   if (thread_.joinable()) {
-    events_.Push(BatchStopRequested{});
+    events_.Push(StopRequested{});
     thread_.join();
   }
   // Closed first, so that the store thread cannot wait for room in it.
@@ -96,14 +96,14 @@
     std::optional<BatchEvent> event =
         events_.PopUntil(BootClock::now() + kTickInterval);
     const TimePoint now = BootClock::now();
-    if (event && std::holds_alternative<BatchStopRequested>(*event)) {
+    if (event && std::holds_alternative<StopRequested>(*event)) {
       stop_deadline = now + options_.stop_time;
     }
     if (stop_deadline && now >= *stop_deadline) {
       break;
     }
     for (BatchAction& action : dispatcher_.Handle(
-             event ? *std::move(event) : BatchEvent(BatchTick{}), now)) {
+             event ? *std::move(event) : BatchEvent(Tick{}), now)) {
       Perform(action);
     }
   }
--- a/src/process/caller_replies.cc
+++ b/src/process/caller_replies.cc
@@ -3,7 +3,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "process/chat_api.h"
+#include "process/refusal_json.h"
 
 namespace carawayrelay {
 namespace {
@@ -92,7 +92,7 @@
 
 void CallerReplies::Perform(const BreakStream& action) {
   if (const HttpExchangePtr exchange = Take(action.request)) {
-    exchange->SendPart("data: " + ToErrorJson(action.refusal) + "\n\n");
+    exchange->SendPart("data: " + ToJson(action.refusal) + "\n\n");
     exchange->Abort();
   }
 }
--- a/src/process/chat_api.cc
+++ b/src/process/chat_api.cc
@@ -6,6 +6,8 @@
 #include <string_view>
 #include <utility>
 
+#include "process/refusal_json.h"
+
 namespace carawayrelay {
 namespace {
 
@@ -23,24 +25,6 @@
 constexpr double kBytesPerToken = 4;
 constexpr std::chrono::milliseconds kRetrySoon{1000};
 
-const char* ErrorType(RefusalCode code) {
-  switch (code) {
-    case RefusalCode::kUnauthorized:
-      return "authentication_error";
-    case RefusalCode::kForbidden:
-      return "permission_error";
-    case RefusalCode::kRateLimited:
-      return "rate_limit_error";
-    case RefusalCode::kInvalidRequest:
-    case RefusalCode::kNotFound:
-    case RefusalCode::kConflict:
-    case RefusalCode::kTooLarge:
-      return "invalid_request_error";
-    default:
-      return "server_error";
-  }
-}
-
 std::string Header(const HttpRequest& request, const std::string& name) {
   const auto it = request.headers.find(name);
   return it == request.headers.end() ? std::string() : it->second;
@@ -111,30 +95,6 @@
 
 }  // namespace
 
-std::string ToErrorJson(const Refusal& refusal) {
-  json error = {{"message", refusal.reason},
-                {"type", ErrorType(refusal.code)},
-                {"code", ToString(refusal.code)},
-                {"run_state", ToString(refusal.run_state)}};
-  if (refusal.retry_after) {
-    error["retry_after"] =
-        std::chrono::duration<double>(*refusal.retry_after).count();
-  }
-  // Reasons may hold bytes of the caller that are not UTF-8.
-  return json{{"error", std::move(error)}}.dump(-1, ' ', false,
-                                                json::error_handler_t::replace);
-}
-
-void ReplyRefusal(HttpExchange& exchange, const Refusal& refusal) {
-  HttpHeaders headers = {{"Content-Type", "application/json"}};
-  if (refusal.retry_after) {
-    const auto seconds =
-        std::chrono::ceil<std::chrono::seconds>(*refusal.retry_after);
-    headers.emplace_back("Retry-After", std::to_string(seconds.count()));
-  }
-  exchange.Reply(HttpStatus(refusal.code), headers, ToErrorJson(refusal));
-}
-
 std::string BearerToken(const HttpRequest& request) {
   const std::string value = Header(request, "authorization");
   if (value.size() <= kBearerScheme.size()) {
--- a/src/process/chat_api.h
+++ b/src/process/chat_api.h
@@ -12,13 +12,6 @@
 
 namespace carawayrelay {
 
-// Body of a refusal: {"error": {"message", "type", "code", "run_state",
-// "retry_after"}}, with retry_after in seconds.
-std::string ToErrorJson(const Refusal& refusal);
-
-// Replies with the status, headers and body of a refusal.
-void ReplyRefusal(HttpExchange& exchange, const Refusal& refusal);
-
 // Token of "Authorization: Bearer <token>", or empty.
 std::string BearerToken(const HttpRequest& request);
 
--- a/src/process/command.h
+++ b/src/process/command.h
@@ -18,7 +18,16 @@
   std::string settings_file;
 };
 
-enum class FileKind { kEntry, kAgent, kConfig };
+// Run a serving role on the users' platform. Without a file they read the one
+// that the platform names.
+struct FrontendCommand {
+  std::string settings_file;
+};
+struct WorkerCommand {
+  std::string settings_file;
+};
+
+enum class FileKind { kEntry, kAgent, kConfig, kFrontend, kWorker };
 
 // Reports everything that is wrong with a file.
 struct CheckCommand {
@@ -74,6 +83,8 @@
 
 using Command = std::variant<EntryCommand,
                              AgentCommand,
+                             FrontendCommand,
+                             WorkerCommand,
                              CheckCommand,
                              ApplyCommand,
                              KeyIssueCommand,
--- a/src/process/command_check.cc
+++ b/src/process/command_check.cc
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <vector>
 
+#include "process/serving/serving_settings.h"
 #include "process/text_file.h"
 #if __has_include("process/entry_settings.h")
 #include "process/entry_settings.h"
@@ -38,6 +39,14 @@
 #endif
 }
 
+void CheckFrontend(const std::string& text, Findings& findings) {
+  ParseFrontendSettings(text, findings);
+}
+
+void CheckWorker(const std::string& text, Findings& findings) {
+  ParseWorkerSettings(text, findings);
+}
+
 void CheckKind(FileKind kind, const std::string& text, Findings& findings) {
   switch (kind) {
     case FileKind::kEntry:
@@ -49,6 +58,12 @@
     case FileKind::kConfig:
       ParseConfigDocument(text, findings);
       break;
+    case FileKind::kFrontend:
+      CheckFrontend(text, findings);
+      break;
+    case FileKind::kWorker:
+      CheckWorker(text, findings);
+      break;
   }
 }
 
@@ -62,7 +77,10 @@
       KindFields{FileKind::kAgent,
                  {"listen", "backend", "window", "drain_limit_ms"}},
       KindFields{FileKind::kConfig,
-                 {"workspaces", "keys", "routes", "zones_out"}}};
+                 {"workspaces", "keys", "routes", "zones_out"}},
+      KindFields{FileKind::kFrontend,
+                 {"listen_clients", "listen_ready", "key_revocation_ms"}},
+      KindFields{FileKind::kWorker, {"runner_address", "reserved_slots"}}};
   const auto parsed = nlohmann::json::parse(text, nullptr, false);
   if (!parsed.is_object()) {
     return std::nullopt;
--- a/src/process/command_help.cc
+++ b/src/process/command_help.cc
@@ -10,9 +10,14 @@
       carawayrelay entry --settings /etc/carawayrelay/entry.json
   agent --settings FILE          serve one backend server
       carawayrelay agent --settings /etc/carawayrelay/agent.json
+  frontend [--settings FILE]     serve clients on the users' platform; without
+                                 FILE the platform names the settings file
+      carawayrelay frontend --settings /etc/carawayrelay/frontend.json
+  worker [--settings FILE]       run batch items on the backend server of the VM
+      carawayrelay worker --settings /etc/carawayrelay/worker.json
 
 Files:
-  check FILE [--kind entry|agent|config]
+  check FILE [--kind entry|agent|config|frontend|worker]
                                  report everything that is wrong with a file
       carawayrelay check config.json
 
--- a/src/process/command_line.cc
+++ b/src/process/command_line.cc
@@ -124,6 +124,15 @@
   return Command{CommandType{std::move(word)}};
 }
 
+// The platform names the settings file of these roles when none is given.
+template <class CommandType>
+Result<Command> WithOptionalSettings(const CommandLine& line) {
+  if (line.words.size() != 1) {
+    return Invalid("unexpected '" + line.words.back() + "'");
+  }
+  return Command{CommandType{line.options.settings}};
+}
+
 template <class CommandType>
 Result<Command> WithSettings(const CommandLine& line) {
   if (line.words.size() != 1) {
@@ -145,8 +154,12 @@
     command.kind = FileKind::kAgent;
   } else if (kind == "config") {
     command.kind = FileKind::kConfig;
+  } else if (kind == "frontend") {
+    command.kind = FileKind::kFrontend;
+  } else if (kind == "worker") {
+    command.kind = FileKind::kWorker;
   } else if (!kind.empty()) {
-    return Invalid("--kind must be entry, agent or config");
+    return Invalid("--kind must be entry, agent, config, frontend or worker");
   }
   return Command{command};
 }
@@ -241,6 +254,12 @@
   if (first == "agent") {
     return WithSettings<AgentCommand>(line);
   }
+  if (first == "frontend") {
+    return WithOptionalSettings<FrontendCommand>(line);
+  }
+  if (first == "worker") {
+    return WithOptionalSettings<WorkerCommand>(line);
+  }
   if (first == "check") {
     return ParseCheck(line);
   }
--- a/src/process/command_runner.cc
+++ b/src/process/command_runner.cc
@@ -4,6 +4,7 @@
 #include "process/command_config.h"
 #include "process/command_help.h"
 #include "process/command_job.h"
+#include "process/serving/serving_command.h"
 #if __has_include("process/entry_command.h")
 #include "process/entry_command.h"
 #endif
@@ -34,6 +35,12 @@
     return static_cast<int>(ExitCode::kFailed);
 #endif
   }
+  int operator()(const FrontendCommand& command) const {
+    return RunFrontend(command.settings_file);
+  }
+  int operator()(const WorkerCommand& command) const {
+    return RunWorker(command.settings_file);
+  }
   int operator()(const CheckCommand& command) const {
     return ToInt(RunCheck(command, context_));
   }
--- a/src/process/entry_process.cc
+++ b/src/process/entry_process.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "process/log.h"
+#include "process/refusal_json.h"
 
 namespace carawayrelay {
 namespace {
--- a/src/process/entry_services.cc
+++ b/src/process/entry_services.cc
@@ -3,10 +3,11 @@
 #include <algorithm>
 #include <utility>
 
-#include "process/caller_replies.h"
+#include "process/chat_api.h"
 #include "process/intent_thread.h"
 #include "process/log.h"
 #include "process/platform_client.h"
+#include "process/refusal_json.h"
 
 namespace carawayrelay {
 namespace {
--- /dev/null
+++ b/src/process/events.cc
@@ -0,0 +1,74 @@
+#include "process/events.h"
+
+namespace carawayrelay {
+
+const char* EventName(LogEvent event) {
+  switch (event) {
+    case LogEvent::kServingStarted:
+      return "serving_started";
+    case LogEvent::kServingStopping:
+      return "serving_stopping";
+    case LogEvent::kServingStopped:
+      return "serving_stopped";
+    case LogEvent::kServingReloaded:
+      return "serving_reloaded";
+    case LogEvent::kServingFailed:
+      return "serving_failed";
+    case LogEvent::kServingReadiness:
+      return "serving_readiness";
+    case LogEvent::kServingConfigAdopted:
+      return "serving_config_adopted";
+    case LogEvent::kServingConfigUnreadable:
+      return "serving_config_unreadable";
+    case LogEvent::kZonesOutChanged:
+      return "zones_out_changed";
+    case LogEvent::kStoreLost:
+      return "store_lost";
+    case LogEvent::kStoreRegained:
+      return "store_regained";
+    case LogEvent::kDemandReportUnreadable:
+      return "demand_report_unreadable";
+    case LogEvent::kRunnerChanged:
+      return "runner_changed";
+    case LogEvent::kRunnerGone:
+      return "runner_gone";
+    case LogEvent::kRunnerEntryUnreadable:
+      return "runner_entry_unreadable";
+    case LogEvent::kRunnerAvoided:
+      return "runner_avoided";
+    case LogEvent::kRequestRefused:
+      return "request_refused";
+    case LogEvent::kAttemptDeclined:
+      return "attempt_declined";
+    case LogEvent::kAttemptFailed:
+      return "attempt_failed";
+    case LogEvent::kRequestEnded:
+      return "request_ended";
+    case LogEvent::kJobSubmitted:
+      return "job_submitted";
+    case LogEvent::kJobRefused:
+      return "job_refused";
+    case LogEvent::kJobStoreRetry:
+      return "job_store_retry";
+    case LogEvent::kJobEnded:
+      return "job_ended";
+    case LogEvent::kJobReadFailed:
+      return "job_read_failed";
+    case LogEvent::kJobRowUnreadable:
+      return "job_row_unreadable";
+    case LogEvent::kItemClaimed:
+      return "item_claimed";
+    case LogEvent::kItemRunFailed:
+      return "item_run_failed";
+    case LogEvent::kItemFinished:
+      return "item_finished";
+    case LogEvent::kItemReturned:
+      return "item_returned";
+    case LogEvent::kItemDropped:
+      return "item_dropped";
+    default:
+      return "event";
+  }
+}
+
+}  // namespace carawayrelay
--- a/src/process/events.h
+++ b/src/process/events.h
@@ -7,7 +7,9 @@
 enum class LogEvent : int {
   // 10xx process, 11xx connections, 12xx configuration, 13xx online requests,
   // 14xx rate limits, 15xx batch, 16xx agent and engine, 17xx platform,
-  // 18xx telemetry.
+  // 18xx telemetry, 190x serving processes, 191x configuration and store,
+  // 192x backend servers, 193x online requests, 194x batch jobs, 195x batch
+  // items of the serving processes.
   kLinkUp = 1101,
   kLinkDown = 1102,
   kConfigAdopted = 1201,
@@ -43,6 +45,40 @@
   kPlatformBack = 1702,
   kVmListUnreadable = 1703,
   kTraceExportFailed = 1801,
+  kServingStarted = 1901,
+  kServingStopping = 1902,
+  kServingStopped = 1903,
+  kServingReloaded = 1904,
+  kServingFailed = 1905,
+  kServingReadiness = 1906,
+  kServingConfigAdopted = 1911,
+  kServingConfigUnreadable = 1912,
+  kZonesOutChanged = 1913,
+  kStoreLost = 1914,
+  kStoreRegained = 1915,
+  kDemandReportUnreadable = 1916,
+  kRunnerChanged = 1921,
+  kRunnerGone = 1922,
+  kRunnerEntryUnreadable = 1923,
+  kRunnerAvoided = 1924,
+  kRequestRefused = 1931,
+  kAttemptDeclined = 1932,
+  kAttemptFailed = 1933,
+  kRequestEnded = 1934,
+  kJobSubmitted = 1941,
+  kJobRefused = 1942,
+  kJobStoreRetry = 1943,
+  kJobEnded = 1944,
+  kJobReadFailed = 1945,
+  kJobRowUnreadable = 1946,
+  kItemClaimed = 1951,
+  kItemRunFailed = 1952,
+  kItemFinished = 1953,
+  kItemReturned = 1954,
+  kItemDropped = 1955,
 };
 
+// The name of the event in the structured log, such as "request_ended".
+const char* EventName(LogEvent event);
+
 }  // namespace carawayrelay
--- a/src/process/http_server.cc
+++ b/src/process/http_server.cc
@@ -140,6 +140,11 @@
         connection_(restinio::impl::access_req_connection(*request_)),
         request_id_(request_->request_id()) {}
 
+  void CloseAfterReply() {
+    std::lock_guard lock(mutex_);
+    closes_ = true;
+  }
+
   void Reply(int status, const HttpHeaders& headers, std::string body) {
     std::lock_guard lock(mutex_);
     if (std::exchange(replied_, true)) {
@@ -149,6 +154,9 @@
     for (const auto& [name, value] : headers) {
       response.append_header(name, value);
     }
+    if (closes_) {
+      response.connection_close();
+    }
     response.set_body(std::move(body));
     response.done();
     finished_ = true;
@@ -164,6 +172,9 @@
     for (const auto& [name, value] : headers) {
       stream_->append_header(name, value);
     }
+    if (closes_) {
+      stream_->connection_close();
+    }
     stream_->flush();
   }
 
@@ -224,6 +235,7 @@
   std::optional<ChunkedBuilder> stream_;
   std::atomic<size_t> unsent_bytes_ = 0;
   std::atomic<bool> gone_ = false;
+  bool closes_ = false;
   bool replied_ = false;
   bool finished_ = false;
 };
@@ -235,6 +247,10 @@
   Abort();
 }
 
+void HttpExchange::CloseAfterReply() {
+  impl_->CloseAfterReply();
+}
+
 void HttpExchange::Reply(int status,
                          const HttpHeaders& headers,
                          std::string body) {
--- a/src/process/http_server.h
+++ b/src/process/http_server.h
@@ -32,6 +32,8 @@
   HttpExchange(const HttpExchange&) = delete;
   HttpExchange& operator=(const HttpExchange&) = delete;
 
+  // Makes the answer close the connection. Call it before the reply.
+  void CloseAfterReply();
   void Reply(int status, const HttpHeaders& headers, std::string body);
   void StartStream(int status, const HttpHeaders& headers);
   // Sends a piece of a started stream. Returns false when the caller is gone
--- a/src/process/refusal_json.cc
+++ b/src/process/refusal_json.cc
@@ -6,7 +6,7 @@
 namespace carawayrelay {
 namespace {
 
-// Names that clients of the OpenAI API know.
+// Names that client libraries of the callers' interface know.
 const char* TypeOf(RefusalCode code) {
   switch (code) {
     case RefusalCode::kInvalidRequest:
@@ -36,6 +36,7 @@
     error["retry_after"] =
         std::chrono::duration<double>(*refusal.retry_after).count();
   }
+  // Reasons may hold bytes of the caller that are not UTF-8.
   return nlohmann::json{{"error", std::move(error)}}.dump(
       -1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
@@ -50,4 +51,9 @@
   return headers;
 }
 
+void ReplyRefusal(HttpExchange& exchange, const Refusal& refusal) {
+  exchange.Reply(HttpStatus(refusal.code), RefusalHeaders(refusal),
+                 ToJson(refusal));
+}
+
 }  // namespace carawayrelay
--- a/src/process/refusal_json.h
+++ b/src/process/refusal_json.h
@@ -15,4 +15,7 @@
 // The headers that go with it: Content-Type, and Retry-After in whole seconds.
 HttpHeaders RefusalHeaders(const Refusal& refusal);
 
+// Replies with the status, headers and body of a refusal.
+void ReplyRefusal(HttpExchange& exchange, const Refusal& refusal);
+
 }  // namespace carawayrelay
--- /dev/null
+++ b/src/process/serving/decision_log.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <type_traits>
+
+#include "process/events.h"
+#include "request/boot_clock.h"
+
+namespace carawayrelay {
+
+// Starts the structured log of the process: JSON lines on standard output,
+// written by a thread of its own. When that thread falls behind, the oldest
+// lines are dropped and counted.
+void StartDecisionLog(const std::string& node);
+// Writes what is queued.
+void StopDecisionLog();
+// Lines that were dropped because of the budget or a full queue.
+std::uint64_t DroppedLogLines();
+
+inline std::int64_t ToMilliseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
+namespace internal {
+
+// Whether the budget of the event has room for one more line this second.
+bool TakeLogBudget(LogEvent event);
+void WriteLogLine(std::string line);
+std::string BeginLogLine(LogEvent event);
+void AppendText(std::string& line, std::string_view value);
+
+template <class Value>
+void AppendField(std::string& line, std::string_view name, const Value& value) {
+  line += ",\"";
+  line += name;
+  line += "\":";
+  if constexpr (std::is_same_v<Value, bool>) {
+    line += value ? "true" : "false";
+  } else if constexpr (std::is_enum_v<Value>) {
+    line += std::to_string(static_cast<std::uint64_t>(value));
+  } else if constexpr (std::is_arithmetic_v<Value>) {
+    line += std::to_string(value);
+  } else {
+    AppendText(line, value);
+  }
+}
+
+inline void AppendFields(std::string&) {}
+
+template <class Value, class... Rest>
+void AppendFields(std::string& line,
+                  std::string_view name,
+                  const Value& value,
+                  const Rest&... rest) {
+  AppendField(line, name, value);
+  AppendFields(line, rest...);
+}
+
+}  // namespace internal
+
+// Writes one line for a decision: alternating names and values. Never blocks.
+template <class... Fields>
+void LogDecision(LogEvent event, const Fields&... fields) {
+  if (!internal::TakeLogBudget(event)) {
+    return;
+  }
+  std::string line = internal::BeginLogLine(event);
+  internal::AppendFields(line, fields...);
+  line += '}';
+  internal::WriteLogLine(std::move(line));
+}
+
+}  // namespace carawayrelay
--- /dev/null
+++ b/src/process/serving/frontend_process.cc
@@ -0,0 +1,433 @@
+#include "process/serving/frontend_process.h"
+
+#include <algorithm>
+#include <sstream>
+#include <utility>
+#include <vector>
+
+#include "platform/client_codec.h"
+#include "process/serving/decision_log.h"
+#include "request/overloaded.h"
+
+namespace carawayrelay {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kTickInterval{50};
+constexpr const char* kDemandTable = "frontend_demand";
+constexpr milliseconds kDemandRetry{200};
+// Reports of frontends that are long gone are removed.
+constexpr milliseconds kAbandonedReport{60000};
+// The configuration may be this part of the revocation time old.
+constexpr double kConfigAgePart = 0.8;
+// Clients are sent elsewhere when this entry cannot answer yet.
+constexpr milliseconds kNotReadyRetry{500};
+// After a stop signal the balancer needs this long to send clients elsewhere.
+constexpr milliseconds kLeaveTime{3000};
+// Without requests for this long after kLeaveTime the process stops.
+constexpr milliseconds kQuietTime{500};
+// Before the end of the grace, for the threads to end.
+constexpr milliseconds kStopReserve{700};
+// Known jobs older than this are read from the store.
+constexpr milliseconds kJobsAge{1200};
+constexpr size_t kMaxBodyBytes = size_t{8} << 20;
+constexpr const char* kMetricsPath = "/metrics";
+constexpr const char* kMetricsType = "text/plain; version=0.0.4";
+
+std::string HostOf(const HttpRequest& request) {
+  const auto it = request.headers.find("host");
+  return it == request.headers.end()
+             ? std::string()
+             : it->second.substr(0, it->second.find(':'));
+}
+
+}  // namespace
+
+Result<std::unique_ptr<FrontendProcess>> FrontendProcess::Make(
+    FrontendSettings settings,
+    std::uint64_t seed) {
+  std::unique_ptr<FrontendProcess> process(
+      new FrontendProcess(std::move(settings), seed));
+  BOOST_OUTCOME_TRY(process->Start());
+  return process;
+}
+
+FrontendProcess::FrontendProcess(FrontendSettings settings, std::uint64_t seed)
+    : settings_(std::move(settings)),
+      seed_(seed),
+      allowances_(settings_.node) {}
+
+FrontendProcess::~FrontendProcess() {
+  if (core_) {
+    core_->events().Close();
+  }
+  if (thread_.joinable()) {
+    thread_.join();
+  }
+  if (clients_server_) {
+    clients_server_->Stop();
+  }
+  if (ready_server_) {
+    ready_server_->Stop();
+  }
+  if (core_) {
+    core_->Stop();
+  }
+}
+
+Result<void> FrontendProcess::Start() {
+  BOOST_OUTCOME_TRY(
+      core_,
+      ServingCore::Make(
+          {.store_address = settings_.store_address, .seed = seed_},
+          [this](TimePoint now) {
+            if (core_->operators().config()) {
+              allowances_.SetConfig(core_->operators().config(), now);
+            }
+          }));
+  const auto answer = [this](ClientId client, ClientAnswer a) {
+    Answer(client, std::move(a));
+  };
+  forwarder_ = std::make_unique<OnlineForwarder>(
+      OnlineForwarder::Options{.zone = settings_.zone, .seed = seed_},
+      core_->runners(), allowances_, core_->calls(), answer);
+  job_api_ = std::make_unique<JobApi>(core_->jobs(), core_->writer(),
+                                      core_->store(), answer);
+  BOOST_OUTCOME_TRY(
+      ready_server_,
+      HttpServer::Make({.listen_address = settings_.listen_ready},
+                       [this](const HttpRequest& request,
+                              const HttpExchangePtr& exchange) {
+                         HandleReady(request, exchange);
+                       }));
+  BOOST_OUTCOME_TRY(
+      clients_server_,
+      HttpServer::Make(
+          {.listen_address = settings_.listen_clients,
+           .max_body_bytes = kMaxBodyBytes},
+          [this](HttpRequest request, HttpExchangePtr exchange) {
+            ServingEvent event(
+                HttpArrived{std::move(request), std::move(exchange)});
+            if (!core_->events().TryPush(event)) {
+              const WholeAnswer refusal = platform::EncodeRefusal(
+                  {.code = RefusalCode::kOverloaded,
+                   .reason = "too many events are waiting",
+                   .retry_after = kNotReadyRetry});
+              std::get<HttpArrived>(event).exchange->Reply(
+                  refusal.status, refusal.headers, refusal.body);
+            }
+          }));
+  thread_ = std::thread([this] { Run(); });
+  LogDecision(LogEvent::kServingStarted, "role", "frontend", "zone",
+              settings_.zone, "clients", settings_.listen_clients, "ready",
+              settings_.listen_ready, "store", settings_.store_address);
+  return Success();
+}
+
+void FrontendProcess::Run() {
+  while (true) {
+    const TimePoint now = BootClock::now();
+    if (now >= next_tick_) {
+      next_tick_ = now + kTickInterval;
+      Tick(now);
+    }
+    core_->Tick(now);
+    job_api_->Tick(now);
+    if (IsDrained(now) || core_->events().IsClosed()) {
+      break;
+    }
+    if (auto event = core_->events().PopUntil(next_tick_)) {
+      Take(*std::move(event), BootClock::now());
+    }
+  }
+  is_ready_ = false;
+  exchanges_.clear();
+}
+
+void FrontendProcess::Take(ServingEvent event, TimePoint now) {
+  std::visit(Overloaded{
+                 [&](HttpArrived& arrived) {
+                   TakeRequest(std::move(arrived), now);
+                 },
+                 [&](StopAsked&) {
+                   draining_since_ = now;
+                   last_request_ = now;
+                   is_ready_ = false;
+                   LogDecision(LogEvent::kServingStopping, "active",
+                               exchanges_.size());
+                 },
+                 [](ReloadAsked&) {
+                   LogDecision(LogEvent::kServingReloaded, "changed", false);
+                 },
+                 [&](auto& call) { core_->Deliver(std::move(call)); },
+             },
+             event);
+}
+
+std::optional<Refusal> FrontendProcess::RefusalForAll(TimePoint now) const {
+  const std::optional<Duration> age = core_->operators().Age(now);
+  if (!age) {
+    return Refusal{.code = RefusalCode::kNotReady,
+                   .reason = "no configuration is known yet",
+                   .retry_after = kNotReadyRetry};
+  }
+  if (*age >= settings_.key_revocation * kConfigAgePart) {
+    return Refusal{.code = RefusalCode::kStaleConfig,
+                   .reason = "the configuration was last confirmed " +
+                             std::to_string(ToMilliseconds(*age)) + " ms ago",
+                   .retry_after = kNotReadyRetry};
+  }
+  return std::nullopt;
+}
+
+void FrontendProcess::TakeRequest(HttpArrived arrived, TimePoint now) {
+  const ClientId client{next_client_++};
+  last_request_ = now;
+  if (draining_since_) {
+    arrived.exchange->CloseAfterReply();
+  }
+  exchanges_.emplace(client, std::move(arrived.exchange));
+  HttpRequest& request = arrived.request;
+  if (auto refusal = RefusalForAll(now)) {
+    Refuse(client, "", *std::move(refusal));
+    return;
+  }
+  if (auto call = platform::DecodeJobCall(request)) {
+    const ServingRoute* route =
+        core_->operators().config()->FindBulkRoute(HostOf(request));
+    if (route != nullptr) {
+      TakeJobCall(client, request, *std::move(call), *route, now);
+      return;
+    }
+  }
+  Result<ClientCall> call = platform::DecodeClientCall(std::move(request), now);
+  if (!call) {
+    Refuse(client, "",
+           {.code = RefusalCode::kInvalidRequest,
+            .reason = call.error().message});
+    return;
+  }
+  call.value().client = client;
+  TakeCall(std::move(call).value(), now);
+}
+
+void FrontendProcess::TakeJobCall(ClientId client,
+                                  const HttpRequest& request,
+                                  platform::JobCall call,
+                                  const ServingRoute& route,
+                                  TimePoint now) {
+  const ServingWorkspace* workspace =
+      core_->operators().config()->FindWorkspace(platform::KeyOf(request));
+  if (workspace == nullptr) {
+    Refuse(client, route.name,
+           {.code = RefusalCode::kUnauthorized, .reason = "unknown key"});
+    return;
+  }
+  job_api_->Handle(client, std::move(call), workspace->name,
+                   core_->AreJobsCurrent(kJobsAge, now));
+}
+
+void FrontendProcess::TakeCall(ClientCall call, TimePoint now) {
+  const ServingConfig& config = *core_->operators().config();
+  const ServingRoute* route = config.FindRoute(call.host, call.path);
+  if (route == nullptr) {
+    Refuse(call.client, call.request_id,
+           {.code = RefusalCode::kNotFound, .reason = "no such route"});
+    return;
+  }
+  const ServingWorkspace* workspace = nullptr;
+  if (!route->is_open) {
+    workspace = config.FindWorkspace(call.key);
+    if (workspace == nullptr) {
+      Refuse(call.client, call.request_id,
+             {.code = RefusalCode::kUnauthorized, .reason = "unknown key"});
+      return;
+    }
+  }
+  if (route->call_class == CallClass::kBulk && workspace != nullptr) {
+    job_api_->Submit(std::move(call), *route, *workspace, now);
+    return;
+  }
+  forwarder_->Arrive(std::move(call), *route, workspace, now);
+}
+
+void FrontendProcess::Refuse(ClientId client,
+                             const std::string& request_id,
+                             Refusal refusal) {
+  const auto& operators = core_->operators();
+  LogDecision(LogEvent::kRequestRefused, "id", request_id, "code",
+              ToString(refusal.code), "reason", refusal.reason,
+              "config_version",
+              operators.config() ? operators.config()->version() : kNoConfig);
+  Answer(client, std::move(refusal));
+}
+
+void FrontendProcess::Answer(ClientId client, ClientAnswer answer) {
+  const auto it = exchanges_.find(client);
+  if (it == exchanges_.end()) {
+    return;
+  }
+  // Kept, because the entry may be erased below.
+  const HttpExchangePtr exchange = it->second;
+  if (draining_since_) {
+    exchange->CloseAfterReply();
+  }
+  const bool is_last = std::visit(
+      Overloaded{
+          [&](AnswerHead& head) {
+            exchange->StartStream(head.status, head.headers);
+            return false;
+          },
+          [&](AnswerPart& part) {
+            exchange->SendPart(std::move(part.bytes));
+            return false;
+          },
+          [&](AnswerDone&) {
+            exchange->EndStream();
+            return true;
+          },
+          [&](AnswerBroken&) {
+            exchange->Abort();
+            return true;
+          },
+          [&](WholeAnswer& whole) {
+            exchange->Reply(whole.status, whole.headers, std::move(whole.body));
+            return true;
+          },
+          [&](Refusal& refusal) {
+            WholeAnswer whole = platform::EncodeRefusal(refusal);
+            exchange->Reply(whole.status, whole.headers, std::move(whole.body));
+            return true;
+          },
+      },
+      answer);
+  if (is_last) {
+    exchanges_.erase(client);
+  }
+}
+
+void FrontendProcess::Tick(TimePoint now) {
+  std::vector<ClientId> gone;
+  for (const auto& [client, exchange] : exchanges_) {
+    if (exchange->IsGone()) {
+      gone.push_back(client);
+    }
+  }
+  for (const ClientId client : gone) {
+    forwarder_->ClientGone(client);
+    exchanges_.erase(client);
+  }
+  forwarder_->Tick(now);
+  ReportDemand(now);
+  UpdateReadiness(now);
+}
+
+void FrontendProcess::ReportDemand(TimePoint now) {
+  if (is_reporting_ || now < next_demand_) {
+    return;
+  }
+  is_reporting_ = true;
+  next_demand_ = now + Allowances::kReportInterval;
+  RowsTransaction transaction;
+  transaction.writes.push_back(
+      {.key = {.table = kDemandTable, .key = settings_.node},
+       .value = allowances_.MakeReport(now)});
+  core_->store().Send(std::move(transaction), [this, now](StoreReply reply) {
+    if (reply.status != StoreStatus::kDone) {
+      is_reporting_ = false;
+      next_demand_ = BootClock::now() + kDemandRetry;
+      return;
+    }
+    allowances_.ReportStored(now);
+    ReadDemand(BootClock::now());
+  });
+}
+
+void FrontendProcess::ReadDemand(TimePoint now) {
+  core_->store().Send(RowsRead{.table = kDemandTable},
+                      [this](StoreReply reply) {
+                        is_reporting_ = false;
+                        const TimePoint at = BootClock::now();
+                        if (reply.status == StoreStatus::kDone) {
+                          allowances_.ApplyReports(reply.rows, at);
+                          RemoveAbandonedReports(at);
+                        }
+                      });
+}
+
+void FrontendProcess::RemoveAbandonedReports(TimePoint now) {
+  for (const StoredRow& row : allowances_.Abandoned(kAbandonedReport, now)) {
+    const RowKey key{.table = kDemandTable, .key = row.key.key};
+    RowsTransaction transaction;
+    transaction.expected.push_back({.key = key, .version = row.version});
+    transaction.removals.push_back(key);
+    // Any frontend may remove it; a lost race needs no answer.
+    core_->store().Send(std::move(transaction), [](const StoreReply&) {});
+  }
+}
+
+void FrontendProcess::UpdateReadiness(TimePoint now) {
+  const bool is_ready = !draining_since_ && !RefusalForAll(now) &&
+                        allowances_.HasShare(now) && core_->runners().size() > 0;
+  if (is_ready_.exchange(is_ready) != is_ready) {
+    const std::optional<Duration> age = core_->operators().Age(now);
+    LogDecision(LogEvent::kServingReadiness, "ready", is_ready,
+                "config_age_ms", age ? ToMilliseconds(*age) : -1, "has_share",
+                allowances_.HasShare(now), "runners", core_->runners().size());
+  }
+  std::lock_guard lock(metrics_mutex_);
+  metrics_ = MetricsText();
+}
+
+bool FrontendProcess::IsDrained(TimePoint now) const {
+  if (!draining_since_) {
+    return false;
+  }
+  if (now - *draining_since_ >= settings_.stop_grace - kStopReserve) {
+    return true;
+  }
+  return exchanges_.empty() && now - *draining_since_ >= kLeaveTime &&
+         now - last_request_ >= kQuietTime;
+}
+
+std::string FrontendProcess::MetricsText() const {
+  const OnlineForwarder::Counters& c = forwarder_->counters();
+  std::ostringstream text;
+  text << "carawayrelay_requests_served_total " << c.served << '\n'
+       << "carawayrelay_requests_refused_total " << c.refused << '\n'
+       << "carawayrelay_requests_broken_total " << c.broken << '\n'
+       << "carawayrelay_requests_abandoned_total " << c.abandoned << '\n'
+       << "carawayrelay_requests_resent_total " << c.resent << '\n'
+       << "carawayrelay_requests_active " << forwarder_->active() << '\n'
+       << "carawayrelay_runners_known " << core_->runners().size() << '\n'
+       << "carawayrelay_jobs_known " << core_->jobs().jobs().size() << '\n'
+       << "carawayrelay_rate_members " << allowances_.member_count() << '\n'
+       << "carawayrelay_calls_running " << core_->calls().size() << '\n'
+       << "carawayrelay_log_lines_dropped_total " << DroppedLogLines() << '\n';
+  return std::move(text).str();
+}
+
+void FrontendProcess::HandleReady(const HttpRequest& request,
+                                  const HttpExchangePtr& exchange) {
+  if (request.path == kMetricsPath) {
+    std::lock_guard lock(metrics_mutex_);
+    exchange->Reply(200, {{"Content-Type", kMetricsType}}, metrics_);
+  } else if (request.path == platform::kReadyPath) {
+    exchange->Reply(is_ready_ ? 200 : 503, {}, is_ready_ ? "ready\n" : "\n");
+  } else {
+    exchange->Reply(404, {}, "");
+  }
+}
+
+void FrontendProcess::Drain() {
+  core_->events().Push(ServingEvent(StopAsked{}));
+  thread_.join();
+  LogDecision(LogEvent::kServingStopped, "role", "frontend");
+}
+
+void FrontendProcess::Reload() {
+  core_->events().Push(ServingEvent(ReloadAsked{}));
+}
+
+}  // namespace carawayrelay
--- /dev/null
+++ b/src/process/serving/frontend_process.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+
+#include "process/serving/allowances.h"
+#include "process/serving/job_api.h"
+#include "process/serving/online_forwarder.h"
+#include "process/serving/serving_core.h"
+#include "process/serving/serving_settings.h"
+
+namespace carawayrelay {
+
+// The frontend role: an HTTP server for clients, one for readiness and
+// metrics, the thread that makes calls, and the thread that decides.
+class FrontendProcess {
+ public:
+  // Binds the addresses and starts the threads. Fails with kInvalid,
+  // kUnavailable or kInternal.
+  static Result<std::unique_ptr<FrontendProcess>> Make(
+      FrontendSettings settings,
+      std::uint64_t seed);
+  ~FrontendProcess();
+
+  // Graceful shutdown: not ready any more, serves what still comes, and stops
+  // once clients have left or the grace is nearly over.
+  void Drain();
+  // Notes that the settings may have changed; addresses stay as they are.
+  void Reload();
+
+ private:
+  FrontendProcess(FrontendSettings settings, std::uint64_t seed);
+
+  Result<void> Start();
+  void Run();
+  void Take(ServingEvent event, TimePoint now);
+  void TakeRequest(HttpArrived arrived, TimePoint now);
+  void TakeJobCall(ClientId client,
+                   const HttpRequest& request,
+                   platform::JobCall call,
+                   const ServingRoute& route,
+                   TimePoint now);
+  void TakeCall(ClientCall call, TimePoint now);
+  // The refusal of everything while the configuration is missing or too old.
+  std::optional<Refusal> RefusalForAll(TimePoint now) const;
+  void Answer(ClientId client, ClientAnswer answer);
+  void Refuse(ClientId client, const std::string& request_id, Refusal refusal);
+  void Tick(TimePoint now);
+  void ReportDemand(TimePoint now);
+  void ReadDemand(TimePoint now);
+  void RemoveAbandonedReports(TimePoint now);
+  void UpdateReadiness(TimePoint now);
+  bool IsDrained(TimePoint now) const;
+  std::string MetricsText() const;
+  void HandleReady(const HttpRequest& request, const HttpExchangePtr& exchange);
+
+  FrontendSettings settings_;
+  std::uint64_t seed_;
+  std::unique_ptr<ServingCore> core_;
+  Allowances allowances_;
+  std::unique_ptr<OnlineForwarder> forwarder_;
+  std::unique_ptr<JobApi> job_api_;
+  std::map<ClientId, HttpExchangePtr> exchanges_;
+  std::uint64_t next_client_ = 1;
+  std::atomic<bool> is_ready_ = false;
+  std::optional<TimePoint> draining_since_;
+  TimePoint last_request_{};
+  TimePoint next_tick_{};
+  TimePoint next_demand_{};
+  bool is_reporting_ = false;
+  std::unique_ptr<HttpServer> clients_server_;
+  std::unique_ptr<HttpServer> ready_server_;
+  std::thread thread_;
+
+  // Copied for the thread of the readiness server.
+  mutable std::mutex metrics_mutex_;
+  std::string metrics_;
+};
+
+}  // namespace carawayrelay
--- /dev/null
+++ b/src/process/serving/http_caller.cc
@@ -0,0 +1,338 @@
+#include "process/serving/http_caller.h"
+
+#include <curl/curl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cctype>
+#include <chrono>
+#include <map>
+#include <string_view>
+#include <thread>
+#include <utility>
+#include <variant>
+
+#include "process/ring.h"
+
+namespace carawayrelay {
+namespace {
+
+// Longest wait for a command or a socket; both end the wait early.
+constexpr std::chrono::milliseconds kMaxPoll{1000};
+constexpr long kMaxKeptConnections = 64;
+
+struct EasyDeleter {
+  void operator()(CURL* easy) const { curl_easy_cleanup(easy); }
+};
+struct MultiDeleter {
+  void operator()(CURLM* multi) const { curl_multi_cleanup(multi); }
+};
+struct ListDeleter {
+  void operator()(curl_slist* list) const { curl_slist_free_all(list); }
+};
+using EasyPtr = std::unique_ptr<CURL, EasyDeleter>;
+using MultiPtr = std::unique_ptr<CURLM, MultiDeleter>;
+using ListPtr = std::unique_ptr<curl_slist, ListDeleter>;
+
+struct CancelCall {
+  OutboundId id{0};
+};
+using Command = std::variant<OutboundCall, CancelCall>;
+
+std::string_view Trim(std::string_view text) {
+  constexpr std::string_view kSpace = " \t\r\n";
+  const size_t begin = text.find_first_not_of(kSpace);
+  if (begin == std::string_view::npos) {
+    return {};
+  }
+  return text.substr(begin, text.find_last_not_of(kSpace) - begin + 1);
+}
+
+std::string LowerCase(std::string_view text) {
+  std::string lower(text);
+  std::transform(lower.begin(), lower.end(), lower.begin(),
+                 [](unsigned char c) { return std::tolower(c); });
+  return lower;
+}
+
+}  // namespace
+
+class HttpCaller::Impl {
+ public:
+  Impl(Options options, Deliver deliver)
+      : options_(options),
+        deliver_(std::move(deliver)),
+        commands_(options_.command_capacity),
+        multi_(curl_multi_init()) {
+    if (multi_) {
+      curl_multi_setopt(multi_.get(), CURLMOPT_MAXCONNECTS,
+                        kMaxKeptConnections);
+    }
+    commands_.SetWake([this] { curl_multi_wakeup(multi_.get()); });
+  }
+
+  bool IsReady() const { return multi_ != nullptr; }
+
+  void StartThread() {
+    thread_ = std::thread([this] { Run(); });
+  }
+
+  bool Push(Command command) { return commands_.TryPush(command); }
+
+  void Stop() {
+    if (thread_.joinable()) {
+      commands_.Close();
+      thread_.join();
+    }
+  }
+
+ private:
+  // One call in progress. libcurl holds pointers to it.
+  struct Transfer {
+    Impl* caller = nullptr;
+    OutboundCall call;
+    CallHead head;
+    EasyPtr easy;
+    ListPtr headers;
+    bool was_sent = false;
+  };
+
+  void Run() {
+    while (RunCommands()) {
+      int running = 0;
+      curl_multi_perform(multi_.get(), &running);
+      CollectFinished();
+      curl_multi_poll(multi_.get(), nullptr, 0,
+                      static_cast<int>(kMaxPoll.count()), nullptr);
+    }
+    for (const auto& [id, transfer] : transfers_) {
+      curl_multi_remove_handle(multi_.get(), transfer->easy.get());
+    }
+    transfers_.clear();
+  }
+
+  // Returns false when the caller is stopped.
+  bool RunCommands() {
+    while (std::optional<Command> command = commands_.TryPop()) {
+      std::visit(Overloaded{
+                     [&](OutboundCall& call) { Begin(std::move(call)); },
+                     [&](CancelCall& cancel) { Take(cancel.id); },
+                 },
+                 *command);
+    }
+    return !commands_.IsClosed();
+  }
+
+  void Begin(OutboundCall call) {
+    const OutboundId id = call.id;
+    auto transfer = std::make_unique<Transfer>(
+        Transfer{.caller = this,
+                 .call = std::move(call),
+                 .head = {.id = id},
+                 .easy = EasyPtr(curl_easy_init())});
+    if (!transfer->easy) {
+      deliver_(CallEnd{.id = id, .reason = "libcurl has no handle"});
+      return;
+    }
+    SetUp(*transfer);
+    curl_multi_add_handle(multi_.get(), transfer->easy.get());
+    transfers_.emplace(id, std::move(transfer));
+  }
+
+  void SetUp(Transfer& transfer) {
+    CURL* easy = transfer.easy.get();
+    const OutboundCall& call = transfer.call;
+    const std::string url = "http://" + call.address + call.target;
+    curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
+    curl_easy_setopt(easy, CURLOPT_PRIVATE, &transfer);
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
+    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(easy, CURLOPT_HTTP_VERSION,
+                     static_cast<long>(CURL_HTTP_VERSION_1_1));
+    curl_easy_setopt(easy, CURLOPT_HTTP09_ALLOWED, 0L);
+    curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, 16384L);
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+                     static_cast<long>(call.connect_limit.count()));
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
+                     static_cast<long>(call.total_limit.count()));
+    curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN,
+                     static_cast<long>(options_.max_idle.count()));
+    if (!call.keeps_connection) {
+      curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+      curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+    }
+    SetBody(easy, call);
+    SetHeaders(transfer);
+    curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &OnSocket);
+    curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, this);
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnConnected);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &OnHeader);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnWrite);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
+  }
+
+  static void SetBody(CURL* easy, const OutboundCall& call) {
+    if (call.method == "HEAD") {
+      curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+    } else if (!call.body.empty() || call.method == "POST" ||
+               call.method == "PUT") {
+      curl_easy_setopt(easy, CURLOPT_POST, 1L);
+      curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                       static_cast<curl_off_t>(call.body.size()));
+      curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.body.data());
+    }
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
+  }
+
+  static void SetHeaders(Transfer& transfer) {
+    ListPtr list;
+    const auto add = [&](const std::string& line) {
+      list.reset(curl_slist_append(list.release(), line.c_str()));
+    };
+    // libcurl adds these by itself, and waits for a 100 response before a
+    // large body when Expect stays.
+    add("Expect:");
+    add("Accept:");
+    if (FindHeader(transfer.call.headers, "content-type").empty() &&
+        FindHeader(transfer.call.headers, "Content-Type").empty()) {
+      add("Content-Type:");
+    }
+    for (const auto& [name, value] : transfer.call.headers) {
+      // A semicolon stands for an empty value in libcurl.
+      add(value.empty() ? name + ";" : name + ": " + value);
+    }
+    transfer.headers = std::move(list);
+    curl_easy_setopt(transfer.easy.get(), CURLOPT_HTTPHEADER,
+                     transfer.headers.get());
+  }
+
+  static int OnSocket(void* user, curl_socket_t socket, curlsocktype) {
+    const auto limit = static_cast<unsigned int>(
+        static_cast<Impl*>(user)->options_.unacknowledged_limit.count());
+    // A kernel without the option only finds dead connections later.
+    (void)setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit,
+                     sizeof(limit));
+    return CURL_SOCKOPT_OK;
+  }
+
+  // Called before the first byte of the request is sent, and again when
+  // libcurl is about to send it a second time on a new connection.
+  static int OnConnected(void* user, char*, char*, int, int) {
+    auto& transfer = *static_cast<Transfer*>(user);
+    return std::exchange(transfer.was_sent, true) ? CURL_PREREQFUNC_ABORT
+                                                  : CURL_PREREQFUNC_OK;
+  }
+
+  static size_t OnHeader(char* data, size_t size, size_t count, void* user) {
+    auto& transfer = *static_cast<Transfer*>(user);
+    const std::string_view line(data, size * count);
+    if (line.starts_with("HTTP/")) {
+      transfer.head.headers.clear();
+      return line.size();
+    }
+    if (line == "\r\n" || line == "\n") {
+      transfer.caller->OnHeadersEnd(transfer);
+      return line.size();
+    }
+    const size_t colon = line.find(':');
+    if (colon != std::string_view::npos) {
+      transfer.head.headers.emplace_back(
+          LowerCase(Trim(line.substr(0, colon))),
+          std::string(Trim(line.substr(colon + 1))));
+    }
+    return line.size();
+  }
+
+  void OnHeadersEnd(Transfer& transfer) {
+    long status = 0;
+    curl_easy_getinfo(transfer.easy.get(), CURLINFO_RESPONSE_CODE, &status);
+    if (status < 200) {
+      return;
+    }
+    transfer.head.status = static_cast<int>(status);
+    deliver_(std::move(transfer.head));
+    transfer.head = {.id = transfer.call.id};
+  }
+
+  static size_t OnWrite(char* data, size_t size, size_t count, void* user) {
+    auto& transfer = *static_cast<Transfer*>(user);
+    transfer.caller->deliver_(CallData{
+        .id = transfer.call.id, .bytes = std::string(data, size * count)});
+    return size * count;
+  }
+
+  void CollectFinished() {
+    int left = 0;
+    while (CURLMsg* message = curl_multi_info_read(multi_.get(), &left)) {
+      if (message->msg != CURLMSG_DONE) {
+        continue;
+      }
+      const CURLcode code = message->data.result;
+      void* user = nullptr;
+      curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &user);
+      // The connection is closed before the end is told.
+      const auto transfer = Take(static_cast<Transfer*>(user)->call.id);
+      deliver_(CallEnd{
+          .id = transfer->call.id,
+          .is_whole = code == CURLE_OK,
+          .was_sent = transfer->was_sent,
+          .reason = code == CURLE_OK ? "" : curl_easy_strerror(code)});
+    }
+  }
+
+  // Removes a transfer; libcurl closes its connection unless it is kept.
+  std::unique_ptr<Transfer> Take(OutboundId id) {
+    auto node = transfers_.extract(id);
+    if (node.empty()) {
+      return nullptr;
+    }
+    curl_multi_remove_handle(multi_.get(), node.mapped()->easy.get());
+    return std::move(node.mapped());
+  }
+
+  Options options_;
+  Deliver deliver_;
+  Ring<Command> commands_;
+  MultiPtr multi_;
+  std::map<OutboundId, std::unique_ptr<Transfer>> transfers_;
+  std::thread thread_;
+};
+
+Result<std::unique_ptr<HttpCaller>> HttpCaller::Make(Options options,
+                                                     Deliver deliver) {
+  if (curl_global_init(CURL_GLOBAL_DEFAULT) != CURLE_OK) {
+    return Error{ErrorCode::kInternal, "libcurl cannot be set up"};
+  }
+  auto impl = std::make_unique<Impl>(options, std::move(deliver));
+  if (!impl->IsReady()) {
+    return Error{ErrorCode::kInternal, "libcurl cannot be set up"};
+  }
+  impl->StartThread();
+  return std::unique_ptr<HttpCaller>(new HttpCaller(std::move(impl)));
+}
+
+HttpCaller::HttpCaller(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
+
+HttpCaller::~HttpCaller() {
+  Stop();
+}
+
+bool HttpCaller::Start(OutboundCall call) {
+  return impl_->Push(std::move(call));
+}
+
+bool HttpCaller::Cancel(OutboundId id) {
+  return impl_->Push(CancelCall{id});
+}
+
+void HttpCaller::Stop() {
+  impl_->Stop();
+}
+
+}  // namespace carawayrelay
--- /dev/null
+++ b/src/process/serving/item_worker.cc
@@ -0,0 +1,635 @@
+#include "process/serving/item_worker.h"
+
+#include <algorithm>
+#include <memory>
+
+#include "platform/runner_codec.h"
+#include "process/serving/decision_log.h"
+#include "process/serving/job_api.h"
+#include "request/overloaded.h"
+
+namespace carawayrelay {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Items that one write may claim.
+constexpr int kMaxClaim = 2;
+// Jobs that are due first, of which one is picked at random so that workers
+// seldom write the same row.
+constexpr size_t kJobChoices = 3;
+constexpr milliseconds kClaimBackoff{60};
+// A claim is renewed when less than this part of its lease is left.
+constexpr int kRenewPart = 2;
+constexpr milliseconds kLoadRetry{200};
+constexpr milliseconds kSweepInterval{500};
+constexpr int kUnprocessable = 422;
+// Runs beside each other while the backend server is cold.
+constexpr int kColdRuns = 2;
+
+}  // namespace
+
+ItemWorker::ItemWorker(Options options,
+                       JobTable& jobs,
+                       JobWriter& writer,
+                       StoreClient& store,
+                       RunnerDirectory& runners,
+                       OutboundCalls& calls)
+    : options_(std::move(options)),
+      jobs_(jobs),
+      writer_(writer),
+      store_(store),
+      runners_(runners),
+      calls_(calls),
+      random_(options_.seed) {}
+
+RunnerDirectory::Runner* ItemWorker::OwnRunner() {
+  RunnerDirectory::Runner* runner =
+      runners_.FindByAddress(options_.runner_address);
+  return runner != nullptr && runners_.IsUsable(*runner) && !runner->gone_at
+             ? runner
+             : nullptr;
+}
+
+int ItemWorker::CountRunning() const {
+  return static_cast<int>(
+      std::count_if(runs_.begin(), runs_.end(), [](const auto& item) {
+        return item.second.state == RunState::kRunning;
+      }));
+}
+
+int ItemWorker::CountHeld() const {
+  return static_cast<int>(
+      std::count_if(runs_.begin(), runs_.end(), [](const auto& item) {
+        return item.second.state == RunState::kLoading ||
+               item.second.state == RunState::kPaused;
+      }));
+}
+
+const ServingRoute* ItemWorker::RouteOf(const std::string& job) const {
+  const JobTable::Entry* entry = jobs_.Find(job);
+  return entry == nullptr || !config_
+             ? nullptr
+             : config_->FindRouteByName(entry->job.route);
+}
+
+void ItemWorker::Tick(TimePoint now) {
+  DropMoot(now);
+  Renew(now);
+  if (is_stopping_) {
+    return;
+  }
+  if (OwnRunner() == nullptr) {
+    for (auto& [key, run] : runs_) {
+      if (run.state == RunState::kRunning || run.state == RunState::kPaused) {
+        Return(key, run, "the backend server takes no work", now);
+      }
+    }
+    return;
+  }
+  for (auto& [key, run] : runs_) {
+    if (run.state == RunState::kRunning &&
+        now - run.heard_at >= options_.silence_limit) {
+      Pause(run, now);
+    } else if (run.state == RunState::kPaused &&
+               now - run.state_since >= options_.pause_limit) {
+      Return(key, run, "no free slot", now);
+    }
+  }
+  AskReport(now);
+}
+
+void ItemWorker::AskReport(TimePoint now) {
+  if (is_asking_ || now < next_report_) {
+    return;
+  }
+  const bool has_work = !runs_.empty() || ChooseJob(now).has_value();
+  if (!has_work) {
+    return;
+  }
+  is_asking_ = true;
+  next_report_ = now + options_.report_interval;
+  auto body = std::make_shared<std::string>();
+  calls_.Start(platform::EncodeReportCall(options_.runner_address),
+               [this, body](CallEvent& event) {
+                 std::visit(Overloaded{
+                                [](CallHead&) {},
+                                [&](CallData& data) { *body += data.bytes; },
+                                [&](CallEnd& end) {
+                                  is_asking_ = false;
+                                  const auto load =
+                                      platform::DecodeReport(*body);
+                                  if (end.is_whole && load) {
+                                    OnReport(load.value(), BootClock::now());
+                                  }
+                                },
+                            },
+                            event);
+               });
+}
+
+void ItemWorker::OnReport(const RunnerLoad& load, TimePoint now) {
+  RunnerDirectory::Runner* runner = OwnRunner();
+  if (runner == nullptr || is_stopping_) {
+    return;
+  }
+  if (load.waiting > 0) {
+    Yield(load.waiting, now);
+    return;
+  }
+  int room = runner->entry.slots - load.running - options_.reserved_slots;
+  if (now < runner->cold_until) {
+    room = std::min(room, kColdRuns - CountRunning());
+  }
+  if (room <= 0) {
+    return;
+  }
+  StartPaused(room, now);
+  const int wanted = room - CountHeld();
+  if (wanted > 0) {
+    Claim(std::min(wanted, kMaxClaim), now);
+  }
+}
+
+// Stops the runs that began last; they have the least to read again.
+void ItemWorker::Yield(int count, TimePoint now) {
+  std::vector<Run*> running;
+  for (auto& [key, run] : runs_) {
+    if (run.state == RunState::kRunning) {
+      running.push_back(&run);
+    }
+  }
+  std::sort(running.begin(), running.end(), [](const Run* a, const Run* b) {
+    return a->started_at > b->started_at;
+  });
+  if (running.size() > static_cast<size_t>(count)) {
+    running.resize(static_cast<size_t>(count));
+  }
+  for (Run* run : running) {
+    ++counters_.yielded;
+    Pause(*run, now);
+  }
+}
+
+void ItemWorker::Pause(Run& run, TimePoint now) {
+  if (run.state == RunState::kRunning) {
+    calls_.Cancel(run.out);
+  }
+  run.state = RunState::kPaused;
+  run.state_since = now;
+}
+
+// Stops runs whose job has ended or whose item another worker has taken.
+void ItemWorker::DropMoot(TimePoint now) {
+  for (auto it = runs_.begin(); it != runs_.end();) {
+    Run& run = it->second;
+    const JobTable::Entry* entry = jobs_.Find(it->first.first);
+    const bool is_moot = entry == nullptr || entry->job.is_ended ||
+                         entry->job.items[it->first.second].IsListed();
+    const bool is_busy =
+        run.state == RunState::kListing || run.state == RunState::kReturning;
+    if (!is_moot || is_busy) {
+      ++it;
+      continue;
+    }
+    Pause(run, now);
+    LogDecision(LogEvent::kItemDropped, "job", it->first.first, "item",
+                it->first.second, "reason", "the job has ended or the item is listed");
+    it = runs_.erase(it);
+  }
+}
+
+bool ItemWorker::IsClaimable(const std::string& job,
+                             size_t index,
+                             const JobItemState& item,
+                             milliseconds store_now) const {
+  if (item.IsListed() || runs_.contains({job, index})) {
+    return false;
+  }
+  return item.state == ItemState::kWaiting || item.owner == options_.node ||
+         item.lease_end <= store_now;
+}
+
+std::optional<std::string> ItemWorker::ChooseJob(TimePoint now) {
+  const RunnerDirectory::Runner* runner = OwnRunner();
+  if (runner == nullptr || !config_) {
+    return std::nullopt;
+  }
+  const milliseconds store_now = store_.StoreTime(now);
+  std::vector<std::pair<milliseconds, std::string>> found;
+  for (const auto& [id, entry] : jobs_.jobs()) {
+    if (!entry.job.IsOpen()) {
+      continue;
+    }
+    const ServingRoute* route = config_->FindRouteByName(entry.job.route);
+    if (route == nullptr ||
+        std::none_of(route->services.begin(), route->services.end(),
+                     [&](const WeightedService& s) {
+                       return s.service == runner->entry.service;
+                     })) {
+      continue;
+    }
+    for (size_t i = 0; i < entry.job.items.size(); ++i) {
+      if (IsClaimable(id, i, entry.job.items[i], store_now)) {
+        found.emplace_back(entry.job.accepted + route->bulk.run_goal, id);
+        break;
+      }
+    }
+  }
+  if (found.empty()) {
+    return std::nullopt;
+  }
+  std::sort(found.begin(), found.end());
+  std::uniform_int_distribution<size_t> pick(
+      0, std::min(found.size(), kJobChoices) - 1);
+  return found[pick(random_)].second;
+}
+
+void ItemWorker::Claim(int count, TimePoint now) {
+  if (is_claiming_ || now < next_claim_) {
+    return;
+  }
+  const std::optional<std::string> job = ChooseJob(now);
+  if (!job) {
+    return;
+  }
+  is_claiming_ = true;
+  auto claimed = std::make_shared<std::vector<size_t>>();
+  const auto apply = [this, id = *job, count, claimed](JobState& state,
+                                                       RowsTransaction&) {
+    claimed->clear();
+    if (state.is_ended) {
+      return JobWriter::Outcome::kMoot;
+    }
+    const milliseconds store_now = store_.StoreTime(BootClock::now());
+    for (size_t i = 0;
+         i < state.items.size() && claimed->size() < static_cast<size_t>(count);
+         ++i) {
+      JobItemState& item = state.items[i];
+      if (!IsClaimable(id, i, item, store_now)) {
+        continue;
+      }
+      item.state = ItemState::kClaimed;
+      item.owner = options_.node;
+      item.lease_end = store_now + options_.lease;
+      claimed->push_back(i);
+    }
+    return claimed->empty() ? JobWriter::Outcome::kMoot
+                            : JobWriter::Outcome::kChanged;
+  };
+  const auto done = [this, id = *job, claimed](JobWriter::Outcome outcome) {
+    is_claiming_ = false;
+    const TimePoint at = BootClock::now();
+    if (outcome == JobWriter::Outcome::kChanged) {
+      OnClaimed(id, *claimed, at);
+    } else {
+      next_claim_ = at + kClaimBackoff;
+    }
+  };
+  writer_.Add(*job, {.apply = apply, .done = done});
+}
+
+void ItemWorker::OnClaimed(const std::string& job,
+                           const std::vector<size_t>& items,
+                           TimePoint now) {
+  const JobTable::Entry* entry = jobs_.Find(job);
+  for (const size_t index : items) {
+    Run& run = runs_[{job, index}];
+    run.state_since = now;
+    run.lease_end = store_.StoreTime(now) + options_.lease;
+    bool has_partial = false;
+    if (entry != nullptr) {
+      run.failures = entry->job.items[index].failures;
+      has_partial = entry->job.items[index].has_partial;
+    }
+    LogDecision(LogEvent::kItemClaimed, "job", job, "item", index,
+                "has_partial", has_partial);
+    Load({job, index});
+  }
+}
+
+// Reads what the run needs: the request and the text so far.
+void ItemWorker::Load(const ItemKey& key) {
+  LoadSubmission(
+      key.first, store_,
+      [this, key](Result<std::vector<platform::SubmittedItem>> items) {
+        const auto it = runs_.find(key);
+        if (it == runs_.end() || it->second.state != RunState::kLoading) {
+          return;
+        }
+        const TimePoint now = BootClock::now();
+        if (!items || key.second >= items.value().size()) {
+          Return(key, it->second,
+                 items ? "the submission lacks the item"
+                       : items.error().message,
+                 now);
+          return;
+        }
+        it->second.item = std::move(items.value()[key.second]);
+        it->second.has_item = true;
+        const JobTable::Entry* entry = jobs_.Find(key.first);
+        if (entry == nullptr || !entry->job.items[key.second].has_partial) {
+          Pause(it->second, now);
+          return;
+        }
+        const RowKey row = job_rows::Partial(key.first, key.second);
+        store_.Send(
+            RowsRead{.table = row.table,
+                     .part = row.part,
+                     .from = row.key,
+                     .to = row.key + '\0'},
+            [this, key](StoreReply reply) {
+              const auto found = runs_.find(key);
+              if (found == runs_.end() ||
+                  found->second.state != RunState::kLoading) {
+                return;
+              }
+              if (!reply.rows.empty()) {
+                if (auto partial = DecodePartialRun(reply.rows[0].value)) {
+                  found->second.progress = std::move(partial).value();
+                }
+              }
+              // Without its text the item runs from the start.
+              Pause(found->second, BootClock::now());
+            });
+      });
+}
+
+void ItemWorker::StartPaused(int count, TimePoint now) {
+  for (auto& [key, run] : runs_) {
+    if (count <= 0) {
+      return;
+    }
+    if (run.state == RunState::kPaused) {
+      Start(key, run, now);
+      --count;
+    }
+  }
+}
+
+void ItemWorker::Start(const ItemKey& key, Run& run, TimePoint now) {
+  const ServingRoute* route = RouteOf(key.first);
+  const JobTable::Entry* entry = jobs_.Find(key.first);
+  const RunnerDirectory::Runner* runner = OwnRunner();
+  if (route == nullptr || entry == nullptr || runner == nullptr) {
+    Return(key, run, "the route or the backend server is gone", now);
+    return;
+  }
+  run.state = RunState::kRunning;
+  run.state_since = now;
+  run.status = 0;
+  run.is_declined = false;
+  run.is_foreign = false;
+  run.head_problem.clear();
+  run.cutter.Reset();
+  run.heard_at = now;
+  run.started_at = now;
+  const ClientCall call{.request_id = run.item.id,
+                        .host = route->host,
+                        .method = "POST",
+                        .target = run.item.path,
+                        .headers = run.item.headers,
+                        .body = run.item.body};
+  run.out = calls_.Start(
+      platform::EncodeRunnerCall(
+          {.call = call,
+           .runner = runner->entry,
+           .workspace = entry->job.workspace,
+           .resume_after = run.progress.last_event == 0
+                               ? std::string()
+                               : std::to_string(run.progress.last_event)}),
+      [this, key](CallEvent& event) { OnEvent(key, event); });
+}
+
+void ItemWorker::OnEvent(const ItemKey& key, CallEvent& event) {
+  const auto it = runs_.find(key);
+  if (it == runs_.end()) {
+    return;
+  }
+  Run& run = it->second;
+  const TimePoint now = BootClock::now();
+  run.heard_at = now;
+  std::visit(
+      Overloaded{
+          [&](const CallHead& head) {
+            const platform::RunnerHead answer =
+                platform::DecodeRunnerHead(head);
+            run.status = answer.status;
+            run.is_declined = answer.is_declined;
+            run.is_foreign = !answer.request_id.empty() &&
+                             answer.request_id != run.item.id;
+            if (answer.status == 200 && !answer.is_signed) {
+              run.is_foreign = true;
+            }
+          },
+          [&](const CallData& data) {
+            if (run.status == 200 && !run.is_foreign) {
+              TakeEvents(run, data.bytes);
+            }
+          },
+          [&](const CallEnd& end) { OnEnd(key, run, end, now); },
+      },
+      event);
+}
+
+void ItemWorker::TakeEvents(Run& run, const std::string& bytes) {
+  PartialRun& progress = run.progress;
+  for (const CutEvent& event : run.cutter.Feed(bytes)) {
+    if (!event.has_data || (event.id && *event.id <= progress.last_event)) {
+      continue;
+    }
+    if (!event.id || *event.id != progress.last_event + 1) {
+      run.head_problem = "event out of order";
+      run.is_foreign = true;
+      return;
+    }
+    if (progress.last_event > 0) {
+      progress.text += '\n';
+    }
+    progress.text += event.data;
+    progress.last_event = *event.id;
+  }
+}
+
+void ItemWorker::OnEnd(const ItemKey& key,
+                       Run& run,
+                       const CallEnd& end,
+                       TimePoint now) {
+  const ServingRoute* route = RouteOf(key.first);
+  const int max_failures = route == nullptr ? 1 : route->max_attempts;
+  if (end.is_whole && run.status == 200 && !run.is_foreign &&
+      !run.cutter.HasPartialEvent() && run.progress.last_event > 0) {
+    Finish(key, run, /*is_complete=*/true, "complete", now);
+    return;
+  }
+  if (end.is_whole && !run.is_foreign && run.status == kUnprocessable) {
+    Finish(key, run, /*is_complete=*/false, "cannot be done", now);
+    return;
+  }
+  if (end.is_whole && !run.is_foreign && run.status == 500) {
+    ++run.failures;
+    if (run.failures >= max_failures) {
+      Finish(key, run, /*is_complete=*/false, "failed too often", now);
+      return;
+    }
+  }
+  LogDecision(LogEvent::kItemRunFailed, "job", key.first, "item", key.second,
+              "id", run.item.id, "status", run.status, "declined",
+              run.is_declined, "after_event", run.progress.last_event,
+              "failures", run.failures, "reason",
+              run.head_problem.empty() ? end.reason : run.head_problem);
+  Pause(run, now);
+}
+
+void ItemWorker::Finish(const ItemKey& key,
+                        Run& run,
+                        bool is_complete,
+                        const std::string& reason,
+                        TimePoint now) {
+  run.state = RunState::kListing;
+  run.state_since = now;
+  LogDecision(LogEvent::kItemFinished, "job", key.first, "item", key.second,
+              "id", run.item.id, "outcome", reason, "events",
+              run.progress.last_event, "failures", run.failures);
+  ++(is_complete ? counters_.completed : counters_.given_up);
+  ItemResult result{.item = run.item.id, .is_complete = is_complete};
+  if (!is_complete) {
+    List(key, result);
+    return;
+  }
+  if (run.progress.text.size() <= job_rows::kMaxValueBytes / 2) {
+    result.text = run.progress.text;
+    List(key, result);
+    return;
+  }
+  result.object = job_rows::ResultObject(key.first, key.second);
+  store_.Send(ObjectWrite{.name = result.object, .data = run.progress.text},
+              [this, key, result](StoreReply reply) {
+                const auto it = runs_.find(key);
+                if (it == runs_.end()) {
+                  return;
+                }
+                if (reply.status == StoreStatus::kDone ||
+                    reply.status == StoreStatus::kConditionFailed) {
+                  List(key, result);
+                } else {
+                  // Ends whole at once when it is started again.
+                  Pause(it->second, BootClock::now());
+                }
+              });
+}
+
+void ItemWorker::List(const ItemKey& key, const ItemResult& result) {
+  const auto apply = [key, result](JobState& state,
+                                   RowsTransaction& transaction) {
+    JobItemState& item = state.items[key.second];
+    if (item.IsListed()) {
+      return JobWriter::Outcome::kAlready;
+    }
+    if (state.is_ended) {
+      return JobWriter::Outcome::kMoot;
+    }
+    item.state = result.is_complete ? ItemState::kComplete
+                                    : ItemState::kDeadLetter;
+    item.owner.clear();
+    if (item.has_partial) {
+      item.has_partial = false;
+      transaction.removals.push_back(job_rows::Partial(key.first, key.second));
+    }
+    transaction.writes.push_back(
+        {.key = job_rows::Result(key.first, state.listed),
+         .value = EncodeItemResult(result)});
+    ++state.listed;
+    return JobWriter::Outcome::kChanged;
+  };
+  const auto done = [this, key](JobWriter::Outcome) { runs_.erase(key); };
+  writer_.Add(key.first, {.apply = apply, .done = done});
+}
+
+void ItemWorker::Return(const ItemKey& key,
+                        Run& run,
+                        const std::string& reason,
+                        TimePoint now) {
+  Pause(run, now);
+  run.state = RunState::kReturning;
+  ++counters_.released;
+  LogDecision(LogEvent::kItemReturned, "job", key.first, "item", key.second,
+              "after_event", run.progress.last_event, "reason", reason);
+  const PartialRun progress = run.progress;
+  const int failures = run.failures;
+  const auto apply = [key, progress, failures, node = options_.node](
+                         JobState& state, RowsTransaction& transaction) {
+    JobItemState& item = state.items[key.second];
+    if (item.state != ItemState::kClaimed || item.owner != node) {
+      return JobWriter::Outcome::kAlready;
+    }
+    item.state = ItemState::kWaiting;
+    item.owner.clear();
+    item.failures = std::max(item.failures, failures);
+    if (progress.last_event > 0 &&
+        progress.text.size() <= job_rows::kMaxValueBytes / 2) {
+      item.has_partial = true;
+      transaction.writes.push_back(
+          {.key = job_rows::Partial(key.first, key.second),
+           .value = EncodePartialRun(progress)});
+    }
+    return JobWriter::Outcome::kChanged;
+  };
+  const auto done = [this, key](JobWriter::Outcome) { runs_.erase(key); };
+  writer_.Add(key.first, {.apply = apply, .done = done});
+}
+
+void ItemWorker::Renew(TimePoint now) {
+  const milliseconds store_now = store_.StoreTime(now);
+  for (auto& [key, run] : runs_) {
+    const bool needs_claim =
+        run.state == RunState::kRunning || run.state == RunState::kPaused;
+    if (!needs_claim || run.is_renewing ||
+        run.lease_end - store_now >= options_.lease / kRenewPart) {
+      continue;
+    }
+    run.is_renewing = true;
+    const milliseconds lease_end = store_now + options_.lease;
+    const auto apply = [key = key, lease_end, node = options_.node](
+                           JobState& state, RowsTransaction&) {
+      JobItemState& item = state.items[key.second];
+      if (item.state != ItemState::kClaimed || item.owner != node) {
+        return JobWriter::Outcome::kMoot;
+      }
+      if (item.lease_end >= lease_end) {
+        return JobWriter::Outcome::kAlready;
+      }
+      item.lease_end = lease_end;
+      return JobWriter::Outcome::kChanged;
+    };
+    const auto done = [this, key = key,
+                       lease_end](JobWriter::Outcome outcome) {
+      const auto it = runs_.find(key);
+      if (it == runs_.end()) {
+        return;
+      }
+      it->second.is_renewing = false;
+      it->second.lease_end = lease_end;
+      if (outcome == JobWriter::Outcome::kMoot) {
+        // Another worker has it now.
+        Pause(it->second, BootClock::now());
+        LogDecision(LogEvent::kItemDropped, "job", key.first, "item",
+                    key.second, "reason", "the claim was lost");
+        runs_.erase(it);
+      }
+    };
+    writer_.Add(key.first, {.apply = apply, .done = done});
+  }
+}
+
+void ItemWorker::Stop(TimePoint now) {
+  is_stopping_ = true;
+  for (auto it = runs_.begin(); it != runs_.end();) {
+    auto& [key, run] = *it++;
+    if (run.state != RunState::kListing && run.state != RunState::kReturning) {
+      Return(key, run, "the worker stops", now);
+    }
+  }
+}
+
+}  // namespace carawayrelay
--- /dev/null
+++ b/src/process/serving/job_api.cc
@@ -0,0 +1,438 @@
+#include "process/serving/job_api.h"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+#include <vector>
+
+#include "process/serving/decision_log.h"
+#include "request/overloaded.h"
+
+namespace carawayrelay {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kFirstRetry{20};
+constexpr int kMaxDoublings = 3;
+// A submission that is not in the store by then is given up.
+constexpr milliseconds kSubmitLimit{2500};
+// When a client should come back after a refusal.
+constexpr milliseconds kRetryAfter{300};
+// Text of results in one answer; clients take at most 1 MB.
+constexpr size_t kMaxResultBytes = 900000;
+// First byte of a stored submission: the body itself, or its object's name.
+constexpr char kInline = 'b';
+constexpr char kInObject = 'o';
+
+HeaderList JsonHeaders() {
+  return {{"Content-Type", "application/json"}};
+}
+
+WholeAnswer EmptyObject(int status) {
+  return {.status = status, .headers = JsonHeaders(), .body = "{}"};
+}
+
+Refusal StoreDown(std::string reason) {
+  return {.code = RefusalCode::kStoreDown,
+          .reason = std::move(reason),
+          .retry_after = kRetryAfter};
+}
+
+}  // namespace
+
+std::int64_t JobApi::ReservedTokens(const JobState& job) const {
+  std::int64_t tokens = 0;
+  for (const auto& [id, submission] : submissions_) {
+    if (submission.job.workspace == job.workspace &&
+        submission.job.route == job.route && jobs_.Find(id) == nullptr) {
+      tokens += submission.job.PendingTokens();
+    }
+  }
+  return tokens;
+}
+
+void JobApi::Submit(ClientCall call,
+                    const ServingRoute& route,
+                    const ServingWorkspace& workspace,
+                    TimePoint now) {
+  const std::string id = call.request_id;
+  if (const JobTable::Entry* known = jobs_.Find(id)) {
+    // The same job again, after an answer that its client did not get.
+    answer_(call.client,
+            known->job.workspace == workspace.name
+                ? ClientAnswer(EmptyObject(202))
+                : ClientAnswer(Refusal{.code = RefusalCode::kNotFound,
+                                       .reason = "job of another workspace"}));
+    return;
+  }
+  if (submissions_.contains(id)) {
+    answer_(call.client,
+            Refusal{.code = RefusalCode::kConflict,
+                    .run_state = RunState::kUnknown,
+                    .reason = "the same job is being stored"});
+    return;
+  }
+  const auto items = platform::DecodeSubmission(call.body);
+  if (!items) {
+    answer_(call.client, Refusal{.code = RefusalCode::kInvalidRequest,
+                                 .reason = items.error().message});
+    return;
+  }
+  JobState job{.id = id,
+               .workspace = workspace.name,
+               .route = route.name,
+               .accepted = store_.StoreTime(now)};
+  for (const platform::SubmittedItem& item : items.value()) {
+    job.items.push_back({.tokens = item.tokens});
+  }
+  const std::int64_t limit = route.bulk.max_pending_tokens;
+  const std::int64_t pending =
+      jobs_.PendingTokens(job.workspace, job.route) + ReservedTokens(job);
+  if (limit > 0 && pending + job.PendingTokens() > limit) {
+    LogDecision(LogEvent::kJobRefused, "job", id, "workspace", job.workspace,
+                "pending_tokens", pending, "job_tokens", job.PendingTokens(),
+                "limit", limit);
+    answer_(call.client,
+            Refusal{.code = RefusalCode::kRateLimited,
+                    .reason = "too many tokens of the workspace are waiting",
+                    .retry_after = kRetryAfter});
+    return;
+  }
+  submissions_.emplace(id, Submission{.client = call.client,
+                                      .job = std::move(job),
+                                      .body = std::move(call.body),
+                                      .arrived = now});
+  Store(id, now);
+}
+
+void JobApi::Tick(TimePoint now) {
+  std::vector<std::string> due;
+  for (const auto& [job, submission] : submissions_) {
+    if (!submission.is_running && now >= submission.retry_at) {
+      due.push_back(job);
+    }
+  }
+  for (const std::string& job : due) {
+    Store(job, now);
+  }
+}
+
+void JobApi::Store(const std::string& job, TimePoint now) {
+  Submission& submission = submissions_.at(job);
+  if (now - submission.arrived >= kSubmitLimit) {
+    FinishSubmission(
+        job,
+        submission.may_exist
+            ? ClientAnswer(Refusal{.code = RefusalCode::kDeadline,
+                                   .run_state = RunState::kUnknown,
+                                   .reason = "the store did not answer"})
+            : ClientAnswer(StoreDown("the store takes no writes")),
+        "store_down");
+    return;
+  }
+  submission.is_running = true;
+  const bool needs_object =
+      submission.body.size() + 1 > job_rows::kMaxValueBytes;
+  if (needs_object && !submission.object_written) {
+    WriteObject(job);
+  } else {
+    WriteRows(job);
+  }
+}
+
+void JobApi::WriteObject(const std::string& job) {
+  store_.Send(
+      ObjectWrite{.name = job_rows::SubmissionObject(job),
+                  .data = submissions_.at(job).body},
+      [this, job](StoreReply reply) {
+        Submission& submission = submissions_.at(job);
+        submission.is_running = false;
+        // The object may exist from an earlier try of the same job.
+        if (reply.status == StoreStatus::kDone ||
+            reply.status == StoreStatus::kConditionFailed) {
+          submission.object_written = true;
+          Store(job, BootClock::now());
+          return;
+        }
+        RetrySubmission(job, reply);
+      });
+}
+
+void JobApi::WriteRows(const std::string& job) {
+  const Submission& submission = submissions_.at(job);
+  const RowKey key = job_rows::State(job);
+  RowsTransaction transaction;
+  transaction.expected.push_back({.key = key, .version = 0});
+  transaction.writes.push_back(
+      {.key = key, .value = EncodeJobState(submission.job)});
+  transaction.writes.push_back(
+      {.key = job_rows::Submission(job),
+       .value = submission.object_written ? std::string(1, kInObject)
+                                          : kInline + submission.body});
+  store_.Send(std::move(transaction), [this, job](StoreReply reply) {
+    submissions_.at(job).is_running = false;
+    OnStored(job, reply);
+  });
+}
+
+void JobApi::OnStored(const std::string& job, const StoreReply& reply) {
+  Submission& submission = submissions_.at(job);
+  if (reply.status == StoreStatus::kDone) {
+    jobs_.Put({.key = job_rows::State(job),
+               .value = EncodeJobState(submission.job),
+               .version = reply.version});
+    FinishSubmission(job, EmptyObject(202), "accepted");
+    return;
+  }
+  if (reply.status == StoreStatus::kConditionFailed) {
+    for (const StoredRow& row : reply.rows) {
+      if (row.key.table == job_rows::kStates) {
+        jobs_.Put(row);
+      }
+    }
+    const JobTable::Entry* known = jobs_.Find(job);
+    const bool is_same =
+        known == nullptr || known->job.workspace == submission.job.workspace;
+    FinishSubmission(
+        job,
+        is_same ? ClientAnswer(EmptyObject(202))
+                : ClientAnswer(Refusal{.code = RefusalCode::kNotFound,
+                                       .reason = "job of another workspace"}),
+        "already_accepted");
+    return;
+  }
+  submission.may_exist |= reply.status == StoreStatus::kUnknown;
+  RetrySubmission(job, reply);
+}
+
+void JobApi::RetrySubmission(const std::string& job, const StoreReply& reply) {
+  Submission& submission = submissions_.at(job);
+  submission.retry_at = BootClock::now() +
+                        kFirstRetry *
+                            (1 << std::min(submission.failures, kMaxDoublings));
+  ++submission.failures;
+  LogDecision(LogEvent::kJobStoreRetry, "job", job, "status",
+              ToString(reply.status), "reason", reply.reason, "failures",
+              submission.failures);
+}
+
+void JobApi::FinishSubmission(const std::string& job,
+                              ClientAnswer answer,
+                              const std::string& outcome) {
+  auto node = submissions_.extract(job);
+  const Submission& submission = node.mapped();
+  LogDecision(LogEvent::kJobSubmitted, "job", job, "workspace",
+              submission.job.workspace, "route", submission.job.route, "items",
+              submission.job.items.size(), "outcome", outcome, "ms",
+              ToMilliseconds(BootClock::now() - submission.arrived));
+  answer_(submission.client, std::move(answer));
+}
+
+void JobApi::Handle(ClientId client,
+                    platform::JobCall call,
+                    const std::string& workspace,
+                    bool is_current) {
+  std::visit(
+      Overloaded{
+          [&](platform::ReadResults& read) {
+            WithJob(client, read.job, workspace, is_current,
+                    [this, client, from = read.from](const JobState& job) {
+                      SendResults(client, job, from);
+                    });
+          },
+          [&](platform::ReadItemBody& read) {
+            WithJob(client, read.job, workspace, /*is_current=*/true,
+                    [this, client, item = read.item](const JobState& job) {
+                      SendItemBody(client, job, item);
+                    });
+          },
+          [&](platform::EndJob& end) {
+            WithJob(client, end.job, workspace, /*is_current=*/true,
+                    [this, client](const JobState& job) {
+                      End(client, job);
+                    });
+          },
+      },
+      call);
+}
+
+void JobApi::WithJob(ClientId client,
+                     const std::string& job,
+                     const std::string& workspace,
+                     bool is_current,
+                     std::function<void(const JobState&)> then) {
+  const auto use = [this, client, workspace,
+                    then = std::move(then)](const JobTable::Entry* entry) {
+    if (entry == nullptr || entry->job.workspace != workspace) {
+      answer_(client, Refusal{.code = RefusalCode::kNotFound,
+                              .reason = "no such job"});
+      return;
+    }
+    // A copy, because the table may change while the store is asked.
+    then(JobState(entry->job));
+  };
+  const JobTable::Entry* known = jobs_.Find(job);
+  if (known != nullptr && is_current) {
+    use(known);
+    return;
+  }
+  const RowKey key = job_rows::State(job);
+  store_.Send(RowsRead{.table = key.table,
+                       .part = key.part,
+                       .from = key.key,
+                       .to = key.key + '\0'},
+              [this, client, job, use](StoreReply reply) {
+                if (reply.status != StoreStatus::kDone) {
+                  Unavailable(client, job, "the store cannot be read");
+                  return;
+                }
+                use(reply.rows.empty() ? nullptr : jobs_.Put(reply.rows[0]));
+              });
+}
+
+void JobApi::Unavailable(ClientId client,
+                         const std::string& job,
+                         const std::string& reason) {
+  LogDecision(LogEvent::kJobReadFailed, "job", job, "reason", reason);
+  answer_(client, StoreDown(reason));
+}
+
+void JobApi::SendResults(ClientId client, const JobState& job, size_t from) {
+  const size_t total = job.items.size();
+  const auto reply_with = [this, client, total,
+                           from](const std::vector<ItemResult>& results) {
+    answer_(client,
+            WholeAnswer{.status = 200,
+                        .headers = JsonHeaders(),
+                        .body = platform::EncodeResults(total, from, results)});
+  };
+  if (from >= job.listed) {
+    reply_with({});
+    return;
+  }
+  const RowKey first = job_rows::Result(job.id, from);
+  const std::string id = job.id;
+  store_.Send(
+      RowsRead{.table = first.table,
+               .part = first.part,
+               .from = first.key,
+               .to = job_rows::Result(job.id, job.listed).key},
+      [this, client, id, reply_with](StoreReply reply) {
+        if (reply.status != StoreStatus::kDone || reply.rows.empty()) {
+          Unavailable(client, id, "the results cannot be read");
+          return;
+        }
+        auto results = std::make_shared<std::vector<ItemResult>>();
+        size_t bytes = 0;
+        for (const StoredRow& row : reply.rows) {
+          auto result = DecodeItemResult(row.value);
+          if (!result) {
+            Unavailable(client, id, result.error().message);
+            return;
+          }
+          bytes += result.value().text.size();
+          if (!results->empty() &&
+              (bytes > kMaxResultBytes || !result.value().object.empty())) {
+            break;
+          }
+          results->push_back(std::move(result).value());
+        }
+        ItemResult& front = results->front();
+        if (front.object.empty()) {
+          reply_with(*results);
+          return;
+        }
+        results->resize(1);
+        store_.Send(ObjectRead{front.object},
+                    [this, client, id, results, reply_with](StoreReply object) {
+                      if (object.status != StoreStatus::kDone) {
+                        Unavailable(client, id, "the result cannot be read");
+                        return;
+                      }
+                      results->front().text = std::move(object.data);
+                      reply_with(*results);
+                    });
+      });
+}
+
+void JobApi::SendItemBody(ClientId client,
+                          const JobState& job,
+                          const std::string& item) {
+  LoadSubmission(
+      job.id, store_,
+      [this, client, id = job.id,
+       item](Result<std::vector<platform::SubmittedItem>> items) {
+        if (!items) {
+          Unavailable(client, id, items.error().message);
+          return;
+        }
+        for (platform::SubmittedItem& candidate : items.value()) {
+          if (candidate.id == item) {
+            answer_(client,
+                    WholeAnswer{
+                        .status = 200,
+                        .headers = {{"Content-Type",
+                                     "application/octet-stream"}},
+                        .body = std::move(candidate.body)});
+            return;
+          }
+        }
+        answer_(client, Refusal{.code = RefusalCode::kNotFound,
+                                .reason = "no such item"});
+      });
+}
+
+void JobApi::End(ClientId client, const JobState& job) {
+  writer_.Add(
+      job.id,
+      {.apply =
+           [](JobState& state, RowsTransaction&) {
+             return std::exchange(state.is_ended, true)
+                        ? JobWriter::Outcome::kAlready
+                        : JobWriter::Outcome::kChanged;
+           },
+       .done =
+           [this, client, id = job.id](JobWriter::Outcome outcome) {
+             LogDecision(LogEvent::kJobEnded, "job", id, "was_ended",
+                         outcome == JobWriter::Outcome::kAlready);
+             answer_(client, EmptyObject(200));
+           }});
+}
+
+void LoadSubmission(
+    const std::string& job,
+    StoreClient& store,
+    std::function<void(Result<std::vector<platform::SubmittedItem>>)> done) {
+  const RowKey key = job_rows::Submission(job);
+  store.Send(
+      RowsRead{.table = key.table,
+               .part = key.part,
+               .from = key.key,
+               .to = key.key + '\0'},
+      [&store, job, done = std::move(done)](StoreReply reply) {
+        if (reply.status != StoreStatus::kDone || reply.rows.empty() ||
+            reply.rows[0].value.empty()) {
+          done(Error{ErrorCode::kUnavailable,
+                     "the submission cannot be read: " + reply.reason});
+          return;
+        }
+        const std::string& value = reply.rows[0].value;
+        if (value[0] == kInline) {
+          done(platform::DecodeSubmission(value.substr(1)));
+          return;
+        }
+        store.Send(ObjectRead{job_rows::SubmissionObject(job)},
+                   [done](StoreReply object) {
+                     if (object.status != StoreStatus::kDone) {
+                       done(Error{ErrorCode::kUnavailable,
+                                  "the submission cannot be read: " +
+                                      object.reason});
+                       return;
+                     }
+                     done(platform::DecodeSubmission(object.data));
+                   });
+      });
+}
+
+}  // namespace carawayrelay
--- /dev/null
+++ b/src/process/serving/job_table.cc
@@ -0,0 +1,128 @@
+#include "process/serving/job_table.h"
+
+#include <array>
+#include <cstdio>
+#include <set>
+#include <utility>
+
+#include "process/serving/decision_log.h"
+
+namespace carawayrelay {
+namespace job_rows {
+namespace {
+
+constexpr int kParts = 8;
+
+std::string PartOf(const std::string& job) {
+  // FNV-1a: the part must be the same in all processes and builds.
+  std::uint32_t hash = 2166136261U;
+  for (const char c : job) {
+    hash = (hash ^ static_cast<unsigned char>(c)) * 16777619U;
+  }
+  return "p" + std::to_string(hash % kParts);
+}
+
+// Keys of one job sort by number.
+std::string Numbered(const std::string& job, size_t number) {
+  std::array<char, 16> digits{};
+  std::snprintf(digits.data(), digits.size(), "/%06zu", number);
+  return job + digits.data();
+}
+
+}  // namespace
+
+std::vector<std::string> Parts() {
+  std::vector<std::string> parts;
+  for (int i = 0; i < kParts; ++i) {
+    parts.push_back("p" + std::to_string(i));
+  }
+  return parts;
+}
+
+RowKey State(const std::string& job) {
+  return {.table = kStates, .part = PartOf(job), .key = job};
+}
+
+RowKey Submission(const std::string& job) {
+  return {.table = kSubmissions, .part = PartOf(job), .key = job};
+}
+
+RowKey Result(const std::string& job, size_t position) {
+  return {.table = kResults,
+          .part = PartOf(job),
+          .key = Numbered(job, position)};
+}
+
+RowKey Partial(const std::string& job, size_t item) {
+  return {.table = kPartials, .part = PartOf(job), .key = Numbered(job, item)};
+}
+
+std::string SubmissionObject(const std::string& job) {
+  return "job-submission-" + job;
+}
+
+std::string ResultObject(const std::string& job, size_t item) {
+  return "job-result-" + job + "-" + std::to_string(item);
+}
+
+}  // namespace job_rows
+
+void JobTable::Apply(const std::vector<StoredRow>& rows, bool is_full) {
+  if (is_full) {
+    std::set<std::string> present;
+    for (const StoredRow& row : rows) {
+      present.insert(row.key.key);
+    }
+    std::erase_if(jobs_, [&](const auto& item) {
+      return !present.contains(item.first);
+    });
+  }
+  for (const StoredRow& row : rows) {
+    Put(row);
+  }
+}
+
+const JobTable::Entry* JobTable::Put(const StoredRow& row) {
+  const std::string& id = row.key.key;
+  if (row.is_removed || row.version == 0) {
+    jobs_.erase(id);
+    return nullptr;
+  }
+  const auto known = jobs_.find(id);
+  if (known != jobs_.end() && known->second.version >= row.version) {
+    return &known->second;
+  }
+  carawayrelay::Result<JobState> job = DecodeJobState(id, row.value);
+  if (!job) {
+    LogDecision(LogEvent::kJobRowUnreadable, "job", id, "version", row.version,
+                "reason", job.error().message);
+    return nullptr;
+  }
+  Entry& entry = jobs_[id];
+  entry = {.job = std::move(job).value(), .version = row.version};
+  return &entry;
+}
+
+const JobTable::Entry* JobTable::Replace(const StoredRow& row) {
+  jobs_.erase(row.key.key);
+  return Put(row);
+}
+
+const JobTable::Entry* JobTable::Find(const std::string& job) const {
+  const auto it = jobs_.find(job);
+  return it == jobs_.end() ? nullptr : &it->second;
+}
+
+std::int64_t JobTable::PendingTokens(const std::string& workspace,
+                                     const std::string& route) const {
+  std::int64_t tokens = 0;
+  for (const auto& [id, entry] : jobs_) {
+    if (!entry.job.is_ended && entry.job.workspace == workspace &&
+        entry.job.route == route) {
+      tokens += entry.job.PendingTokens();
+    }
+  }
+  return tokens;
+}
+
+}  // namespace carawayrelay
--- /dev/null
+++ b/src/process/serving/online_forwarder.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+
+#include "process/serving/allowances.h"
+#include "process/serving/outbound_calls.h"
+#include "process/serving/runner_directory.h"
+#include "request/client_call.h"
+#include "request/event_cutter.h"
+#include "version/serving_config.h"
+
+namespace carawayrelay {
+
+// All decisions about online requests of one entry: access, rate, choice of
+// backend server, what is sent again and how the answer ends. One thread owns
+// it; the time comes in with each call.
+class OnlineForwarder {
+ public:
+  struct Options {
+    std::string zone;
+    std::uint64_t seed = 1;
+    // Backend servers that may decline one request before it is refused.
+    int max_offers = 4;
+    // A stream that may be resumed is, after this long without an event.
+    std::chrono::milliseconds resume_after_silence{700};
+    // A backend server is avoided when a call gets nothing for this long.
+    std::chrono::milliseconds silence_limit{500};
+  };
+  using Answer = std::function<void(ClientId, ClientAnswer)>;
+
+  struct Counters {
+    std::uint64_t served = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t broken = 0;
+    std::uint64_t abandoned = 0;  // by their clients
+    std::uint64_t resent = 0;
+  };
+
+  OnlineForwarder(Options options,
+                  RunnerDirectory& runners,
+                  Allowances& allowances,
+                  OutboundCalls& calls,
+                  Answer answer);
+
+  // Takes a request whose route and workspace were checked under `config`.
+  void Arrive(ClientCall call,
+              const ServingRoute& route,
+              const ServingWorkspace* workspace,
+              TimePoint now);
+  void ClientGone(ClientId client);
+  // Ends what is overdue and moves streams off silent backend servers.
+  void Tick(TimePoint now);
+
+  size_t active() const { return requests_.size(); }
+  const Counters& counters() const { return counters_; }
+
+ private:
+  struct Request {
+    ClientCall call;
+    std::string route;
+    std::string service;
+    std::string workspace;
+    bool is_stream = false;
+    bool is_repeatable = false;
+    int max_attempts = 1;
+    TimePoint deadline{};
+    // Of the running attempt.
+    std::string runner;
+    OutboundId out{0};
+    bool is_sent = false;  // an attempt runs
+    bool forwards = false;  // its bytes go to the client as they come
+    int status = 0;
+    bool is_signed = false;
+    HeaderList headers;
+    std::string body;
+    EventCutter cutter;
+    TimePoint heard_at{};
+    bool is_silent = false;
+    // Over all attempts.
+    int attempts = 0;
+    int offers = 0;
+    bool may_have_run = false;
+    bool head_sent = false;
+    std::set<std::string> tried;
+    std::string last_event;
+    std::uint64_t last_event_number = 0;
+    std::string last_failure;
+  };
+
+  void Send(Request& request, TimePoint now);
+  void OnEvent(ClientId client, CallEvent& event);
+  void On(Request& request, const CallHead& head, TimePoint now);
+  void On(Request& request, CallData& data, TimePoint now);
+  void On(Request& request, const CallEnd& end, TimePoint now);
+  void ForwardEvents(Request& request, const std::string& bytes);
+  void Decline(Request& request, const std::string& reason, TimePoint now);
+  void FailAttempt(Request& request,
+                   bool was_sent,
+                   const std::string& reason,
+                   TimePoint now);
+  // Stops the running attempt without counting a failure.
+  void DropAttempt(Request& request);
+  void Refuse(Request& request, Refusal refusal, TimePoint now);
+  void Finish(Request& request, const char* outcome, TimePoint now);
+  std::string ChooseService(const ServingRoute& route);
+
+  Options options_;
+  RunnerDirectory& runners_;
+  Allowances& allowances_;
+  OutboundCalls& calls_;
+  Answer answer_;
+  std::mt19937_64 random_;
+  std::map<ClientId, Request> requests_;
+  Counters counters_;
+};
+
+}  // namespace carawayrelay
--- /dev/null
+++ b/src/process/serving/operator_watch.cc
@@ -0,0 +1,80 @@
+#include "process/serving/operator_watch.h"
+
+#include <string_view>
+#include <utility>
+
+#include "platform/desired_state.h"
+#include "process/serving/decision_log.h"
+
+namespace carawayrelay {
+
+OperatorWatch::OperatorWatch(StorePort store,
+                             std::chrono::milliseconds wait,
+                             OnChange on_change)
+    : on_change_(std::move(on_change)),
+      watch_({.table = platform::kOperatorTable, .wait = wait},
+             std::move(store),
+             [this](const std::vector<StoredRow>& rows, bool is_full,
+                    TimePoint now) { Apply(rows, is_full, now); }) {}
+
+std::optional<Duration> OperatorWatch::Age(TimePoint now) const {
+  if (!config_ || !watch_.proven_at()) {
+    return std::nullopt;
+  }
+  return now - *watch_.proven_at();
+}
+
+void OperatorWatch::Apply(const std::vector<StoredRow>& rows,
+                          bool is_full,
+                          TimePoint now) {
+  constexpr std::string_view kZonePrefix = platform::kEvacuatePrefix;
+  const std::set<std::string> before = evacuated_;
+  if (is_full) {
+    evacuated_.clear();
+  }
+  bool changed = false;
+  for (const StoredRow& row : rows) {
+    const std::string& key = row.key.key;
+    if (key == platform::kConfigKey && !row.is_removed) {
+      changed |= TakeConfig(row);
+    } else if (key.starts_with(kZonePrefix)) {
+      const std::string zone = key.substr(kZonePrefix.size());
+      if (row.is_removed) {
+        evacuated_.erase(zone);
+      } else {
+        evacuated_.insert(zone);
+      }
+    }
+  }
+  if (evacuated_ != before) {
+    changed = true;
+    std::string zones;
+    for (const std::string& zone : evacuated_) {
+      zones += (zones.empty() ? "" : ",") + zone;
+    }
+    LogDecision(LogEvent::kZonesOutChanged, "zones", zones);
+  }
+  if (changed) {
+    on_change_(now);
+  }
+}
+
+bool OperatorWatch::TakeConfig(const StoredRow& row) {
+  Result<ServingConfigPtr> config = platform::DecodeDesiredState(row.value);
+  if (!config) {
+    LogDecision(LogEvent::kServingConfigUnreadable, "row_version", row.version,
+                "reason", config.error().message);
+    return false;
+  }
+  if (config_ && config.value()->version() <= config_->version()) {
+    return false;
+  }
+  LogDecision(LogEvent::kServingConfigAdopted, "version",
+              config.value()->version(), "before",
+              config_ ? config_->version() : kNoConfig, "row_version",
+              row.version);
+  config_ = std::move(config).value();
+  return true;
+}
+
+}  // namespace carawayrelay
--- /dev/null
+++ b/src/process/serving/operator_watch.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <functional>
+#include <set>
+#include <string>
+
+#include "process/serving/table_watch.h"
+#include "version/serving_config.h"
+
+namespace carawayrelay {
+
+// Follows what the operators write: the configuration and the zones that are
+// taken out of service. A process never goes back to a lower version.
+class OperatorWatch {
+ public:
+  // Called when the configuration or the zones changed.
+  using OnChange = std::function<void(TimePoint now)>;
+
+  OperatorWatch(StorePort store,
+                std::chrono::milliseconds wait,
+                OnChange on_change);
+
+  void Tick(TimePoint now) { watch_.Tick(now); }
+  // Nothing before the first version was read.
+  const ServingConfigPtr& config() const { return config_; }
+  const std::set<std::string>& evacuated() const { return evacuated_; }
+  // How long ago it was last certain that there is nothing newer; nothing
+  // before the first configuration.
+  std::optional<Duration> Age(TimePoint now) const;
+
+ private:
+  void Apply(const std::vector<StoredRow>& rows, bool is_full, TimePoint now);
+  bool TakeConfig(const StoredRow& row);
+
+  OnChange on_change_;
+  ServingConfigPtr config_;
+  std::set<std::string> evacuated_;
+  TableWatch watch_;
+};
+
+}  // namespace carawayrelay
--- /dev/null
+++ b/src/process/serving/outbound_calls.cc
@@ -0,0 +1,47 @@
+#include "process/serving/outbound_calls.h"
+
+namespace carawayrelay {
+
+OutboundId OutboundCalls::Start(OutboundCall call, Handler handler) {
+  const OutboundId id{next_id_++};
+  call.id = id;
+  handlers_.emplace(id, std::move(handler));
+  if (!start_(std::move(call))) {
+    failed_.push_back(id);
+  }
+  return id;
+}
+
+void OutboundCalls::Cancel(OutboundId id) {
+  if (handlers_.erase(id) > 0) {
+    cancel_(id);
+  }
+}
+
+void OutboundCalls::Deliver(CallEvent& event) {
+  const OutboundId id = std::visit([](const auto& e) { return e.id; }, event);
+  const auto it = handlers_.find(id);
+  if (it == handlers_.end()) {
+    return;
+  }
+  if (std::holds_alternative<CallEnd>(event)) {
+    const Handler handler = std::move(it->second);
+    handlers_.erase(it);
+    handler(event);
+    return;
+  }
+  // A copy, because the handler may cancel its own call.
+  const Handler handler = it->second;
+  handler(event);
+}
+
+void OutboundCalls::RunFailed() {
+  while (!failed_.empty()) {
+    CallEvent event = CallEnd{.id = failed_.back(),
+                              .reason = "too many calls are waiting"};
+    failed_.pop_back();
+    Deliver(event);
+  }
+}
+
+}  // namespace carawayrelay
--- /dev/null
+++ b/src/process/serving/runner_directory.cc
@@ -0,0 +1,195 @@
+#include "process/serving/runner_directory.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "platform/desired_state.h"
+#include "process/serving/decision_log.h"
+
+namespace carawayrelay {
+namespace {
+
+// Entries that an outage of the store removed are back within two seconds of
+// its return.
+constexpr std::chrono::milliseconds kLapseGrace{2300};
+constexpr std::chrono::milliseconds kFirstAvoidance{500};
+constexpr int kMaxAvoidanceDoublings = 3;
+constexpr std::chrono::milliseconds kFullAvoidance{60};
+// A load report loses half of its weight in this time.
+constexpr std::chrono::duration<double> kLoadHalfLife{0.4};
+// Added to the share of slots in use.
+constexpr double kOtherZonePenalty = 0.03;
+constexpr double kColdPenalty = 0.5;
+constexpr double kAvoidPenalty = 100;
+constexpr double kTieBreak = 0.02;
+
+}  // namespace
+
+void RunnerDirectory::Apply(const std::vector<StoredRow>& rows,
+                            bool is_full,
+                            bool may_lapse,
+                            TimePoint now) {
+  if (is_full) {
+    std::set<std::string> present;
+    for (const StoredRow& row : rows) {
+      present.insert(row.key.key);
+    }
+    std::vector<std::string> missing;
+    for (const auto& [id, runner] : runners_) {
+      if (!present.contains(id)) {
+        missing.push_back(id);
+      }
+    }
+    for (const std::string& id : missing) {
+      Remove(id, may_lapse, now);
+    }
+  }
+  for (const StoredRow& row : rows) {
+    if (row.is_removed) {
+      Remove(row.key.key, may_lapse, now);
+    } else {
+      Put(row, now);
+    }
+  }
+}
+
+void RunnerDirectory::Put(const StoredRow& row, TimePoint now) {
+  const std::string& id = row.key.key;
+  Result<RunnerEntry> entry = platform::DecodeRunnerEntry(id, row.value);
+  if (!entry) {
+    LogDecision(LogEvent::kRunnerEntryUnreadable, "runner", id, "version",
+                row.version, "reason", entry.error().message);
+    runners_.erase(id);
+    return;
+  }
+  const auto [it, is_new] = runners_.try_emplace(id);
+  Runner& runner = it->second;
+  const bool changes = is_new || runner.gone_at ||
+                       runner.entry.is_draining != entry.value().is_draining ||
+                       runner.entry.address != entry.value().address;
+  runner.entry = std::move(entry).value();
+  runner.gone_at.reset();
+  runner.cold_until = now + runner.entry.cold_left;
+  if (changes) {
+    LogDecision(LogEvent::kRunnerChanged, "runner", id, "address",
+                runner.entry.address, "zone", runner.entry.zone, "draining",
+                runner.entry.is_draining, "cold_ms",
+                runner.entry.cold_left.count(), "version", row.version);
+  }
+}
+
+void RunnerDirectory::Remove(const std::string& id,
+                             bool may_lapse,
+                             TimePoint now) {
+  const auto it = runners_.find(id);
+  if (it == runners_.end()) {
+    return;
+  }
+  if (may_lapse && !it->second.entry.is_draining) {
+    if (!it->second.gone_at) {
+      it->second.gone_at = now + kLapseGrace;
+    }
+    return;
+  }
+  LogDecision(LogEvent::kRunnerGone, "runner", id, "reason", "entry removed");
+  runners_.erase(it);
+}
+
+void RunnerDirectory::Tick(TimePoint now) {
+  std::erase_if(runners_, [&](const auto& item) {
+    const bool is_gone = item.second.gone_at && *item.second.gone_at <= now;
+    if (is_gone) {
+      LogDecision(LogEvent::kRunnerGone, "runner", item.first, "reason",
+                  "entry did not come back after an outage of the store");
+    }
+    return is_gone;
+  });
+}
+
+bool RunnerDirectory::IsUsable(const Runner& runner) const {
+  return !runner.entry.is_draining && !evacuated_.contains(runner.entry.zone);
+}
+
+double RunnerDirectory::Score(const Runner& runner,
+                              const Query& query,
+                              TimePoint now) {
+  const std::chrono::duration<double> age = now - runner.others_at;
+  const double others = runner.others * std::exp2(-(age / kLoadHalfLife));
+  double score = (runner.running + others) / runner.entry.slots;
+  if (runner.entry.zone != query.zone) {
+    score += kOtherZonePenalty;
+  }
+  if (now < runner.cold_until) {
+    score += kColdPenalty;
+  }
+  if (now < runner.avoid_until) {
+    score += kAvoidPenalty;
+  }
+  std::uniform_real_distribution<double> tie(0, kTieBreak);
+  return score + tie(random_);
+}
+
+RunnerDirectory::Runner* RunnerDirectory::Choose(const Query& query,
+                                                 TimePoint now) {
+  Runner* best = nullptr;
+  double best_score = 0;
+  for (auto& [id, runner] : runners_) {
+    if (runner.entry.service != query.service || !IsUsable(runner) ||
+        query.excluded.contains(id)) {
+      continue;
+    }
+    const double score = Score(runner, query, now);
+    if (best == nullptr || score < best_score) {
+      best = &runner;
+      best_score = score;
+    }
+  }
+  return best;
+}
+
+RunnerDirectory::Runner* RunnerDirectory::Find(const std::string& id) {
+  const auto it = runners_.find(id);
+  return it == runners_.end() ? nullptr : &it->second;
+}
+
+RunnerDirectory::Runner* RunnerDirectory::FindByAddress(
+    const std::string& address) {
+  Runner* found = nullptr;
+  for (auto& [id, runner] : runners_) {
+    if (runner.entry.address == address &&
+        (found == nullptr || found->entry.is_draining)) {
+      found = &runner;
+    }
+  }
+  return found;
+}
+
+void RunnerDirectory::NoteLoad(Runner& runner,
+                               const RunnerLoad& load,
+                               TimePoint now) {
+  runner.others =
+      std::max(0, load.running + load.waiting - std::max(1, runner.running));
+  runner.others_at = now;
+}
+
+void RunnerDirectory::NoteSuccess(Runner& runner) {
+  runner.failures = 0;
+  runner.avoid_until = TimePoint{};
+}
+
+void RunnerDirectory::NoteFailure(Runner& runner,
+                                  const std::string& reason,
+                                  TimePoint now) {
+  const auto avoidance =
+      kFirstAvoidance * (1 << std::min(runner.failures, kMaxAvoidanceDoublings));
+  ++runner.failures;
+  runner.avoid_until = now + avoidance;
+  LogDecision(LogEvent::kRunnerAvoided, "runner", runner.entry.id, "failures",
+              runner.failures, "avoid_ms", avoidance.count(), "reason", reason);
+}
+
+void RunnerDirectory::NoteFull(Runner& runner, TimePoint now) {
+  runner.avoid_until = std::max(runner.avoid_until, now + kFullAvoidance);
+}
+
+}  // namespace carawayrelay
--- /dev/null
+++ b/src/process/serving/runner_directory.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <chrono>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "connection/runner_entry.h"
+#include "process/serving/store_call.h"
+#include "request/boot_clock.h"
+
+namespace carawayrelay {
+
+// What a process believes about each backend server: its entry in the store,
+// and what the process's own calls have shown.
+class RunnerDirectory {
+ public:
+  struct Runner {
+    RunnerEntry entry;
+    TimePoint cold_until{};
+    // Set while the entry is missing but may still come back.
+    std::optional<TimePoint> gone_at;
+    int running = 0;  // calls of this process
+    // Work of others, from the newest load report.
+    double others = 0;
+    TimePoint others_at{};
+    // Not chosen before, unless there is no other.
+    TimePoint avoid_until{};
+    int failures = 0;  // in a row
+  };
+
+  struct Query {
+    std::string service;
+    std::string zone;  // of this process
+    std::set<std::string> excluded;
+  };
+
+  explicit RunnerDirectory(std::uint64_t seed) : random_(seed) {}
+
+  // Applies rows of the table of entries. While `may_lapse` is set, entries
+  // that vanish are kept for a while, because the outage of the store may have
+  // removed entries of backend servers that live.
+  void Apply(const std::vector<StoredRow>& rows,
+             bool is_full,
+             bool may_lapse,
+             TimePoint now);
+  // Zones that get no new work.
+  void SetEvacuated(std::set<std::string> zones) {
+    evacuated_ = std::move(zones);
+  }
+  // Forgets entries that did not come back.
+  void Tick(TimePoint now);
+
+  // The backend server that should get the next request, or nullptr.
+  Runner* Choose(const Query& query, TimePoint now);
+  Runner* Find(const std::string& id);
+  // The backend server that registered the address, or nullptr.
+  Runner* FindByAddress(const std::string& address);
+  bool IsUsable(const Runner& runner) const;
+  size_t size() const { return runners_.size(); }
+
+  void NoteLoad(Runner& runner, const RunnerLoad& load, TimePoint now);
+  void NoteSuccess(Runner& runner);
+  // The backend server failed or was silent; it is avoided for longer each
+  // time.
+  void NoteFailure(Runner& runner, const std::string& reason, TimePoint now);
+  // The backend server had no room.
+  void NoteFull(Runner& runner, TimePoint now);
+
+ private:
+  void Put(const StoredRow& row, TimePoint now);
+  void Remove(const std::string& id, bool may_lapse, TimePoint now);
+  double Score(const Runner& runner, const Query& query, TimePoint now);
+
+  std::mt19937_64 random_;
+  std::map<std::string, Runner> runners_;
+  std::set<std::string> evacuated_;
+};
+
+}  // namespace carawayrelay
--- /dev/null
+++ b/src/process/serving/serving_core.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "process/ring.h"
+#include "process/serving/http_caller.h"
+#include "process/serving/job_table.h"
+#include "process/serving/job_writer.h"
+#include "process/serving/operator_watch.h"
+#include "process/serving/outbound_calls.h"
+#include "process/serving/runner_directory.h"
+#include "process/serving/serving_event.h"
+#include "process/serving/store_client.h"
+#include "process/serving/table_watch.h"
+
+namespace carawayrelay {
+
+// What both serving roles have: the ring of the deciding thread, the thread
+// that makes calls, and what the process knows from the store.
+class ServingCore {
+ public:
+  struct Options {
+    std::string store_address;
+    std::uint64_t seed = 1;
+    // Least time between two reads of changes to batch jobs.
+    std::chrono::milliseconds jobs_interval{200};
+  };
+
+  // Fails with kInternal when the calling thread cannot be set up.
+  static Result<std::unique_ptr<ServingCore>> Make(
+      Options options,
+      OperatorWatch::OnChange on_change);
+
+  Ring<ServingEvent>& events() { return events_; }
+  OutboundCalls& calls() { return calls_; }
+  StoreClient& store() { return store_; }
+  OperatorWatch& operators() { return operators_; }
+  RunnerDirectory& runners() { return runners_; }
+  JobTable& jobs() { return jobs_; }
+  JobWriter& writer() { return writer_; }
+  // Whether the known jobs are at most `age` old.
+  bool AreJobsCurrent(std::chrono::milliseconds age, TimePoint now) const;
+
+  // Hands the event of a call to whoever made it.
+  void Deliver(CallEvent event);
+  // Keeps the watches running and repeats what is due.
+  void Tick(TimePoint now);
+  // Stops the calling thread.
+  void Stop();
+
+ private:
+  ServingCore(Options options, OperatorWatch::OnChange on_change);
+
+  static constexpr size_t kEventCapacity = 4096;
+
+  Ring<ServingEvent> events_;
+  std::unique_ptr<HttpCaller> caller_;
+  OutboundCalls calls_;
+  StoreClient store_;
+  RunnerDirectory runners_;
+  JobTable jobs_;
+  JobWriter writer_;
+  OperatorWatch operators_;
+  TableWatch runner_watch_;
+  TableWatch job_watch_;
+};
+
+}  // namespace carawayrelay
--- /dev/null
+++ b/src/process/serving/serving_settings.cc
@@ -0,0 +1,87 @@
+#include "process/serving/serving_settings.h"
+
+#include <nlohmann/json.hpp>
+
+#include "process/endpoint.h"
+#include "version/json_reader.h"
+
+namespace carawayrelay {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr double kMaxMilliseconds = 86400000;
+constexpr double kMaxSlots = 10000;
+
+void CheckAddress(const std::string& address,
+                  const std::string& path,
+                  Findings& findings) {
+  if (address.empty()) {
+    return;
+  }
+  if (const auto endpoint = ParseEndpoint(address); !endpoint) {
+    findings.Add(path, endpoint.error().message);
+  }
+}
+
+std::string ReadAddress(JsonReader& reader,
+                        const std::string& name,
+                        Findings& findings) {
+  std::string address = reader.RequiredString(name);
+  CheckAddress(address, reader.PathOf(name), findings);
+  return address;
+}
+
+milliseconds ReadTime(JsonReader& reader,
+                      const std::string& name,
+                      milliseconds fallback) {
+  return milliseconds(static_cast<milliseconds::rep>(reader.OptionalNumber(
+      name, 1, kMaxMilliseconds, static_cast<double>(fallback.count()))));
+}
+
+}  // namespace
+
+std::optional<FrontendSettings> ParseFrontendSettings(const std::string& text,
+                                                      Findings& findings) {
+  const json root = json::parse(text, nullptr, /*allow_exceptions=*/false);
+  JsonReader reader(root, "", findings);
+  FrontendSettings settings;
+  settings.node = reader.RequiredString("node");
+  settings.zone = reader.RequiredString("zone");
+  settings.listen_clients = ReadAddress(reader, "listen_clients", findings);
+  settings.listen_ready = ReadAddress(reader, "listen_ready", findings);
+  settings.store_address = ReadAddress(reader, "store_address", findings);
+  settings.key_revocation =
+      ReadTime(reader, "key_revocation_ms", settings.key_revocation);
+  settings.stop_grace = ReadTime(reader, "stop_grace_ms", settings.stop_grace);
+  reader.CheckUnknown();
+  if (!findings.empty()) {
+    return std::nullopt;
+  }
+  return settings;
+}
+
+std::optional<WorkerSettings> ParseWorkerSettings(const std::string& text,
+                                                  Findings& findings) {
+  const json root = json::parse(text, nullptr, /*allow_exceptions=*/false);
+  JsonReader reader(root, "", findings);
+  WorkerSettings settings;
+  settings.node = reader.RequiredString("node");
+  settings.zone = reader.RequiredString("zone");
+  settings.runner_address = ReadAddress(reader, "runner_address", findings);
+  settings.store_address = ReadAddress(reader, "store_address", findings);
+  settings.listen_metrics = reader.OptionalString("listen_metrics", "");
+  CheckAddress(settings.listen_metrics, reader.PathOf("listen_metrics"),
+               findings);
+  settings.reserved_slots = static_cast<int>(reader.OptionalNumber(
+      "reserved_slots", 0, kMaxSlots, settings.reserved_slots));
+  settings.stop_grace = ReadTime(reader, "stop_grace_ms", settings.stop_grace);
+  reader.CheckUnknown();
+  if (!findings.empty()) {
+    return std::nullopt;
+  }
+  return settings;
+}
+
+}  // namespace carawayrelay
--- /dev/null
+++ b/src/process/serving/store_client.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "process/serving/outbound_calls.h"
+#include "process/serving/store_call.h"
+#include "request/boot_clock.h"
+
+namespace carawayrelay {
+
+// Calls of one deciding thread to the platform's store. Nothing is repeated
+// here: a write without an answer is kUnknown and its caller reads back.
+class StoreClient {
+ public:
+  // Address "IP:port" of the store.
+  StoreClient(std::string address, OutboundCalls& calls)
+      : address_(std::move(address)), calls_(calls) {}
+
+  void Send(StoreRequest request, StoreDone done);
+  StorePort port() {
+    return [this](StoreRequest request, StoreDone done) {
+      Send(std::move(request), std::move(done));
+    };
+  }
+
+  // The store's clock now, from the newest reply; zero before the first.
+  std::chrono::milliseconds StoreTime(TimePoint now) const;
+
+ private:
+  void Finish(const StoreRequest& request,
+              int status,
+              std::string body,
+              const CallEnd& end,
+              const StoreDone& done);
+  void NoteContact(const StoreReply& reply);
+
+  std::string address_;
+  OutboundCalls& calls_;
+  std::chrono::milliseconds store_time_{0};
+  TimePoint store_time_at_{};
+  bool is_away_ = false;
+  TimePoint away_since_{};
+};
+
+}  // namespace carawayrelay
--- /dev/null
+++ b/src/process/serving/table_watch.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "process/serving/store_call.h"
+#include "request/boot_clock.h"
+
+namespace carawayrelay {
+
+// Follows one table of the store: reads it whole, then its changes, and reads
+// it whole again when changes were missed.
+class TableWatch {
+ public:
+  struct Options {
+    std::string table;
+    std::vector<std::string> parts = {""};
+    // How long the store holds a call while nothing changes.
+    std::chrono::milliseconds wait{1000};
+    // Least time between the starts of two calls.
+    std::chrono::milliseconds min_interval{0};
+  };
+  // `is_full` is set when `rows` are all rows of the table.
+  using OnRows = std::function<void(const std::vector<StoredRow>& rows,
+                                    bool is_full,
+                                    TimePoint now)>;
+
+  TableWatch(Options options, StorePort store, OnRows on_rows);
+
+  // Starts the next call when it is due. Call it often.
+  void Tick(TimePoint now);
+
+  // When the newest call that succeeded was sent: at that moment all earlier
+  // changes were known. Nothing before the first.
+  std::optional<TimePoint> proven_at() const { return proven_at_; }
+  // When contact came back after the newest loss, to judge what vanished
+  // meanwhile.
+  std::optional<TimePoint> regained_at() const { return regained_at_; }
+
+ private:
+  void ReadNextPart(TimePoint now);
+  void Watch(TimePoint now);
+  void OnRead(StoreReply reply, TimePoint sent_at);
+  void OnChanges(StoreReply reply, TimePoint sent_at);
+  void Fail(TimePoint now);
+  void Prove(TimePoint sent_at, TimePoint now);
+
+  Options options_;
+  StorePort store_;
+  OnRows on_rows_;
+  bool is_running_ = false;
+  bool is_synced_ = false;
+  int failures_ = 0;
+  TimePoint next_call_{};
+  std::optional<TimePoint> proven_at_;
+  std::optional<TimePoint> regained_at_;
+  // Of the running read of the whole table.
+  size_t part_ = 0;
+  std::string from_;
+  std::vector<StoredRow> rows_;
+  std::uint64_t read_version_ = 0;
+  TimePoint read_began_{};
+
+  std::uint64_t version_ = 0;
+};
+
+}  // namespace carawayrelay
--- /dev/null
+++ b/src/process/serving/worker_process.cc
@@ -0,0 +1,151 @@
+#include "process/serving/worker_process.h"
+
+#include <sstream>
+#include <utility>
+
+#include "process/serving/decision_log.h"
+#include "request/overloaded.h"
+
+namespace carawayrelay {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kTickInterval{20};
+constexpr milliseconds kJobsInterval{250};
+// Before the end of the grace, for the threads to end.
+constexpr milliseconds kStopReserve{1000};
+constexpr const char* kMetricsType = "text/plain; version=0.0.4";
+
+}  // namespace
+
+Result<std::unique_ptr<WorkerProcess>> WorkerProcess::Make(
+    WorkerSettings settings,
+    std::uint64_t seed) {
+  std::unique_ptr<WorkerProcess> process(
+      new WorkerProcess(std::move(settings), seed));
+  BOOST_OUTCOME_TRY(process->Start());
+  return process;
+}
+
+WorkerProcess::WorkerProcess(WorkerSettings settings, std::uint64_t seed)
+    : settings_(std::move(settings)), seed_(seed) {}
+
+WorkerProcess::~WorkerProcess() {
+  if (core_) {
+    core_->events().Close();
+  }
+  if (thread_.joinable()) {
+    thread_.join();
+  }
+  if (metrics_server_) {
+    metrics_server_->Stop();
+  }
+  if (core_) {
+    core_->Stop();
+  }
+}
+
+Result<void> WorkerProcess::Start() {
+  BOOST_OUTCOME_TRY(
+      core_, ServingCore::Make({.store_address = settings_.store_address,
+                                .seed = seed_,
+                                .jobs_interval = kJobsInterval},
+                               [this](TimePoint) {
+                                 worker_->SetConfig(
+                                     core_->operators().config());
+                               }));
+  worker_ = std::make_unique<ItemWorker>(
+      ItemWorker::Options{.node = settings_.node,
+                          .runner_address = settings_.runner_address,
+                          .reserved_slots = settings_.reserved_slots,
+                          .seed = seed_},
+      core_->jobs(), core_->writer(), core_->store(), core_->runners(),
+      core_->calls());
+  if (!settings_.listen_metrics.empty()) {
+    BOOST_OUTCOME_TRY(
+        metrics_server_,
+        HttpServer::Make({.listen_address = settings_.listen_metrics},
+                         [this](const HttpRequest&,
+                                const HttpExchangePtr& exchange) {
+                           std::lock_guard lock(metrics_mutex_);
+                           exchange->Reply(
+                               200, {{"Content-Type", kMetricsType}}, metrics_);
+                         }));
+  }
+  thread_ = std::thread([this] { Run(); });
+  LogDecision(LogEvent::kServingStarted, "role", "worker", "zone",
+              settings_.zone, "runner", settings_.runner_address, "store",
+              settings_.store_address);
+  return Success();
+}
+
+void WorkerProcess::Run() {
+  TimePoint next_tick{};
+  while (true) {
+    const TimePoint now = BootClock::now();
+    core_->Tick(now);
+    if (now >= next_tick) {
+      next_tick = now + kTickInterval;
+      worker_->Tick(now);
+      // The edits that the worker added.
+      core_->Tick(now);
+      std::lock_guard lock(metrics_mutex_);
+      metrics_ = MetricsText();
+    }
+    if (IsDrained(now) || core_->events().IsClosed()) {
+      return;
+    }
+    if (auto event = core_->events().PopUntil(next_tick)) {
+      Take(*std::move(event), BootClock::now());
+    }
+  }
+}
+
+void WorkerProcess::Take(ServingEvent event, TimePoint now) {
+  std::visit(Overloaded{
+                 [](HttpArrived&) {},
+                 [&](StopAsked&) {
+                   draining_since_ = now;
+                   LogDecision(LogEvent::kServingStopping, "active",
+                               core_->calls().size());
+                   worker_->Stop(now);
+                 },
+                 [](ReloadAsked&) {
+                   LogDecision(LogEvent::kServingReloaded, "changed", false);
+                 },
+                 [&](auto& call) { core_->Deliver(std::move(call)); },
+             },
+             event);
+}
+
+bool WorkerProcess::IsDrained(TimePoint now) const {
+  return draining_since_ &&
+         (worker_->IsIdle() ||
+          now - *draining_since_ >= settings_.stop_grace - kStopReserve);
+}
+
+std::string WorkerProcess::MetricsText() const {
+  const ItemWorker::Counters& c = worker_->counters();
+  std::ostringstream text;
+  text << "carawayrelay_items_completed_total " << c.completed << '\n'
+       << "carawayrelay_items_given_up_total " << c.given_up << '\n'
+       << "carawayrelay_items_yielded_total " << c.yielded << '\n'
+       << "carawayrelay_items_released_total " << c.released << '\n'
+       << "carawayrelay_jobs_known " << core_->jobs().jobs().size() << '\n'
+       << "carawayrelay_calls_running " << core_->calls().size() << '\n'
+       << "carawayrelay_log_lines_dropped_total " << DroppedLogLines() << '\n';
+  return std::move(text).str();
+}
+
+void WorkerProcess::Drain() {
+  core_->events().Push(ServingEvent(StopAsked{}));
+  thread_.join();
+  LogDecision(LogEvent::kServingStopped, "role", "worker");
+}
+
+void WorkerProcess::Reload() {
+  core_->events().Push(ServingEvent(ReloadAsked{}));
+}
+
+}  // namespace carawayrelay
--- /dev/null
+++ b/src/process/serving/worker_process.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+
+#include "process/serving/item_worker.h"
+#include "process/serving/serving_core.h"
+#include "process/serving/serving_settings.h"
+
+namespace carawayrelay {
+
+// The worker role: the thread that makes calls and the thread that decides
+// which batch items run on the backend server of the VM.
+class WorkerProcess {
+ public:
+  // Starts the threads. Fails with kInvalid, kUnavailable or kInternal.
+  static Result<std::unique_ptr<WorkerProcess>> Make(WorkerSettings settings,
+                                                     std::uint64_t seed);
+  ~WorkerProcess();
+
+  // Graceful shutdown: stops the runs and gives their items back.
+  void Drain();
+  void Reload();
+
+ private:
+  WorkerProcess(WorkerSettings settings, std::uint64_t seed);
+
+  Result<void> Start();
+  void Run();
+  void Take(ServingEvent event, TimePoint now);
+  bool IsDrained(TimePoint now) const;
+  std::string MetricsText() const;
+
+  WorkerSettings settings_;
+  std::uint64_t seed_;
+  std::unique_ptr<ServingCore> core_;
+  std::unique_ptr<ItemWorker> worker_;
+  std::optional<TimePoint> draining_since_;
+  std::unique_ptr<HttpServer> metrics_server_;
+  std::thread thread_;
+
+  mutable std::mutex metrics_mutex_;
+  std::string metrics_;
+};
+
+}  // namespace carawayrelay
--- a/tests/process/batch_model.h
+++ b/tests/process/batch_model.h
@@ -404,7 +404,7 @@
       entry.worker->Perform(request);
     }
     RunAgent(entry);
-    entry.events->push_back(BatchTick{});
+    entry.events->push_back(Tick{});
     while (!entry.events->empty()) {
       BatchEvent event = std::move(entry.events->front());
       entry.events->pop_front();
--- a/tests/process/chat_api_test.cc
+++ b/tests/process/chat_api_test.cc
@@ -85,11 +85,11 @@
   CHECK(WithoutDoneEvent(quoted) == quoted);
 }
 
-TEST_CASE_FIXTURE(ChatApiFixture, "ToErrorJson, refusal, has all fields") {
+TEST_CASE_FIXTURE(ChatApiFixture, "ToJson, refusal, has all fields") {
   const auto error = nlohmann::json::parse(
-      ToErrorJson({.code = RefusalCode::kRateLimited,
-                   .reason = "bad \xff byte",
-                   .retry_after = std::chrono::milliseconds(1500)}))["error"];
+      ToJson({.code = RefusalCode::kRateLimited,
+              .reason = "bad \xff byte",
+              .retry_after = std::chrono::milliseconds(1500)}))["error"];
   CHECK(error["code"] == "rate_limited");
   CHECK(error["type"] == "rate_limit_error");
   CHECK(error["run_state"] == "not_run");
