Admit by borrowed shares, reserve slots before streams, keep one slot free

Frontends may now go beyond their share while the estimate of what all admit in the window is under 60 percent; the debt is paid from the share. Cause of the late streams: frontends know only their own load, so at peaks a backend server queued while others had free slots. A frontend now reserves a slot before it sends a stream, and batch yields down to one free slot. The grace now counts from the return of contact, and watches notice a silent channel sooner.

--- a/src/process/serving/allowances.h
+++ b/src/process/serving/allowances.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "process/serving/store_call.h"
@@ -16,7 +18,9 @@
 // The part of each workspace's rate that this entry may admit. All entries
 // report their demand in the store; each takes a share of the rate in
 // proportion to its reported demand, so that the shares of all entries that
-// read the same reports sum to one. An entry whose report was not renewed for
+// read the same reports sum to one. While all entries together are well under
+// the rate, an entry may go beyond its share; what it borrows is taken off its
+// share until it is paid back. An entry whose report was not renewed for
 // kMemberLapse is left out, and it stops admitting before that itself.
 class Allowances {
  public:
@@ -53,14 +57,34 @@
     TimePoint changed_at{};
     std::map<std::string, double> demand;  // requests per second by workspace
   };
+  // Requests that this entry admitted in the newest seconds.
+  class RecentCount {
+   public:
+    void Add(TimePoint now);
+    double Sum(TimePoint now);
+
+   private:
+    void Advance(TimePoint now);
+
+    std::array<double, 10> slices_{};
+    std::int64_t slice_ = 0;
+  };
   struct Usage {
     std::optional<TokenBucket> bucket;
+    RecentCount recent;
+    double share = 0;            // of this entry, 0 to 1
+    double others_demand = 0;    // requests per second, as reported
     double arrived = 0;  // since the newest report
     double demand = 0;   // requests per second, smoothed
   };
 
   void UpdateShares(TimePoint now);
-  double ShareOf(const ServingWorkspace& workspace, TimePoint now) const;
+  bool MayBorrow(const ServingWorkspace& workspace,
+                 Usage& usage,
+                 TimePoint now) const;
+  // Share of this entry and demand of the others.
+  std::pair<double, double> ShareOf(const ServingWorkspace& workspace,
+                                    TimePoint now) const;
 
   std::string node_;
   ServingConfigPtr config_;
--- a/src/process/serving/frontend_process.cc
+++ b/src/process/serving/frontend_process.cc
@@ -190,7 +190,7 @@
   exchanges_.emplace(client, std::move(arrived.exchange));
   HttpRequest& request = arrived.request;
   if (auto refusal = RefusalForAll(now)) {
-    Refuse(client, "", *std::move(refusal));
+    Refuse(client, platform::RequestIdOf(request), *std::move(refusal));
     return;
   }
   if (auto call = platform::DecodeJobCall(request)) {
@@ -399,6 +399,8 @@
        << "carawayrelay_requests_broken_total " << c.broken << '\n'
        << "carawayrelay_requests_abandoned_total " << c.abandoned << '\n'
        << "carawayrelay_requests_resent_total " << c.resent << '\n'
+       << "carawayrelay_requests_held_total " << c.held << '\n'
+       << "carawayrelay_requests_unheld_total " << c.unheld << '\n'
        << "carawayrelay_requests_active " << forwarder_->active() << '\n'
        << "carawayrelay_runners_known " << core_->runners().size() << '\n'
        << "carawayrelay_jobs_known " << core_->jobs().jobs().size() << '\n'
--- a/src/process/serving/item_worker.cc
+++ b/src/process/serving/item_worker.cc
@@ -133,11 +133,12 @@
   if (runner == nullptr || is_stopping_) {
     return;
   }
-  if (load.waiting > 0) {
-    Yield(load.waiting, now);
+  int room = runner->entry.slots - load.running - load.waiting -
+             options_.reserved_slots;
+  if (room < 0) {
+    Yield(-room, now);
     return;
   }
-  int room = runner->entry.slots - load.running - options_.reserved_slots;
   if (now < runner->cold_until) {
     room = std::min(room, kColdRuns - CountRunning());
   }
--- a/src/process/serving/online_forwarder.cc
+++ b/src/process/serving/online_forwarder.cc
@@ -1,6 +1,7 @@
 #include "process/serving/online_forwarder.h"
 
 #include <algorithm>
+#include <memory>
 #include <utility>
 #include <vector>
 
@@ -15,6 +16,9 @@
 
 // When a client whose request found no room should come back.
 constexpr milliseconds kRetryAfter{100};
+// Backend servers are not asked for slots for this long after one did not know
+// the call.
+constexpr std::chrono::seconds kHoldsPause{10};
 // Answers that are not streams are held until they are whole.
 constexpr size_t kMaxHeldBytes = size_t{8} << 20;
 
@@ -111,6 +115,95 @@
            now);
     return;
   }
+  const bool asks_hold =
+      request.is_stream && request.call.tokens > 0 && now >= holds_from_ &&
+      static_cast<int>(request.full.size()) < options_.max_holds;
+  if (!asks_hold) {
+    request.hold.clear();
+    SendTo(request, *runner, now);
+    return;
+  }
+  std::set<std::string> excluded = request.tried;
+  excluded.insert(request.full.begin(), request.full.end());
+  RunnerDirectory::Runner* candidate = runners_.Choose(
+      {.service = request.service, .zone = options_.zone, .excluded = excluded},
+      now);
+  if (candidate == nullptr) {
+    request.hold.clear();
+    SendTo(request, *runner, now);
+    return;
+  }
+  AskHold(request, *candidate, now);
+}
+
+void OnlineForwarder::AskHold(Request& request,
+                              const RunnerDirectory::Runner& runner,
+                              TimePoint now) {
+  struct Progress {
+    int status = 0;
+    std::string body;
+  };
+  const auto progress = std::make_shared<Progress>();
+  const ClientId client = request.call.client;
+  request.is_holding = true;
+  request.runner = runner.entry.id;
+  request.heard_at = now;
+  request.out = calls_.Start(
+      platform::EncodeHoldCall(runner.entry.address, request.call.tokens,
+                               options_.hold_time),
+      [this, client, progress, id = runner.entry.id](CallEvent& event) {
+        std::visit(Overloaded{
+                       [&](CallHead& head) { progress->status = head.status; },
+                       [&](CallData& data) { progress->body += data.bytes; },
+                       [&](CallEnd& end) {
+                         OnHoldAnswer(client, id, progress->status,
+                                      progress->body, end.is_whole);
+                       },
+                   },
+                   event);
+      });
+}
+
+void OnlineForwarder::OnHoldAnswer(ClientId client,
+                                   const std::string& runner,
+                                   int status,
+                                   const std::string& body,
+                                   bool is_whole) {
+  const auto it = requests_.find(client);
+  if (it == requests_.end()) {
+    return;
+  }
+  Request& request = it->second;
+  request.is_holding = false;
+  const TimePoint now = BootClock::now();
+  RunnerDirectory::Runner* found = runners_.Find(runner);
+  const platform::HoldAnswer answer = platform::DecodeHoldAnswer(status, body);
+  if (is_whole && answer.outcome == platform::HoldOutcome::kHeld &&
+      found != nullptr && runners_.IsUsable(*found)) {
+    request.hold = answer.hold;
+    ++counters_.held;
+    SendTo(request, *found, now);
+    return;
+  }
+  if (is_whole && answer.outcome == platform::HoldOutcome::kNotOffered) {
+    holds_from_ = now + kHoldsPause;
+  }
+  if (found != nullptr) {
+    if (is_whole) {
+      runners_.NoteFull(*found, now);
+    } else {
+      runners_.NoteFailure(*found, "no answer about a slot", now);
+    }
+  }
+  request.full.insert(runner);
+  Send(request, now);
+}
+
+void OnlineForwarder::SendTo(Request& request,
+                             RunnerDirectory::Runner& chosen,
+                             TimePoint now) {
+  RunnerDirectory::Runner* runner = &chosen;
+  counters_.unheld += request.hold.empty() ? 1 : 0;
   ++request.offers;
   request.tried.insert(runner->entry.id);
   request.runner = runner->entry.id;
@@ -133,7 +226,8 @@
            .runner = runner->entry,
            .workspace = request.workspace,
            .time_left = std::max(left, milliseconds(1)),
-           .resume_after = request.last_event}),
+           .resume_after = request.last_event,
+           .hold = request.hold}),
       [this, client](CallEvent& event) { OnEvent(client, event); });
 }
 
@@ -253,6 +347,9 @@
 }
 
 void OnlineForwarder::DropAttempt(Request& request) {
+  if (std::exchange(request.is_holding, false)) {
+    calls_.Cancel(request.out);
+  }
   if (!std::exchange(request.is_sent, false)) {
     return;
   }
@@ -356,11 +453,16 @@
     if (now >= request.deadline) {
       Refuse(request,
              {.code = RefusalCode::kDeadline,
-              .run_state = RunState::kUnknown,
+              .run_state = request.is_sent || request.may_have_run
+                               ? RunState::kUnknown
+                               : RunState::kNotRun,
               .reason = "the time limit passed"},
              now);
       continue;
     }
+    if (!request.is_sent) {
+      continue;
+    }
     const Duration silence = now - request.heard_at;
     if (silence >= options_.silence_limit &&
         !std::exchange(request.is_silent, true)) {
--- a/src/process/serving/online_forwarder.h
+++ b/src/process/serving/online_forwarder.h
@@ -27,6 +27,11 @@
     std::uint64_t seed = 1;
     // Backend servers that may decline one request before it is refused.
     int max_offers = 4;
+    // Backend servers asked for a free slot before a request is sent to the
+    // best of them without one; 0 asks none.
+    int max_holds = 3;
+    // How long a slot stays reserved for a request that is on its way.
+    std::chrono::milliseconds hold_time{400};
     // A stream that may be resumed is, after this long without an event.
     std::chrono::milliseconds resume_after_silence{700};
     // A backend server is avoided when a call gets nothing for this long.
@@ -40,6 +45,8 @@
     std::uint64_t broken = 0;
     std::uint64_t abandoned = 0;  // by their clients
     std::uint64_t resent = 0;
+    std::uint64_t held = 0;    // sent with a reserved slot
+    std::uint64_t unheld = 0;  // sent without one
   };
 
   OnlineForwarder(Options options,
@@ -74,6 +81,9 @@
     std::string runner;
     OutboundId out{0};
     bool is_sent = false;  // an attempt runs
+    bool is_holding = false;  // a slot is being reserved
+    std::set<std::string> full;  // backend servers without a free slot
+    std::string hold;
     bool forwards = false;  // its bytes go to the client as they come
     int status = 0;
     bool is_signed = false;
@@ -93,7 +103,18 @@
     std::string last_failure;
   };
 
+  // Finds a backend server for the request and sends it, after a slot was
+  // reserved where that is offered.
   void Send(Request& request, TimePoint now);
+  void AskHold(Request& request,
+               const RunnerDirectory::Runner& runner,
+               TimePoint now);
+  void OnHoldAnswer(ClientId client,
+                    const std::string& runner,
+                    int status,
+                    const std::string& body,
+                    bool is_whole);
+  void SendTo(Request& request, RunnerDirectory::Runner& runner, TimePoint now);
   void OnEvent(ClientId client, CallEvent& event);
   void On(Request& request, const CallHead& head, TimePoint now);
   void On(Request& request, CallData& data, TimePoint now);
@@ -117,6 +138,9 @@
   Answer answer_;
   std::mt19937_64 random_;
   std::map<ClientId, Request> requests_;
+  // Backend servers are not asked for slots before then, because one of them
+  // does not offer that.
+  TimePoint holds_from_{};
   Counters counters_;
 };
 
--- a/src/process/serving/runner_directory.cc
+++ b/src/process/serving/runner_directory.cc
@@ -27,7 +27,7 @@
 
 void RunnerDirectory::Apply(const std::vector<StoredRow>& rows,
                             bool is_full,
-                            bool may_lapse,
+                            std::optional<TimePoint> regained_at,
                             TimePoint now) {
   if (is_full) {
     std::set<std::string> present;
@@ -41,12 +41,12 @@
       }
     }
     for (const std::string& id : missing) {
-      Remove(id, may_lapse, now);
+      Remove(id, regained_at, now);
     }
   }
   for (const StoredRow& row : rows) {
     if (row.is_removed) {
-      Remove(row.key.key, may_lapse, now);
+      Remove(row.key.key, regained_at, now);
     } else {
       Put(row, now);
     }
@@ -79,16 +79,15 @@
 }
 
 void RunnerDirectory::Remove(const std::string& id,
-                             bool may_lapse,
+                             std::optional<TimePoint> regained_at,
                              TimePoint now) {
   const auto it = runners_.find(id);
   if (it == runners_.end()) {
     return;
   }
-  if (may_lapse && !it->second.entry.is_draining) {
-    if (!it->second.gone_at) {
-      it->second.gone_at = now + kLapseGrace;
-    }
+  if (regained_at && now < *regained_at + kLapseGrace &&
+      !it->second.entry.is_draining) {
+    it->second.gone_at = *regained_at + kLapseGrace;
     return;
   }
   LogDecision(LogEvent::kRunnerGone, "runner", id, "reason", "entry removed");
--- a/src/process/serving/runner_directory.h
+++ b/src/process/serving/runner_directory.h
@@ -40,12 +40,13 @@
 
   explicit RunnerDirectory(std::uint64_t seed) : random_(seed) {}
 
-  // Applies rows of the table of entries. While `may_lapse` is set, entries
-  // that vanish are kept for a while, because the outage of the store may have
-  // removed entries of backend servers that live.
+  // Applies rows of the table of entries. `regained_at` is when contact with
+  // the store came back after its newest loss: entries that vanish soon after
+  // it are kept for a while, because the outage may have removed entries of
+  // backend servers that live.
   void Apply(const std::vector<StoredRow>& rows,
              bool is_full,
-             bool may_lapse,
+             std::optional<TimePoint> regained_at,
              TimePoint now);
   // Zones that get no new work.
   void SetEvacuated(std::set<std::string> zones) {
@@ -72,7 +73,9 @@
 
  private:
   void Put(const StoredRow& row, TimePoint now);
-  void Remove(const std::string& id, bool may_lapse, TimePoint now);
+  void Remove(const std::string& id,
+              std::optional<TimePoint> regained_at,
+              TimePoint now);
   double Score(const Runner& runner, const Query& query, TimePoint now);
 
   std::mt19937_64 random_;
--- a/src/process/serving/serving_core.cc
+++ b/src/process/serving/serving_core.cc
@@ -11,9 +11,6 @@
 
 constexpr milliseconds kWatchWait{1000};
 constexpr milliseconds kRunnersInterval{100};
-// Entries of backend servers that vanish so soon after an outage of the store
-// may come back.
-constexpr milliseconds kLapseWindow{3000};
 
 }  // namespace
 
@@ -52,9 +49,7 @@
           store_.port(),
           [this](const std::vector<StoredRow>& rows, bool is_full,
                  TimePoint now) {
-            const auto regained = runner_watch_.regained_at();
-            const bool may_lapse = regained && now - *regained < kLapseWindow;
-            runners_.Apply(rows, is_full, may_lapse, now);
+            runners_.Apply(rows, is_full, runner_watch_.regained_at(), now);
           }),
       job_watch_({.table = job_rows::kStates,
                   .parts = job_rows::Parts(),
--- a/src/process/serving/store_call.h
+++ b/src/process/serving/store_call.h
@@ -47,6 +47,8 @@
   std::string part;
   std::string from;
   std::string to;
+  // Until the call counts as lost; 0 is the usual limit.
+  std::chrono::milliseconds limit{0};
 };
 
 // Rows of a table that changed after a version; waits for one.
@@ -54,6 +56,8 @@
   std::string table;
   std::uint64_t after = 0;
   std::chrono::milliseconds wait{0};
+  // Beyond the wait, until the call counts as lost.
+  std::chrono::milliseconds limit{500};
 };
 
 struct ObjectWrite {
--- a/src/process/serving/table_watch.cc
+++ b/src/process/serving/table_watch.cc
@@ -7,7 +7,11 @@
 namespace {
 
 constexpr std::chrono::milliseconds kFirstRetry{50};
-constexpr int kMaxDoublings = 3;
+constexpr int kMaxDoublings = 2;
+// A call that is answered later counts as lost. Every third try after a loss
+// waits longer, so that a store that is slow can still be followed.
+constexpr std::chrono::milliseconds kShortLimit{500};
+constexpr std::chrono::milliseconds kLongLimit{2000};
 
 }  // namespace
 
@@ -37,7 +41,8 @@
   is_running_ = true;
   store_(RowsRead{.table = options_.table,
                   .part = options_.parts[part_],
-                  .from = from_},
+                  .from = from_,
+                  .limit = Limit()},
          [this, now](StoreReply reply) { OnRead(std::move(reply), now); });
 }
 
@@ -74,7 +79,9 @@
   is_running_ = true;
   store_(RowsWatch{.table = options_.table,
                    .after = version_,
-                   .wait = options_.wait},
+                   .wait = failures_ > 0 ? std::chrono::milliseconds(0)
+                                         : options_.wait,
+                   .limit = Limit()},
          [this, now](StoreReply reply) { OnChanges(std::move(reply), now); });
 }
 
@@ -98,6 +105,10 @@
   }
 }
 
+std::chrono::milliseconds TableWatch::Limit() const {
+  return failures_ % 3 == 2 ? kLongLimit : kShortLimit;
+}
+
 void TableWatch::Prove(TimePoint sent_at, TimePoint now) {
   if (failures_ > 0) {
     regained_at_ = now;
--- a/src/process/serving/table_watch.h
+++ b/src/process/serving/table_watch.h
@@ -46,6 +46,7 @@
   void OnRead(StoreReply reply, TimePoint sent_at);
   void OnChanges(StoreReply reply, TimePoint sent_at);
   void Fail(TimePoint now);
+  std::chrono::milliseconds Limit() const;
   void Prove(TimePoint sent_at, TimePoint now);
 
   Options options_;
--- a/src/request/client_call.h
+++ b/src/request/client_call.h
@@ -27,6 +27,8 @@
   std::string key;
   // How long the client waits, counted from `arrived`.
   std::optional<std::chrono::milliseconds> time_left;
+  // Prompt tokens and most output tokens, summed; 0 when not told.
+  std::int64_t tokens = 0;
   // The client resumes a stream after this event.
   std::string resume_after;
   // Headers that the backend server gets as they came.
--- a/src/request/token_bucket.h
+++ b/src/request/token_bucket.h
@@ -24,6 +24,12 @@
     return true;
   }
 
+  // Spends without asking; the bucket may go into debt.
+  void Spend(double tokens, TimePoint now) {
+    Refill(now);
+    tokens_ -= tokens;
+  }
+
   // Time until `tokens` can be spent, at most `limit`.
   std::chrono::milliseconds WaitFor(double tokens,
                                     TimePoint now,
