--- a/src/process/serving/frontend_process.cc
+++ b/src/process/serving/frontend_process.cc
@@ -25,10 +25,13 @@
 constexpr milliseconds kNotReadyRetry{500};
 // After a stop signal the balancer needs this long to send clients elsewhere.
 constexpr milliseconds kLeaveTime{3000};
-// Without requests for this long after kLeaveTime the process stops.
+// Without requests and answers for this long after kLeaveTime the process stops.
 constexpr milliseconds kQuietTime{500};
 // Before the end of the grace, for the threads to end.
 constexpr milliseconds kStopReserve{700};
+// Requests that come later than this before the stop are refused, because the
+// answer might not end in time.
+constexpr milliseconds kLastServiceTime{2000};
 // Known jobs older than this are read from the store.
 constexpr milliseconds kJobsAge{1200};
 constexpr size_t kMaxBodyBytes = size_t{8} << 20;
@@ -152,7 +155,7 @@
                  },
                  [&](StopAsked&) {
                    draining_since_ = now;
-                   last_request_ = now;
+                   last_active_ = now;
                    is_ready_ = false;
                    LogDecision(LogEvent::kServingStopping, "active",
                                exchanges_.size());
@@ -166,6 +169,13 @@
 }
 
 std::optional<Refusal> FrontendProcess::RefusalForAll(TimePoint now) const {
+  if (draining_since_ && now - *draining_since_ >= settings_.stop_grace -
+                                                       kStopReserve -
+                                                       kLastServiceTime) {
+    return Refusal{.code = RefusalCode::kLeaving,
+                   .reason = "this entry is about to stop",
+                   .retry_after = milliseconds(0)};
+  }
   const std::optional<Duration> age = core_->operators().Age(now);
   if (!age) {
     return Refusal{.code = RefusalCode::kNotReady,
@@ -183,7 +193,7 @@
 
 void FrontendProcess::TakeRequest(HttpArrived arrived, TimePoint now) {
   const ClientId client{next_client_++};
-  last_request_ = now;
+  last_active_ = now;
   if (draining_since_) {
     arrived.exchange->CloseAfterReply();
   }
@@ -303,6 +313,8 @@
       },
       answer);
   if (is_last) {
+    // The bytes of the answer still have to leave the process.
+    last_active_ = BootClock::now();
     exchanges_.erase(client);
   }
 }
@@ -388,7 +400,7 @@
     return true;
   }
   return exchanges_.empty() && now - *draining_since_ >= kLeaveTime &&
-         now - last_request_ >= kQuietTime;
+         now - last_active_ >= kQuietTime;
 }
 
 std::string FrontendProcess::MetricsText() const {
--- a/src/process/serving/frontend_process.h
+++ b/src/process/serving/frontend_process.h
@@ -68,7 +68,8 @@
   std::uint64_t next_client_ = 1;
   std::atomic<bool> is_ready_ = false;
   std::optional<TimePoint> draining_since_;
-  TimePoint last_request_{};
+  // The newest arrival of a request or end of an answer.
+  TimePoint last_active_{};
   TimePoint next_tick_{};
   TimePoint next_demand_{};
   bool is_reporting_ = false;
