--- a/src/process/command.h
+++ b/src/process/command.h
@@ -77,6 +77,12 @@
   std::string id;
 };
 
+// Tells the story of one request or job from the decision logs.
+struct ExplainCommand {
+  std::string id;
+  std::vector<std::string> files;
+};
+
 struct StatusCommand {};
 struct HelpCommand {};
 struct VersionCommand {};
@@ -97,6 +103,7 @@
                              JobStatusCommand,
                              JobCancelCommand,
                              JobResultsCommand,
+                             ExplainCommand,
                              StatusCommand,
                              HelpCommand,
                              VersionCommand>;
--- /dev/null
+++ b/src/process/command_explain.cc
@@ -0,0 +1,37 @@
+#include "process/command_explain.h"
+
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "process/serving/log_story.h"
+#include "process/text_file.h"
+
+namespace carawayrelay {
+
+ExitCode RunExplain(const ExplainCommand& command,
+                    const CommandContext& context) {
+  std::vector<std::string> lines;
+  for (const std::string& file : command.files) {
+    const Result<std::string> text = ReadTextFile(file);
+    if (!text) {
+      context.err << text.error().message << '\n';
+      return ExitCode::kInvalidInput;
+    }
+    std::istringstream stream(text.value());
+    for (std::string line; std::getline(stream, line);) {
+      lines.push_back(std::move(line));
+    }
+  }
+  const std::vector<std::string> story = TellStory(command.id, lines);
+  if (story.empty()) {
+    context.err << "no line names '" << command.id << "'\n";
+    return ExitCode::kInvalidInput;
+  }
+  for (const std::string& line : story) {
+    context.out << line << '\n';
+  }
+  return ExitCode::kOk;
+}
+
+}  // namespace carawayrelay
--- a/src/process/command_help.cc
+++ b/src/process/command_help.cc
@@ -20,6 +20,9 @@
   check FILE [--kind entry|agent|config|frontend|worker]
                                  report everything that is wrong with a file
       carawayrelay check config.json
+  explain ID FILE...             tell what happened to a request or job, from the
+                                 decision logs of all processes
+      carawayrelay explain 9c41d07be2a35f68 logs/*.log
 
 Configuration, through the admin port of an entry:
   apply FILE [--based_on N]      make FILE the whole configuration
--- a/src/process/command_line.cc
+++ b/src/process/command_line.cc
@@ -263,6 +263,13 @@
   if (first == "check") {
     return ParseCheck(line);
   }
+  if (first == "explain") {
+    if (words.size() < 3) {
+      return Invalid("explain needs an id and log files");
+    }
+    return Command{ExplainCommand{
+        .id = words[1], .files = Words(words.begin() + 2, words.end())}};
+  }
   if (first == "apply") {
     return ParseApply(line);
   }
--- a/src/process/command_runner.cc
+++ b/src/process/command_runner.cc
@@ -2,6 +2,7 @@
 
 #include "process/command_check.h"
 #include "process/command_config.h"
+#include "process/command_explain.h"
 #include "process/command_help.h"
 #include "process/command_job.h"
 #include "process/serving/serving_command.h"
@@ -44,6 +45,9 @@
   int operator()(const CheckCommand& command) const {
     return ToInt(RunCheck(command, context_));
   }
+  int operator()(const ExplainCommand& command) const {
+    return ToInt(RunExplain(command, context_));
+  }
   int operator()(const ApplyCommand& command) const {
     return ToInt(RunApply(command, context_));
   }
--- a/src/process/serving/allowances.cc
+++ b/src/process/serving/allowances.cc
@@ -14,25 +14,50 @@
 
 // Demand reports follow the demand with this time constant.
 constexpr std::chrono::duration<double> kDemandMemory{3.0};
-// Part of the rate that is split evenly whatever the demand, so that an entry
-// that meets new demand can begin to admit it.
-constexpr double kEvenPart = 0.25;
-// Requests that all entries together may admit beyond the burst: half of what
-// a window of the rate's check tolerates.
-constexpr double kSpareRequests = 10;
+// Demand that every entry is taken to have, in requests per second, so that
+// one that meets new demand can begin to admit it and chance arrivals do not
+// move the shares much.
+constexpr double kLeastWeight = 0.5;
+// Requests that all entries together may admit beyond the burst, as a number
+// and as a part of what the window allows. The check of the rate tolerates 20
+// and a tenth.
+constexpr double kSpareRequests = 12;
 constexpr double kSparePart = 0.05;
 // An entry may borrow while all entries together are estimated to use less
-// than this part of what the window allows.
-constexpr double kBorrowPart = 0.6;
+// than this part of what the window allows, and this many requests at a time.
+constexpr double kBorrowPart = 0.7;
+constexpr double kMaxDebt = 5;
 // The window over which the rate is checked, and the slices that it is counted
 // in.
 constexpr std::chrono::milliseconds kWindow{5000};
 constexpr std::chrono::milliseconds kSlice{500};
+// How old the reports of others are on average.
+constexpr double kReportLagSeconds = 1;
 // Standard deviations that an estimate from the own count is lowered by.
 constexpr double kOwnCountMargin = 1.5;
 // Demand below this is not reported.
 constexpr double kLeastDemand = 0.01;
 
+double AllowedInWindow(const ServingWorkspace& workspace) {
+  return workspace.rate_per_second *
+             std::chrono::duration<double>(kWindow).count() +
+         workspace.burst;
+}
+
+void ReadNumbers(const json& root,
+                 const char* name,
+                 std::map<std::string, double>& numbers) {
+  const auto it = root.find(name);
+  if (it == root.end() || !it->is_object()) {
+    return;
+  }
+  for (const auto& [key, value] : it->items()) {
+    if (value.is_number()) {
+      numbers[key] = value.get<double>();
+    }
+  }
+}
+
 }  // namespace
 
 void Allowances::SetConfig(ServingConfigPtr config, TimePoint now) {
@@ -82,8 +107,8 @@
 
 void Allowances::RecentCount::Add(TimePoint now) {
   Advance(now);
-  slices_[static_cast<size_t>(slice_ % static_cast<std::int64_t>(
-                                           slices_.size()))] += 1;
+  slices_[static_cast<size_t>(slice_ %
+                              static_cast<std::int64_t>(slices_.size()))] += 1;
 }
 
 double Allowances::RecentCount::Sum(TimePoint now) {
@@ -94,16 +119,17 @@
 bool Allowances::MayBorrow(const ServingWorkspace& workspace,
                            Usage& usage,
                            TimePoint now) const {
-  const double window = std::chrono::duration<double>(kWindow).count();
-  const double allowed = workspace.rate_per_second * window + workspace.burst;
+  const double allowed = AllowedInWindow(workspace);
   const double own = usage.recent.Sum(now);
   // Reports lag, so a sudden rise shows first in the own count.
-  const double by_reports = own + usage.others_demand * window;
+  const double by_reports = own + usage.split.others_admitted +
+                            usage.split.others_demand * kReportLagSeconds;
   const double by_own_count =
-      usage.share > 0
-          ? (own - kOwnCountMargin * std::sqrt(own)) / usage.share
+      usage.split.share > 0
+          ? (own - kOwnCountMargin * std::sqrt(own)) / usage.split.share
           : 0;
-  return std::max(by_reports, by_own_count) < kBorrowPart * allowed;
+  return usage.bucket->TokensAt(now) > 1 - kMaxDebt &&
+         std::max(by_reports, by_own_count) < kBorrowPart * allowed;
 }
 
 std::chrono::milliseconds Allowances::RetryAfter(
@@ -121,15 +147,19 @@
   const double seconds = std::max(passed.count(), 0.001);
   const double kept = std::exp(-(passed / kDemandMemory));
   json demand = json::object();
+  json admitted = json::object();
   for (auto& [name, usage] : usage_) {
-    usage.demand =
-        usage.demand * kept + usage.arrived / seconds * (1 - kept);
+    usage.demand = usage.demand * kept + usage.arrived / seconds * (1 - kept);
     usage.arrived = 0;
+    if (const double recent = usage.recent.Sum(now); recent > 0) {
+      admitted[name] = recent;
+    }
     if (usage.demand >= kLeastDemand) {
       demand[name] = std::round(usage.demand * 100) / 100;
     }
   }
-  return json{{"demand", std::move(demand)}}.dump();
+  return json{{"demand", std::move(demand)}, {"admitted", std::move(admitted)}}
+      .dump();
 }
 
 void Allowances::ApplyReports(const std::vector<StoredRow>& rows,
@@ -142,18 +172,16 @@
       members.insert(members_.extract(known));
       continue;
     }
+    if (known != members_.end()) {
+      member.former_demand = std::move(known->second.demand);
+    }
     const json root = json::parse(row.value, nullptr, false);
-    const auto demand =
-        root.is_object() ? root.find("demand") : root.end();
-    if (!root.is_object() || demand == root.end() || !demand->is_object()) {
+    if (root.is_object()) {
+      ReadNumbers(root, "demand", member.demand);
+      ReadNumbers(root, "admitted", member.admitted);
+    } else {
       LogDecision(LogEvent::kDemandReportUnreadable, "member", row.key.key,
                   "version", row.version);
-    } else {
-      for (const auto& [name, value] : demand->items()) {
-        if (value.is_number()) {
-          member.demand[name] = value.get<double>();
-        }
-      }
     }
     members.emplace(row.key.key, std::move(member));
   }
@@ -161,30 +189,35 @@
   UpdateShares(now);
 }
 
-std::pair<double, double> Allowances::ShareOf(
-    const ServingWorkspace& workspace,
-    TimePoint now) const {
-  const double even = live_members_ == 0
-                          ? 0
-                          : kEvenPart * workspace.rate_per_second /
-                                static_cast<double>(live_members_);
+Allowances::Split Allowances::SplitOf(const ServingWorkspace& workspace,
+                                      TimePoint now) const {
+  const auto value_of = [&](const std::map<std::string, double>& numbers) {
+    const auto it = numbers.find(workspace.name);
+    return it == numbers.end() ? 0 : it->second;
+  };
   double own = 0;
   double sum = 0;
-  double others_demand = 0;
+  Split split;
   for (const auto& [node, member] : members_) {
     if (now - member.changed_at >= kMemberLapse) {
       continue;
     }
-    const auto it = member.demand.find(workspace.name);
-    const double demand = it == member.demand.end() ? 0 : it->second;
-    sum += even + demand;
+    // The others may not know the newest report yet, so a rise of the own
+    // demand and a fall of another's count one report later. The shares that
+    // are in use never sum to more than one.
+    const double demand = value_of(member.demand);
+    const double former = value_of(member.former_demand);
     if (node == node_) {
-      own = even + demand;
+      own = kLeastWeight + std::min(demand, former);
+      sum += own;
     } else {
-      others_demand += demand;
+      sum += kLeastWeight + std::max(demand, former);
+      split.others_demand += demand;
+      split.others_admitted += value_of(member.admitted);
     }
   }
-  return {sum > 0 ? own / sum : 0, others_demand};
+  split.share = sum > 0 ? own / sum : 0;
+  return split;
 }
 
 void Allowances::UpdateShares(TimePoint now) {
@@ -199,17 +232,14 @@
     if (workspace.rate_per_second <= 0) {
       continue;
     }
-    const auto [share, others_demand] = ShareOf(workspace, now);
-    const double rate = workspace.rate_per_second * share;
+    const Split split = SplitOf(workspace, now);
+    const double rate = workspace.rate_per_second * split.share;
     const double spare =
-        (kSpareRequests + kSparePart * workspace.rate_per_second *
-                              std::chrono::duration<double>(kWindow).count()) /
+        (kSpareRequests + kSparePart * AllowedInWindow(workspace)) /
         static_cast<double>(live_members_);
-    // A bucket smaller than one request would never admit any.
-    const double burst = std::max(1.0, workspace.burst * share + spare);
+    const double burst = workspace.burst * split.share + spare;
     Usage& usage = usage_[workspace.name];
-    usage.share = share;
-    usage.others_demand = others_demand;
+    usage.split = split;
     if (usage.bucket) {
       usage.bucket->SetRate(rate, burst, now);
     } else {
--- a/src/process/serving/allowances.h
+++ b/src/process/serving/allowances.h
@@ -55,7 +55,17 @@
   struct Member {
     std::uint64_t version = 0;
     TimePoint changed_at{};
-    std::map<std::string, double> demand;  // requests per second by workspace
+    // By workspace: requests per second, and admitted in the window.
+    std::map<std::string, double> demand;
+    std::map<std::string, double> admitted;
+    // Demand of the report before.
+    std::map<std::string, double> former_demand;
+  };
+  // A workspace as the newest reports show it.
+  struct Split {
+    double share = 0;            // of this entry, 0 to 1
+    double others_demand = 0;    // requests per second
+    double others_admitted = 0;  // requests in the window
   };
   // Requests that this entry admitted in the newest seconds.
   class RecentCount {
@@ -72,8 +82,7 @@
   struct Usage {
     std::optional<TokenBucket> bucket;
     RecentCount recent;
-    double share = 0;            // of this entry, 0 to 1
-    double others_demand = 0;    // requests per second, as reported
+    Split split;
     double arrived = 0;  // since the newest report
     double demand = 0;   // requests per second, smoothed
   };
@@ -82,9 +91,7 @@
   bool MayBorrow(const ServingWorkspace& workspace,
                  Usage& usage,
                  TimePoint now) const;
-  // Share of this entry and demand of the others.
-  std::pair<double, double> ShareOf(const ServingWorkspace& workspace,
-                                    TimePoint now) const;
+  Split SplitOf(const ServingWorkspace& workspace, TimePoint now) const;
 
   std::string node_;
   ServingConfigPtr config_;
--- a/src/process/serving/decision_log.cc
+++ b/src/process/serving/decision_log.cc
@@ -2,6 +2,7 @@
 
 #include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
 
 #include <atomic>
 #include <map>
--- a/src/process/serving/frontend_process.cc
+++ b/src/process/serving/frontend_process.cc
@@ -25,7 +25,8 @@
 constexpr milliseconds kNotReadyRetry{500};
 // After a stop signal the balancer needs this long to send clients elsewhere.
 constexpr milliseconds kLeaveTime{3000};
-// Without requests and answers for this long after kLeaveTime the process stops.
+// Without requests and answers for this long after kLeaveTime the process
+// stops.
 constexpr milliseconds kQuietTime{500};
 // Before the end of the grace, for the threads to end.
 constexpr milliseconds kStopReserve{700};
@@ -81,46 +82,43 @@
 
 Result<void> FrontendProcess::Start() {
   BOOST_OUTCOME_TRY(
-      core_,
-      ServingCore::Make(
-          {.store_address = settings_.store_address, .seed = seed_},
-          [this](TimePoint now) {
-            if (core_->operators().config()) {
-              allowances_.SetConfig(core_->operators().config(), now);
-            }
-          }));
+      core_, ServingCore::Make(
+                 {.store_address = settings_.store_address, .seed = seed_},
+                 [this](TimePoint now) {
+                   if (core_->operators().config()) {
+                     allowances_.SetConfig(core_->operators().config(), now);
+                   }
+                 }));
   const auto answer = [this](ClientId client, ClientAnswer a) {
     Answer(client, std::move(a));
   };
   forwarder_ = std::make_unique<OnlineForwarder>(
       OnlineForwarder::Options{.zone = settings_.zone, .seed = seed_},
-      core_->runners(), allowances_, core_->calls(), answer);
+      core_->runners(), allowances_, core_->calls(), core_->clock(), answer);
   job_api_ = std::make_unique<JobApi>(core_->jobs(), core_->writer(),
-                                      core_->store(), answer);
-  BOOST_OUTCOME_TRY(
-      ready_server_,
-      HttpServer::Make({.listen_address = settings_.listen_ready},
-                       [this](const HttpRequest& request,
-                              const HttpExchangePtr& exchange) {
-                         HandleReady(request, exchange);
-                       }));
+                                      core_->store(), core_->clock(), answer);
+  BOOST_OUTCOME_TRY(ready_server_,
+                    HttpServer::Make({.listen_address = settings_.listen_ready},
+                                     [this](const HttpRequest& request,
+                                            const HttpExchangePtr& exchange) {
+                                       HandleReady(request, exchange);
+                                     }));
   BOOST_OUTCOME_TRY(
       clients_server_,
-      HttpServer::Make(
-          {.listen_address = settings_.listen_clients,
-           .max_body_bytes = kMaxBodyBytes},
-          [this](HttpRequest request, HttpExchangePtr exchange) {
-            ServingEvent event(
-                HttpArrived{std::move(request), std::move(exchange)});
-            if (!core_->events().TryPush(event)) {
-              const WholeAnswer refusal = platform::EncodeRefusal(
-                  {.code = RefusalCode::kOverloaded,
-                   .reason = "too many events are waiting",
-                   .retry_after = kNotReadyRetry});
-              std::get<HttpArrived>(event).exchange->Reply(
-                  refusal.status, refusal.headers, refusal.body);
-            }
-          }));
+      HttpServer::Make({.listen_address = settings_.listen_clients,
+                        .max_body_bytes = kMaxBodyBytes},
+                       [this](HttpRequest request, HttpExchangePtr exchange) {
+                         ServingEvent event(HttpArrived{std::move(request),
+                                                        std::move(exchange)});
+                         if (!core_->events().TryPush(event)) {
+                           const WholeAnswer refusal = platform::EncodeRefusal(
+                               {.code = RefusalCode::kOverloaded,
+                                .reason = "too many events are waiting",
+                                .retry_after = kNotReadyRetry});
+                           std::get<HttpArrived>(event).exchange->Reply(
+                               refusal.status, refusal.headers, refusal.body);
+                         }
+                       }));
   thread_ = std::thread([this] { Run(); });
   LogDecision(LogEvent::kServingStarted, "role", "frontend", "zone",
               settings_.zone, "clients", settings_.listen_clients, "ready",
@@ -130,7 +128,7 @@
 
 void FrontendProcess::Run() {
   while (true) {
-    const TimePoint now = BootClock::now();
+    const TimePoint now = core_->BeginStep();
     if (now >= next_tick_) {
       next_tick_ = now + kTickInterval;
       Tick(now);
@@ -141,7 +139,7 @@
       break;
     }
     if (auto event = core_->events().PopUntil(next_tick_)) {
-      Take(*std::move(event), BootClock::now());
+      Take(*std::move(event), core_->BeginStep());
     }
   }
   is_ready_ = false;
@@ -149,23 +147,22 @@
 }
 
 void FrontendProcess::Take(ServingEvent event, TimePoint now) {
-  std::visit(Overloaded{
-                 [&](HttpArrived& arrived) {
-                   TakeRequest(std::move(arrived), now);
-                 },
-                 [&](StopAsked&) {
-                   draining_since_ = now;
-                   last_active_ = now;
-                   is_ready_ = false;
-                   LogDecision(LogEvent::kServingStopping, "active",
-                               exchanges_.size());
-                 },
-                 [](ReloadAsked&) {
-                   LogDecision(LogEvent::kServingReloaded, "changed", false);
-                 },
-                 [&](auto& call) { core_->Deliver(std::move(call)); },
-             },
-             event);
+  std::visit(
+      Overloaded{
+          [&](HttpArrived& arrived) { TakeRequest(std::move(arrived), now); },
+          [&](StopAsked&) {
+            draining_since_ = now;
+            last_active_ = now;
+            is_ready_ = false;
+            LogDecision(LogEvent::kServingStopping, "active",
+                        exchanges_.size());
+          },
+          [](ReloadAsked&) {
+            LogDecision(LogEvent::kServingReloaded, "changed", false);
+          },
+          [&](auto& call) { core_->Deliver(std::move(call)); },
+      },
+      event);
 }
 
 std::optional<Refusal> FrontendProcess::RefusalForAll(TimePoint now) const {
@@ -213,9 +210,9 @@
   }
   Result<ClientCall> call = platform::DecodeClientCall(std::move(request), now);
   if (!call) {
-    Refuse(client, "",
-           {.code = RefusalCode::kInvalidRequest,
-            .reason = call.error().message});
+    Refuse(
+        client, "",
+        {.code = RefusalCode::kInvalidRequest, .reason = call.error().message});
     return;
   }
   call.value().client = client;
@@ -314,7 +311,7 @@
       answer);
   if (is_last) {
     // The bytes of the answer still have to leave the process.
-    last_active_ = BootClock::now();
+    last_active_ = core_->clock().now();
     exchanges_.erase(client);
   }
 }
@@ -348,11 +345,11 @@
   core_->store().Send(std::move(transaction), [this, now](StoreReply reply) {
     if (reply.status != StoreStatus::kDone) {
       is_reporting_ = false;
-      next_demand_ = BootClock::now() + kDemandRetry;
+      next_demand_ = core_->clock().now() + kDemandRetry;
       return;
     }
     allowances_.ReportStored(now);
-    ReadDemand(BootClock::now());
+    ReadDemand(core_->clock().now());
   });
 }
 
@@ -360,7 +357,7 @@
   core_->store().Send(RowsRead{.table = kDemandTable},
                       [this](StoreReply reply) {
                         is_reporting_ = false;
-                        const TimePoint at = BootClock::now();
+                        const TimePoint at = core_->clock().now();
                         if (reply.status == StoreStatus::kDone) {
                           allowances_.ApplyReports(reply.rows, at);
                           RemoveAbandonedReports(at);
@@ -381,11 +378,12 @@
 
 void FrontendProcess::UpdateReadiness(TimePoint now) {
   const bool is_ready = !draining_since_ && !RefusalForAll(now) &&
-                        allowances_.HasShare(now) && core_->runners().size() > 0;
+                        allowances_.HasShare(now) &&
+                        core_->runners().size() > 0;
   if (is_ready_.exchange(is_ready) != is_ready) {
     const std::optional<Duration> age = core_->operators().Age(now);
-    LogDecision(LogEvent::kServingReadiness, "ready", is_ready,
-                "config_age_ms", age ? ToMilliseconds(*age) : -1, "has_share",
+    LogDecision(LogEvent::kServingReadiness, "ready", is_ready, "config_age_ms",
+                age ? ToMilliseconds(*age) : -1, "has_share",
                 allowances_.HasShare(now), "runners", core_->runners().size());
   }
   std::lock_guard lock(metrics_mutex_);
--- a/src/process/serving/http_caller.cc
+++ b/src/process/serving/http_caller.cc
@@ -127,11 +127,11 @@
 
   void Begin(OutboundCall call) {
     const OutboundId id = call.id;
-    auto transfer = std::make_unique<Transfer>(
-        Transfer{.caller = this,
-                 .call = std::move(call),
-                 .head = {.id = id},
-                 .easy = EasyPtr(curl_easy_init())});
+    auto transfer =
+        std::make_unique<Transfer>(Transfer{.caller = this,
+                                            .call = std::move(call),
+                                            .head = {.id = id},
+                                            .easy = EasyPtr(curl_easy_init())});
     if (!transfer->easy) {
       deliver_(CallEnd{.id = id, .reason = "libcurl has no handle"});
       return;
@@ -278,11 +278,11 @@
       curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &user);
       // The connection is closed before the end is told.
       const auto transfer = Take(static_cast<Transfer*>(user)->call.id);
-      deliver_(CallEnd{
-          .id = transfer->call.id,
-          .is_whole = code == CURLE_OK,
-          .was_sent = transfer->was_sent,
-          .reason = code == CURLE_OK ? "" : curl_easy_strerror(code)});
+      deliver_(
+          CallEnd{.id = transfer->call.id,
+                  .is_whole = code == CURLE_OK,
+                  .was_sent = transfer->was_sent,
+                  .reason = code == CURLE_OK ? "" : curl_easy_strerror(code)});
     }
   }
 
--- a/src/process/serving/item_worker.cc
+++ b/src/process/serving/item_worker.cc
@@ -34,13 +34,15 @@
                        JobWriter& writer,
                        StoreClient& store,
                        RunnerDirectory& runners,
-                       OutboundCalls& calls)
+                       OutboundCalls& calls,
+                       const StepClock& clock)
     : options_(std::move(options)),
       jobs_(jobs),
       writer_(writer),
       store_(store),
       runners_(runners),
       calls_(calls),
+      clock_(clock),
       random_(options_.seed) {}
 
 RunnerDirectory::Runner* ItemWorker::OwnRunner() {
@@ -120,7 +122,7 @@
                                   const auto load =
                                       platform::DecodeReport(*body);
                                   if (end.is_whole && load) {
-                                    OnReport(load.value(), BootClock::now());
+                                    OnReport(load.value(), clock_.now());
                                   }
                                 },
                             },
@@ -195,7 +197,8 @@
     }
     Pause(run, now);
     LogDecision(LogEvent::kItemDropped, "job", it->first.first, "item",
-                it->first.second, "reason", "the job has ended or the item is listed");
+                it->first.second, "reason",
+                "the job has ended or the item is listed");
     it = runs_.erase(it);
   }
 }
@@ -262,7 +265,7 @@
     if (state.is_ended) {
       return JobWriter::Outcome::kMoot;
     }
-    const milliseconds store_now = store_.StoreTime(BootClock::now());
+    const milliseconds store_now = store_.StoreTime(clock_.now());
     for (size_t i = 0;
          i < state.items.size() && claimed->size() < static_cast<size_t>(count);
          ++i) {
@@ -280,7 +283,7 @@
   };
   const auto done = [this, id = *job, claimed](JobWriter::Outcome outcome) {
     is_claiming_ = false;
-    const TimePoint at = BootClock::now();
+    const TimePoint at = clock_.now();
     if (outcome == JobWriter::Outcome::kChanged) {
       OnClaimed(id, *claimed, at);
     } else {
@@ -318,12 +321,12 @@
         if (it == runs_.end() || it->second.state != RunState::kLoading) {
           return;
         }
-        const TimePoint now = BootClock::now();
+        const TimePoint now = clock_.now();
         if (!items || key.second >= items.value().size()) {
-          Return(key, it->second,
-                 items ? "the submission lacks the item"
-                       : items.error().message,
-                 now);
+          Return(
+              key, it->second,
+              items ? "the submission lacks the item" : items.error().message,
+              now);
           return;
         }
         it->second.item = std::move(items.value()[key.second]);
@@ -351,7 +354,7 @@
                 }
               }
               // Without its text the item runs from the start.
-              Pause(found->second, BootClock::now());
+              Pause(found->second, clock_.now());
             });
       });
 }
@@ -408,29 +411,28 @@
     return;
   }
   Run& run = it->second;
-  const TimePoint now = BootClock::now();
+  const TimePoint now = clock_.now();
   run.heard_at = now;
-  std::visit(
-      Overloaded{
-          [&](const CallHead& head) {
-            const platform::RunnerHead answer =
-                platform::DecodeRunnerHead(head);
-            run.status = answer.status;
-            run.is_declined = answer.is_declined;
-            run.is_foreign = !answer.request_id.empty() &&
-                             answer.request_id != run.item.id;
-            if (answer.status == 200 && !answer.is_signed) {
-              run.is_foreign = true;
-            }
-          },
-          [&](const CallData& data) {
-            if (run.status == 200 && !run.is_foreign) {
-              TakeEvents(run, data.bytes);
-            }
-          },
-          [&](const CallEnd& end) { OnEnd(key, run, end, now); },
-      },
-      event);
+  std::visit(Overloaded{
+                 [&](const CallHead& head) {
+                   const platform::RunnerHead answer =
+                       platform::DecodeRunnerHead(head);
+                   run.status = answer.status;
+                   run.is_declined = answer.is_declined;
+                   run.is_foreign = !answer.request_id.empty() &&
+                                    answer.request_id != run.item.id;
+                   if (answer.status == 200 && !answer.is_signed) {
+                     run.is_foreign = true;
+                   }
+                 },
+                 [&](const CallData& data) {
+                   if (run.status == 200 && !run.is_foreign) {
+                     TakeEvents(run, data.bytes);
+                   }
+                 },
+                 [&](const CallEnd& end) { OnEnd(key, run, end, now); },
+             },
+             event);
 }
 
 void ItemWorker::TakeEvents(Run& run, const std::string& bytes) {
@@ -515,7 +517,7 @@
                   List(key, result);
                 } else {
                   // Ends whole at once when it is started again.
-                  Pause(it->second, BootClock::now());
+                  Pause(it->second, clock_.now());
                 }
               });
 }
@@ -530,8 +532,8 @@
     if (state.is_ended) {
       return JobWriter::Outcome::kMoot;
     }
-    item.state = result.is_complete ? ItemState::kComplete
-                                    : ItemState::kDeadLetter;
+    item.state =
+        result.is_complete ? ItemState::kComplete : ItemState::kDeadLetter;
     item.owner.clear();
     if (item.has_partial) {
       item.has_partial = false;
@@ -603,8 +605,7 @@
       item.lease_end = lease_end;
       return JobWriter::Outcome::kChanged;
     };
-    const auto done = [this, key = key,
-                       lease_end](JobWriter::Outcome outcome) {
+    const auto done = [this, key = key, lease_end](JobWriter::Outcome outcome) {
       const auto it = runs_.find(key);
       if (it == runs_.end()) {
         return;
@@ -613,7 +614,7 @@
       it->second.lease_end = lease_end;
       if (outcome == JobWriter::Outcome::kMoot) {
         // Another worker has it now.
-        Pause(it->second, BootClock::now());
+        Pause(it->second, clock_.now());
         LogDecision(LogEvent::kItemDropped, "job", key.first, "item",
                     key.second, "reason", "the claim was lost");
         runs_.erase(it);
--- a/src/process/serving/item_worker.h
+++ b/src/process/serving/item_worker.h
@@ -53,7 +53,8 @@
              JobWriter& writer,
              StoreClient& store,
              RunnerDirectory& runners,
-             OutboundCalls& calls);
+             OutboundCalls& calls,
+             const StepClock& clock);
 
   void SetConfig(ServingConfigPtr config) { config_ = std::move(config); }
   void Tick(TimePoint now);
@@ -118,10 +119,15 @@
   void TakeEvents(Run& run, const std::string& bytes);
   void OnEnd(const ItemKey& key, Run& run, const CallEnd& end, TimePoint now);
   void Pause(Run& run, TimePoint now);
-  void Finish(const ItemKey& key, Run& run, bool is_complete,
-              const std::string& reason, TimePoint now);
+  void Finish(const ItemKey& key,
+              Run& run,
+              bool is_complete,
+              const std::string& reason,
+              TimePoint now);
   void List(const ItemKey& key, const ItemResult& result);
-  void Return(const ItemKey& key, Run& run, const std::string& reason,
+  void Return(const ItemKey& key,
+              Run& run,
+              const std::string& reason,
               TimePoint now);
   void Renew(TimePoint now);
   const ServingRoute* RouteOf(const std::string& job) const;
@@ -132,6 +138,7 @@
   StoreClient& store_;
   RunnerDirectory& runners_;
   OutboundCalls& calls_;
+  const StepClock& clock_;
   ServingConfigPtr config_;
   std::mt19937_64 random_;
   std::map<ItemKey, Run> runs_;
--- a/src/process/serving/job_api.cc
+++ b/src/process/serving/job_api.cc
@@ -67,10 +67,9 @@
     return;
   }
   if (submissions_.contains(id)) {
-    answer_(call.client,
-            Refusal{.code = RefusalCode::kConflict,
-                    .run_state = RunState::kUnknown,
-                    .reason = "the same job is being stored"});
+    answer_(call.client, Refusal{.code = RefusalCode::kConflict,
+                                 .run_state = RunState::kUnknown,
+                                 .reason = "the same job is being stored"});
     return;
   }
   const auto items = platform::DecodeSubmission(call.body);
@@ -142,21 +141,20 @@
 }
 
 void JobApi::WriteObject(const std::string& job) {
-  store_.Send(
-      ObjectWrite{.name = job_rows::SubmissionObject(job),
-                  .data = submissions_.at(job).body},
-      [this, job](StoreReply reply) {
-        Submission& submission = submissions_.at(job);
-        submission.is_running = false;
-        // The object may exist from an earlier try of the same job.
-        if (reply.status == StoreStatus::kDone ||
-            reply.status == StoreStatus::kConditionFailed) {
-          submission.object_written = true;
-          Store(job, BootClock::now());
-          return;
-        }
-        RetrySubmission(job, reply);
-      });
+  store_.Send(ObjectWrite{.name = job_rows::SubmissionObject(job),
+                          .data = submissions_.at(job).body},
+              [this, job](StoreReply reply) {
+                Submission& submission = submissions_.at(job);
+                submission.is_running = false;
+                // The object may exist from an earlier try of the same job.
+                if (reply.status == StoreStatus::kDone ||
+                    reply.status == StoreStatus::kConditionFailed) {
+                  submission.object_written = true;
+                  Store(job, clock_.now());
+                  return;
+                }
+                RetrySubmission(job, reply);
+              });
 }
 
 void JobApi::WriteRows(const std::string& job) {
@@ -166,10 +164,10 @@
   transaction.expected.push_back({.key = key, .version = 0});
   transaction.writes.push_back(
       {.key = key, .value = EncodeJobState(submission.job)});
-  transaction.writes.push_back(
-      {.key = job_rows::Submission(job),
-       .value = submission.object_written ? std::string(1, kInObject)
-                                          : kInline + submission.body});
+  transaction.writes.push_back({.key = job_rows::Submission(job),
+                                .value = submission.object_written
+                                             ? std::string(1, kInObject)
+                                             : kInline + submission.body});
   store_.Send(std::move(transaction), [this, job](StoreReply reply) {
     submissions_.at(job).is_running = false;
     OnStored(job, reply);
@@ -208,9 +206,9 @@
 
 void JobApi::RetrySubmission(const std::string& job, const StoreReply& reply) {
   Submission& submission = submissions_.at(job);
-  submission.retry_at = BootClock::now() +
-                        kFirstRetry *
-                            (1 << std::min(submission.failures, kMaxDoublings));
+  submission.retry_at =
+      clock_.now() +
+      kFirstRetry * (1 << std::min(submission.failures, kMaxDoublings));
   ++submission.failures;
   LogDecision(LogEvent::kJobStoreRetry, "job", job, "status",
               ToString(reply.status), "reason", reply.reason, "failures",
@@ -225,7 +223,7 @@
   LogDecision(LogEvent::kJobSubmitted, "job", job, "workspace",
               submission.job.workspace, "route", submission.job.route, "items",
               submission.job.items.size(), "outcome", outcome, "ms",
-              ToMilliseconds(BootClock::now() - submission.arrived));
+              ToMilliseconds(clock_.now() - submission.arrived));
   answer_(submission.client, std::move(answer));
 }
 
@@ -249,9 +247,7 @@
           },
           [&](platform::EndJob& end) {
             WithJob(client, end.job, workspace, /*is_current=*/true,
-                    [this, client](const JobState& job) {
-                      End(client, job);
-                    });
+                    [this, client](const JobState& job) { End(client, job); });
           },
       },
       call);
@@ -265,8 +261,8 @@
   const auto use = [this, client, workspace,
                     then = std::move(then)](const JobTable::Entry* entry) {
     if (entry == nullptr || entry->job.workspace != workspace) {
-      answer_(client, Refusal{.code = RefusalCode::kNotFound,
-                              .reason = "no such job"});
+      answer_(client,
+              Refusal{.code = RefusalCode::kNotFound, .reason = "no such job"});
       return;
     }
     // A copy, because the table may change while the store is asked.
@@ -370,11 +366,10 @@
         for (platform::SubmittedItem& candidate : items.value()) {
           if (candidate.id == item) {
             answer_(client,
-                    WholeAnswer{
-                        .status = 200,
-                        .headers = {{"Content-Type",
-                                     "application/octet-stream"}},
-                        .body = std::move(candidate.body)});
+                    WholeAnswer{.status = 200,
+                                .headers = {{"Content-Type",
+                                             "application/octet-stream"}},
+                                .body = std::move(candidate.body)});
             return;
           }
         }
@@ -384,20 +379,19 @@
 }
 
 void JobApi::End(ClientId client, const JobState& job) {
-  writer_.Add(
-      job.id,
-      {.apply =
-           [](JobState& state, RowsTransaction&) {
-             return std::exchange(state.is_ended, true)
-                        ? JobWriter::Outcome::kAlready
-                        : JobWriter::Outcome::kChanged;
-           },
-       .done =
-           [this, client, id = job.id](JobWriter::Outcome outcome) {
-             LogDecision(LogEvent::kJobEnded, "job", id, "was_ended",
-                         outcome == JobWriter::Outcome::kAlready);
-             answer_(client, EmptyObject(200));
-           }});
+  writer_.Add(job.id,
+              {.apply =
+                   [](JobState& state, RowsTransaction&) {
+                     return std::exchange(state.is_ended, true)
+                                ? JobWriter::Outcome::kAlready
+                                : JobWriter::Outcome::kChanged;
+                   },
+               .done =
+                   [this, client, id = job.id](JobWriter::Outcome outcome) {
+                     LogDecision(LogEvent::kJobEnded, "job", id, "was_ended",
+                                 outcome == JobWriter::Outcome::kAlready);
+                     answer_(client, EmptyObject(200));
+                   }});
 }
 
 void LoadSubmission(
@@ -405,34 +399,33 @@
     StoreClient& store,
     std::function<void(Result<std::vector<platform::SubmittedItem>>)> done) {
   const RowKey key = job_rows::Submission(job);
-  store.Send(
-      RowsRead{.table = key.table,
-               .part = key.part,
-               .from = key.key,
-               .to = key.key + '\0'},
-      [&store, job, done = std::move(done)](StoreReply reply) {
-        if (reply.status != StoreStatus::kDone || reply.rows.empty() ||
-            reply.rows[0].value.empty()) {
-          done(Error{ErrorCode::kUnavailable,
-                     "the submission cannot be read: " + reply.reason});
-          return;
-        }
-        const std::string& value = reply.rows[0].value;
-        if (value[0] == kInline) {
-          done(platform::DecodeSubmission(value.substr(1)));
-          return;
-        }
-        store.Send(ObjectRead{job_rows::SubmissionObject(job)},
-                   [done](StoreReply object) {
-                     if (object.status != StoreStatus::kDone) {
-                       done(Error{ErrorCode::kUnavailable,
-                                  "the submission cannot be read: " +
-                                      object.reason});
-                       return;
-                     }
-                     done(platform::DecodeSubmission(object.data));
-                   });
-      });
+  store.Send(RowsRead{.table = key.table,
+                      .part = key.part,
+                      .from = key.key,
+                      .to = key.key + '\0'},
+             [&store, job, done = std::move(done)](StoreReply reply) {
+               if (reply.status != StoreStatus::kDone || reply.rows.empty() ||
+                   reply.rows[0].value.empty()) {
+                 done(Error{ErrorCode::kUnavailable,
+                            "the submission cannot be read: " + reply.reason});
+                 return;
+               }
+               const std::string& value = reply.rows[0].value;
+               if (value[0] == kInline) {
+                 done(platform::DecodeSubmission(value.substr(1)));
+                 return;
+               }
+               store.Send(ObjectRead{job_rows::SubmissionObject(job)},
+                          [done](StoreReply object) {
+                            if (object.status != StoreStatus::kDone) {
+                              done(Error{ErrorCode::kUnavailable,
+                                         "the submission cannot be read: " +
+                                             object.reason});
+                              return;
+                            }
+                            done(platform::DecodeSubmission(object.data));
+                          });
+             });
 }
 
 }  // namespace carawayrelay
--- a/src/process/serving/job_api.h
+++ b/src/process/serving/job_api.h
@@ -24,10 +24,12 @@
   JobApi(JobTable& jobs,
          JobWriter& writer,
          StoreClient& store,
+         const StepClock& clock,
          Answer answer)
       : jobs_(jobs),
         writer_(writer),
         store_(store),
+        clock_(clock),
         answer_(std::move(answer)) {}
 
   // Takes a submission on a route whose workspace was checked.
@@ -64,7 +66,8 @@
   void WriteRows(const std::string& job);
   void OnStored(const std::string& job, const StoreReply& reply);
   void RetrySubmission(const std::string& job, const StoreReply& reply);
-  void FinishSubmission(const std::string& job, ClientAnswer answer,
+  void FinishSubmission(const std::string& job,
+                        ClientAnswer answer,
                         const std::string& outcome);
   std::int64_t ReservedTokens(const JobState& job) const;
 
@@ -77,15 +80,18 @@
                bool is_current,
                std::function<void(const JobState&)> then);
   void SendResults(ClientId client, const JobState& job, size_t from);
-  void SendItemBody(ClientId client, const JobState& job,
+  void SendItemBody(ClientId client,
+                    const JobState& job,
                     const std::string& item);
   void End(ClientId client, const JobState& job);
-  void Unavailable(ClientId client, const std::string& job,
+  void Unavailable(ClientId client,
+                   const std::string& job,
                    const std::string& reason);
 
   JobTable& jobs_;
   JobWriter& writer_;
   StoreClient& store_;
+  const StepClock& clock_;
   Answer answer_;
   std::map<std::string, Submission> submissions_;
 };
--- a/src/process/serving/job_table.cc
+++ b/src/process/serving/job_table.cc
@@ -48,9 +48,8 @@
 }
 
 RowKey Result(const std::string& job, size_t position) {
-  return {.table = kResults,
-          .part = PartOf(job),
-          .key = Numbered(job, position)};
+  return {
+      .table = kResults, .part = PartOf(job), .key = Numbered(job, position)};
 }
 
 RowKey Partial(const std::string& job, size_t item) {
@@ -73,9 +72,8 @@
     for (const StoredRow& row : rows) {
       present.insert(row.key.key);
     }
-    std::erase_if(jobs_, [&](const auto& item) {
-      return !present.contains(item.first);
-    });
+    std::erase_if(
+        jobs_, [&](const auto& item) { return !present.contains(item.first); });
   }
   for (const StoredRow& row : rows) {
     Put(row);
--- a/src/process/serving/job_writer.cc
+++ b/src/process/serving/job_writer.cc
@@ -50,7 +50,7 @@
                   .from = key.key,
                   .to = key.key + '\0'},
          [this, job](StoreReply reply) {
-           const TimePoint now = BootClock::now();
+           const TimePoint now = clock_.now();
            Pending& p = pending_[job];
            p.is_running = false;
            if (reply.status != StoreStatus::kDone) {
@@ -119,7 +119,7 @@
     for (Edit& edit : edits) {
       edit.done(Outcome::kChanged);
     }
-    Advance(job, BootClock::now());
+    Advance(job, clock_.now());
     return;
   }
   pending.waiting.insert(pending.waiting.begin(),
@@ -128,11 +128,11 @@
   if (reply.status == StoreStatus::kConditionFailed) {
     bool is_known = false;
     for (const StoredRow& row : reply.rows) {
-      is_known |= row.key.table == job_rows::kStates &&
-                  jobs_.Replace(row) != nullptr;
+      is_known |=
+          row.key.table == job_rows::kStates && jobs_.Replace(row) != nullptr;
     }
     pending.must_read = !is_known;
-    Advance(job, BootClock::now());
+    Advance(job, clock_.now());
     return;
   }
   Fail(job, reply.status == StoreStatus::kUnknown);
@@ -141,9 +141,9 @@
 void JobWriter::Fail(const std::string& job, bool must_read) {
   Pending& pending = pending_[job];
   pending.must_read |= must_read;
-  pending.retry_at = BootClock::now() +
-                     kFirstRetry *
-                         (1 << std::min(pending.failures, kMaxDoublings));
+  pending.retry_at =
+      clock_.now() +
+      kFirstRetry * (1 << std::min(pending.failures, kMaxDoublings));
   ++pending.failures;
 }
 
--- a/src/process/serving/job_writer.h
+++ b/src/process/serving/job_writer.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "process/serving/job_table.h"
+#include "process/serving/step_clock.h"
 #include "process/serving/store_call.h"
 #include "request/boot_clock.h"
 
@@ -29,8 +30,8 @@
     std::function<void(Outcome)> done;
   };
 
-  JobWriter(JobTable& jobs, StorePort store)
-      : jobs_(jobs), store_(std::move(store)) {}
+  JobWriter(JobTable& jobs, StorePort store, const StepClock& clock)
+      : jobs_(jobs), store_(std::move(store)), clock_(clock) {}
 
   // The edit runs in a later Tick(), never from here, so that callers may add
   // edits while they walk over their own state.
@@ -56,6 +57,7 @@
 
   JobTable& jobs_;
   StorePort store_;
+  const StepClock& clock_;
   std::map<std::string, Pending> pending_;
 };
 
--- /dev/null
+++ b/src/process/serving/log_story.cc
@@ -0,0 +1,175 @@
+#include "process/serving/log_story.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdint>
+#include <cstdio>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <string_view>
+#include <utility>
+
+namespace carawayrelay {
+namespace {
+
+using nlohmann::json;
+
+// Beliefs that changed so long before the first or after the last line of the
+// request may be its cause.
+constexpr std::int64_t kBeforeMs = 5000;
+constexpr std::int64_t kAfterMs = 500;
+
+// Sentences of events; {name} stands for a field.
+const std::map<std::string_view, std::string_view>& Sentences() {
+  static const std::map<std::string_view, std::string_view> sentences = {
+      {"request_refused",
+       "refused it with {code}: {reason} (configuration {config_version})"},
+      {"attempt_declined", "backend server {runner} did not run it: {reason}"},
+      {"attempt_failed",
+       "attempt {attempt} at backend server {runner} failed: {reason}; sent: "
+       "{was_sent}, last event: {after_event}, sent again: {resends}"},
+      {"request_ended",
+       "ended after {ms} ms: {outcome}, status {status}, backend server "
+       "{runner}, route {route}, workspace {workspace}, attempts {attempts}, "
+       "last event {last_event} {reason}"},
+      {"job_submitted",
+       "job {job} of {items} items: {outcome} after {ms} ms, route {route}, "
+       "workspace {workspace}"},
+      {"job_refused",
+       "refused job {job}: {pending_tokens} tokens of {workspace} wait, it has "
+       "{job_tokens}, the limit is {limit}"},
+      {"job_store_retry", "could not store job {job} yet: {status} {reason}"},
+      {"job_ended", "its client ended job {job}"},
+      {"job_read_failed", "could not read job {job}: {reason}"},
+      {"item_claimed", "took item {item} of job {job}"},
+      {"item_run_failed",
+       "run of item {item} failed: status {status}, declined: {declined}, "
+       "last event {after_event}, failures {failures} {reason}"},
+      {"item_finished",
+       "item {item}: {outcome}, {events} events, {failures} failures"},
+      {"item_returned", "gave item {item} back: {reason}"},
+      {"item_dropped", "no longer runs item {item}: {reason}"},
+      {"serving_started", "process started as {role}"},
+      {"serving_stopping", "process began to stop, {active} active"},
+      {"serving_stopped", "process stopped"},
+      {"serving_readiness",
+       "ready: {ready} (configuration {config_age_ms} ms old, share of rates: "
+       "{has_share}, backend servers {runners})"},
+      {"serving_config_adopted",
+       "adopted configuration {version} in place of {before}"},
+      {"zones_out_changed", "zones out of service: {zones}"},
+      {"store_lost", "lost the store: {status} {reason}"},
+      {"store_regained", "regained the store after {away_ms} ms"},
+      {"runner_changed",
+       "backend server {runner} at {address}, draining: {draining}, cold for "
+       "{cold_ms} ms"},
+      {"runner_gone", "backend server {runner} is gone: {reason}"},
+      {"runner_avoided",
+       "avoids backend server {runner} for {avoid_ms} ms: {reason}"}};
+  return sentences;
+}
+
+std::string TextOf(const json& value) {
+  return value.is_string() ? value.get<std::string>() : value.dump();
+}
+
+std::string Sentence(const json& line) {
+  const auto it = Sentences().find(line.value("name", ""));
+  if (it == Sentences().end()) {
+    return line.dump();
+  }
+  std::string text;
+  std::string_view rest = it->second;
+  while (!rest.empty()) {
+    const size_t open = rest.find('{');
+    text += rest.substr(0, open);
+    if (open == std::string_view::npos) {
+      break;
+    }
+    const size_t close = rest.find('}', open);
+    const std::string field(rest.substr(open + 1, close - open - 1));
+    text += line.contains(field) ? TextOf(line.at(field)) : "?";
+    rest.remove_prefix(close + 1);
+  }
+  return text;
+}
+
+std::vector<json> ReadLines(const std::vector<std::string>& log_lines) {
+  std::vector<json> lines;
+  for (const std::string& text : log_lines) {
+    const size_t begin = text.find('{');
+    if (begin == std::string::npos) {
+      continue;
+    }
+    json line = json::parse(text.substr(begin), nullptr, false);
+    if (line.is_object() && line.contains("t_ms") && line.contains("node") &&
+        line["t_ms"].is_number_integer() && line["node"].is_string()) {
+      lines.push_back(std::move(line));
+    }
+  }
+  std::stable_sort(
+      lines.begin(), lines.end(),
+      [](const json& a, const json& b) { return a["t_ms"] < b["t_ms"]; });
+  return lines;
+}
+
+// Beliefs of a whole process, not about one backend server.
+bool IsProcessBelief(const std::string& name) {
+  constexpr std::array<std::string_view, 8> kNames = {
+      "serving_started",        "serving_stopping",  "serving_stopped",
+      "serving_config_adopted", "zones_out_changed", "store_lost",
+      "store_regained",         "serving_readiness"};
+  return std::find(kNames.begin(), kNames.end(), name) != kNames.end();
+}
+
+}  // namespace
+
+std::vector<std::string> TellStory(const std::string& id,
+                                   const std::vector<std::string>& log_lines) {
+  const std::vector<json> lines = ReadLines(log_lines);
+  std::set<std::string> nodes;
+  std::set<std::string> runners;
+  std::int64_t first = 0;
+  std::int64_t last = 0;
+  const auto names_id = [&](const json& line) {
+    return line.value("id", "") == id || line.value("job", "") == id;
+  };
+  for (const json& line : lines) {
+    if (!names_id(line)) {
+      continue;
+    }
+    const auto time = line["t_ms"].get<std::int64_t>();
+    first = nodes.empty() ? time : first;
+    last = time;
+    nodes.insert(line["node"].get<std::string>());
+    if (line.contains("runner")) {
+      runners.insert(TextOf(line["runner"]));
+    }
+  }
+  std::vector<std::string> story;
+  if (nodes.empty()) {
+    return story;
+  }
+  for (const json& line : lines) {
+    const auto time = line["t_ms"].get<std::int64_t>();
+    const bool is_near = time >= first - kBeforeMs && time <= last + kAfterMs &&
+                         nodes.contains(line["node"].get<std::string>());
+    const bool is_about_runner = line.contains("runner") &&
+                                 !line.contains("id") &&
+                                 runners.contains(TextOf(line["runner"]));
+    if (!names_id(line) &&
+        !(is_near &&
+          (is_about_runner || IsProcessBelief(line.value("name", ""))))) {
+      continue;
+    }
+    std::array<char, 32> offset{};
+    std::snprintf(offset.data(), offset.size(), "%+9.3f s  ",
+                  static_cast<double>(time - first) / 1000);
+    story.push_back(offset.data() + line["node"].get<std::string>() + ": " +
+                    Sentence(line));
+  }
+  return story;
+}
+
+}  // namespace carawayrelay
--- a/src/process/serving/online_forwarder.cc
+++ b/src/process/serving/online_forwarder.cc
@@ -32,11 +32,13 @@
                                  RunnerDirectory& runners,
                                  Allowances& allowances,
                                  OutboundCalls& calls,
+                                 const StepClock& clock,
                                  Answer answer)
     : options_(std::move(options)),
       runners_(runners),
       allowances_(allowances),
       calls_(calls),
+      clock_(clock),
       answer_(std::move(answer)),
       random_(options_.seed) {}
 
@@ -99,11 +101,10 @@
 }
 
 void OnlineForwarder::Send(Request& request, TimePoint now) {
-  RunnerDirectory::Runner* runner = runners_.Choose(
-      {.service = request.service,
-       .zone = options_.zone,
-       .excluded = request.tried},
-      now);
+  RunnerDirectory::Runner* runner = runners_.Choose({.service = request.service,
+                                                     .zone = options_.zone,
+                                                     .excluded = request.tried},
+                                                    now);
   if (runner == nullptr || request.offers >= options_.max_offers) {
     Refuse(request,
            {.code = RefusalCode::kNoBackend,
@@ -175,7 +176,7 @@
   }
   Request& request = it->second;
   request.is_holding = false;
-  const TimePoint now = BootClock::now();
+  const TimePoint now = clock_.now();
   RunnerDirectory::Runner* found = runners_.Find(runner);
   const platform::HoldAnswer answer = platform::DecodeHoldAnswer(status, body);
   if (is_whole && answer.outcome == platform::HoldOutcome::kHeld &&
@@ -217,17 +218,16 @@
   request.is_silent = false;
   request.is_sent = true;
   ++runner->running;
-  const auto left = std::chrono::duration_cast<milliseconds>(
-      request.deadline - now);
+  const auto left =
+      std::chrono::duration_cast<milliseconds>(request.deadline - now);
   const ClientId client = request.call.client;
   request.out = calls_.Start(
-      platform::EncodeRunnerCall(
-          {.call = request.call,
-           .runner = runner->entry,
-           .workspace = request.workspace,
-           .time_left = std::max(left, milliseconds(1)),
-           .resume_after = request.last_event,
-           .hold = request.hold}),
+      platform::EncodeRunnerCall({.call = request.call,
+                                  .runner = runner->entry,
+                                  .workspace = request.workspace,
+                                  .time_left = std::max(left, milliseconds(1)),
+                                  .resume_after = request.last_event,
+                                  .hold = request.hold}),
       [this, client](CallEvent& event) { OnEvent(client, event); });
 }
 
@@ -236,7 +236,7 @@
   if (it == requests_.end()) {
     return;
   }
-  const TimePoint now = BootClock::now();
+  const TimePoint now = clock_.now();
   it->second.heard_at = now;
   std::visit([&](auto& e) { On(it->second, e, now); }, event);
 }
@@ -324,8 +324,8 @@
   }
   if (!IsSuccess(request.status) && request.status >= 500 &&
       (request.is_repeatable || !request.is_signed || request.head_sent)) {
-    FailAttempt(request, true,
-                "answered " + std::to_string(request.status), now);
+    FailAttempt(request, true, "answered " + std::to_string(request.status),
+                now);
     return;
   }
   answer_(request.call.client,
@@ -373,10 +373,10 @@
   const bool may_repeat =
       !request.may_have_run ||
       (request.is_repeatable && request.attempts < request.max_attempts);
-  LogDecision(LogEvent::kAttemptFailed, "id", request.call.request_id,
-              "runner", request.runner, "was_sent", was_sent, "attempt",
-              request.attempts, "resends", may_repeat && now < request.deadline,
-              "after_event", request.last_event, "reason", reason);
+  LogDecision(LogEvent::kAttemptFailed, "id", request.call.request_id, "runner",
+              request.runner, "was_sent", was_sent, "attempt", request.attempts,
+              "resends", may_repeat && now < request.deadline, "after_event",
+              request.last_event, "reason", reason);
   if (may_repeat && now < request.deadline) {
     ++counters_.resent;
     Send(request, now);
@@ -390,9 +390,7 @@
          now);
 }
 
-void OnlineForwarder::Refuse(Request& request,
-                             Refusal refusal,
-                             TimePoint now) {
+void OnlineForwarder::Refuse(Request& request, Refusal refusal, TimePoint now) {
   DropAttempt(request);
   if (refusal.code == RefusalCode::kBackendFailed &&
       refusal.run_state == RunState::kNotRun) {
@@ -436,7 +434,7 @@
   }
   DropAttempt(it->second);
   ++counters_.abandoned;
-  Finish(it->second, "client_gone", BootClock::now());
+  Finish(it->second, "client_gone", clock_.now());
 }
 
 void OnlineForwarder::Tick(TimePoint now) {
--- a/src/process/serving/online_forwarder.h
+++ b/src/process/serving/online_forwarder.h
@@ -11,6 +11,7 @@
 #include "process/serving/allowances.h"
 #include "process/serving/outbound_calls.h"
 #include "process/serving/runner_directory.h"
+#include "process/serving/step_clock.h"
 #include "request/client_call.h"
 #include "request/event_cutter.h"
 #include "version/serving_config.h"
@@ -53,6 +54,7 @@
                   RunnerDirectory& runners,
                   Allowances& allowances,
                   OutboundCalls& calls,
+                  const StepClock& clock,
                   Answer answer);
 
   // Takes a request whose route and workspace were checked under `config`.
@@ -80,8 +82,8 @@
     // Of the running attempt.
     std::string runner;
     OutboundId out{0};
-    bool is_sent = false;  // an attempt runs
-    bool is_holding = false;  // a slot is being reserved
+    bool is_sent = false;        // an attempt runs
+    bool is_holding = false;     // a slot is being reserved
     std::set<std::string> full;  // backend servers without a free slot
     std::string hold;
     bool forwards = false;  // its bytes go to the client as they come
@@ -135,6 +137,7 @@
   RunnerDirectory& runners_;
   Allowances& allowances_;
   OutboundCalls& calls_;
+  const StepClock& clock_;
   Answer answer_;
   std::mt19937_64 random_;
   std::map<ClientId, Request> requests_;
--- a/src/process/serving/operator_watch.cc
+++ b/src/process/serving/operator_watch.cc
@@ -9,12 +9,15 @@
 namespace carawayrelay {
 
 OperatorWatch::OperatorWatch(StorePort store,
+                             const StepClock& clock,
                              std::chrono::milliseconds wait,
                              OnChange on_change)
     : on_change_(std::move(on_change)),
       watch_({.table = platform::kOperatorTable, .wait = wait},
              std::move(store),
-             [this](const std::vector<StoredRow>& rows, bool is_full,
+             clock,
+             [this](const std::vector<StoredRow>& rows,
+                    bool is_full,
                     TimePoint now) { Apply(rows, is_full, now); }) {}
 
 std::optional<Duration> OperatorWatch::Age(TimePoint now) const {
--- a/src/process/serving/outbound_calls.cc
+++ b/src/process/serving/outbound_calls.cc
@@ -37,8 +37,8 @@
 
 void OutboundCalls::RunFailed() {
   while (!failed_.empty()) {
-    CallEvent event = CallEnd{.id = failed_.back(),
-                              .reason = "too many calls are waiting"};
+    CallEvent event =
+        CallEnd{.id = failed_.back(), .reason = "too many calls are waiting"};
     failed_.pop_back();
     Deliver(event);
   }
--- a/src/process/serving/runner_directory.cc
+++ b/src/process/serving/runner_directory.cc
@@ -180,7 +180,8 @@
                                   const std::string& reason,
                                   TimePoint now) {
   const auto avoidance =
-      kFirstAvoidance * (1 << std::min(runner.failures, kMaxAvoidanceDoublings));
+      kFirstAvoidance *
+      (1 << std::min(runner.failures, kMaxAvoidanceDoublings));
   ++runner.failures;
   runner.avoid_until = now + avoidance;
   LogDecision(LogEvent::kRunnerAvoided, "runner", runner.entry.id, "failures",
--- a/src/process/serving/serving_core.h
+++ b/src/process/serving/serving_core.h
@@ -11,6 +11,7 @@
 #include "process/serving/outbound_calls.h"
 #include "process/serving/runner_directory.h"
 #include "process/serving/serving_event.h"
+#include "process/serving/step_clock.h"
 #include "process/serving/store_client.h"
 #include "process/serving/table_watch.h"
 
@@ -33,6 +34,12 @@
       OperatorWatch::OnChange on_change);
 
   Ring<ServingEvent>& events() { return events_; }
+  // The deciding thread begins a step.
+  TimePoint BeginStep() {
+    clock_.Set(BootClock::now());
+    return clock_.now();
+  }
+  const StepClock& clock() const { return clock_; }
   OutboundCalls& calls() { return calls_; }
   StoreClient& store() { return store_; }
   OperatorWatch& operators() { return operators_; }
@@ -55,6 +62,7 @@
   static constexpr size_t kEventCapacity = 4096;
 
   Ring<ServingEvent> events_;
+  StepClock clock_;
   std::unique_ptr<HttpCaller> caller_;
   OutboundCalls calls_;
   StoreClient store_;
--- a/src/process/serving/store_client.cc
+++ b/src/process/serving/store_client.cc
@@ -21,16 +21,15 @@
   auto progress = std::make_shared<Progress>(
       Progress{.request = std::move(request), .done = std::move(done)});
   calls_.Start(std::move(call), [this, progress](CallEvent& event) {
-    std::visit(
-        Overloaded{
-            [&](CallHead& head) { progress->status = head.status; },
-            [&](CallData& data) { progress->body += data.bytes; },
-            [&](CallEnd& end) {
-              Finish(progress->request, progress->status,
-                     std::move(progress->body), end, progress->done);
-            },
-        },
-        event);
+    std::visit(Overloaded{
+                   [&](CallHead& head) { progress->status = head.status; },
+                   [&](CallData& data) { progress->body += data.bytes; },
+                   [&](CallEnd& end) {
+                     Finish(progress->request, progress->status,
+                            std::move(progress->body), end, progress->done);
+                   },
+               },
+               event);
   });
 }
 
@@ -51,7 +50,7 @@
 }
 
 void StoreClient::NoteContact(const StoreReply& reply) {
-  const TimePoint now = BootClock::now();
+  const TimePoint now = clock_.now();
   if (reply.store_time.count() > 0) {
     store_time_ = reply.store_time;
     store_time_at_ = now;
--- a/src/process/serving/store_client.h
+++ b/src/process/serving/store_client.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "process/serving/outbound_calls.h"
+#include "process/serving/step_clock.h"
 #include "process/serving/store_call.h"
 #include "request/boot_clock.h"
 
@@ -14,8 +15,8 @@
 class StoreClient {
  public:
   // Address "IP:port" of the store.
-  StoreClient(std::string address, OutboundCalls& calls)
-      : address_(std::move(address)), calls_(calls) {}
+  StoreClient(std::string address, OutboundCalls& calls, const StepClock& clock)
+      : address_(std::move(address)), calls_(calls), clock_(clock) {}
 
   void Send(StoreRequest request, StoreDone done);
   StorePort port() {
@@ -37,6 +38,7 @@
 
   std::string address_;
   OutboundCalls& calls_;
+  const StepClock& clock_;
   std::chrono::milliseconds store_time_{0};
   TimePoint store_time_at_{};
   bool is_away_ = false;
--- a/src/process/serving/table_watch.cc
+++ b/src/process/serving/table_watch.cc
@@ -15,9 +15,13 @@
 
 }  // namespace
 
-TableWatch::TableWatch(Options options, StorePort store, OnRows on_rows)
+TableWatch::TableWatch(Options options,
+                       StorePort store,
+                       const StepClock& clock,
+                       OnRows on_rows)
     : options_(std::move(options)),
       store_(std::move(store)),
+      clock_(clock),
       on_rows_(std::move(on_rows)) {}
 
 void TableWatch::Tick(TimePoint now) {
@@ -47,7 +51,7 @@
 }
 
 void TableWatch::OnRead(StoreReply reply, TimePoint) {
-  const TimePoint now = BootClock::now();
+  const TimePoint now = clock_.now();
   if (reply.status != StoreStatus::kDone) {
     Fail(now);
     return;
@@ -86,7 +90,7 @@
 }
 
 void TableWatch::OnChanges(StoreReply reply, TimePoint sent_at) {
-  const TimePoint now = BootClock::now();
+  const TimePoint now = clock_.now();
   if (reply.status == StoreStatus::kHistoryLost) {
     is_running_ = false;
     is_synced_ = false;
--- a/src/process/serving/table_watch.h
+++ b/src/process/serving/table_watch.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "process/serving/step_clock.h"
 #include "process/serving/store_call.h"
 #include "request/boot_clock.h"
 
@@ -24,11 +25,13 @@
     std::chrono::milliseconds min_interval{0};
   };
   // `is_full` is set when `rows` are all rows of the table.
-  using OnRows = std::function<void(const std::vector<StoredRow>& rows,
-                                    bool is_full,
-                                    TimePoint now)>;
+  using OnRows = std::function<
+      void(const std::vector<StoredRow>& rows, bool is_full, TimePoint now)>;
 
-  TableWatch(Options options, StorePort store, OnRows on_rows);
+  TableWatch(Options options,
+             StorePort store,
+             const StepClock& clock,
+             OnRows on_rows);
 
   // Starts the next call when it is due. Call it often.
   void Tick(TimePoint now);
@@ -51,6 +54,7 @@
 
   Options options_;
   StorePort store_;
+  const StepClock& clock_;
   OnRows on_rows_;
   bool is_running_ = false;
   bool is_synced_ = false;
--- a/src/process/serving/worker_process.cc
+++ b/src/process/serving/worker_process.cc
@@ -48,30 +48,29 @@
 
 Result<void> WorkerProcess::Start() {
   BOOST_OUTCOME_TRY(
-      core_, ServingCore::Make({.store_address = settings_.store_address,
-                                .seed = seed_,
-                                .jobs_interval = kJobsInterval},
-                               [this](TimePoint) {
-                                 worker_->SetConfig(
-                                     core_->operators().config());
-                               }));
+      core_,
+      ServingCore::Make({.store_address = settings_.store_address,
+                         .seed = seed_,
+                         .jobs_interval = kJobsInterval},
+                        [this](TimePoint) {
+                          worker_->SetConfig(core_->operators().config());
+                        }));
   worker_ = std::make_unique<ItemWorker>(
       ItemWorker::Options{.node = settings_.node,
                           .runner_address = settings_.runner_address,
                           .reserved_slots = settings_.reserved_slots,
                           .seed = seed_},
       core_->jobs(), core_->writer(), core_->store(), core_->runners(),
-      core_->calls());
+      core_->calls(), core_->clock());
   if (!settings_.listen_metrics.empty()) {
     BOOST_OUTCOME_TRY(
         metrics_server_,
-        HttpServer::Make({.listen_address = settings_.listen_metrics},
-                         [this](const HttpRequest&,
-                                const HttpExchangePtr& exchange) {
-                           std::lock_guard lock(metrics_mutex_);
-                           exchange->Reply(
-                               200, {{"Content-Type", kMetricsType}}, metrics_);
-                         }));
+        HttpServer::Make(
+            {.listen_address = settings_.listen_metrics},
+            [this](const HttpRequest&, const HttpExchangePtr& exchange) {
+              std::lock_guard lock(metrics_mutex_);
+              exchange->Reply(200, {{"Content-Type", kMetricsType}}, metrics_);
+            }));
   }
   thread_ = std::thread([this] { Run(); });
   LogDecision(LogEvent::kServingStarted, "role", "worker", "zone",
@@ -83,7 +82,7 @@
 void WorkerProcess::Run() {
   TimePoint next_tick{};
   while (true) {
-    const TimePoint now = BootClock::now();
+    const TimePoint now = core_->BeginStep();
     core_->Tick(now);
     if (now >= next_tick) {
       next_tick = now + kTickInterval;
@@ -97,7 +96,7 @@
       return;
     }
     if (auto event = core_->events().PopUntil(next_tick)) {
-      Take(*std::move(event), BootClock::now());
+      Take(*std::move(event), core_->BeginStep());
     }
   }
 }
--- a/src/request/job_state.cc
+++ b/src/request/job_state.cc
@@ -15,15 +15,14 @@
 
 json EncodeItem(const JobItemState& item) {
   return json::array({static_cast<int>(item.state), item.tokens, item.owner,
-                      item.lease_end.count(), item.failures,
-                      item.has_partial});
+                      item.lease_end.count(), item.failures, item.has_partial});
 }
 
 Result<JobItemState> DecodeItem(const json& value) {
-  if (!value.is_array() || value.size() != 6 ||
-      !value[0].is_number_integer() || !value[1].is_number_integer() ||
-      !value[2].is_string() || !value[3].is_number_integer() ||
-      !value[4].is_number_integer() || !value[5].is_boolean()) {
+  if (!value.is_array() || value.size() != 6 || !value[0].is_number_integer() ||
+      !value[1].is_number_integer() || !value[2].is_string() ||
+      !value[3].is_number_integer() || !value[4].is_number_integer() ||
+      !value[5].is_boolean()) {
     return NotA("item state");
   }
   const int state = value[0].get<int>();
@@ -41,8 +40,8 @@
 bool Has(const json& root, const char* name, json::value_t type) {
   const auto it = root.find(name);
   return it != root.end() &&
-         (it->type() == type || (type == json::value_t::number_unsigned &&
-                                 it->is_number_integer()));
+         (it->type() == type ||
+          (type == json::value_t::number_unsigned && it->is_number_integer()));
 }
 
 }  // namespace
@@ -81,13 +80,13 @@
       !Has(root, "items", Type::array)) {
     return NotA("job state");
   }
-  JobState job{.id = id,
-               .workspace = root["workspace"].get<std::string>(),
-               .route = root["route"].get<std::string>(),
-               .accepted =
-                   milliseconds(root["accepted_ms"].get<std::int64_t>()),
-               .is_ended = root["ended"].get<bool>(),
-               .listed = root["listed"].get<size_t>()};
+  JobState job{
+      .id = id,
+      .workspace = root["workspace"].get<std::string>(),
+      .route = root["route"].get<std::string>(),
+      .accepted = milliseconds(root["accepted_ms"].get<std::int64_t>()),
+      .is_ended = root["ended"].get<bool>(),
+      .listed = root["listed"].get<size_t>()};
   for (const json& value : root["items"]) {
     BOOST_OUTCOME_TRY(JobItemState item, DecodeItem(value));
     job.items.push_back(std::move(item));
--- a/src/request/job_state.h
+++ b/src/request/job_state.h
@@ -11,8 +11,8 @@
 
 enum class ItemState {
   kWaiting = 0,
-  kClaimed = 1,   // a worker holds it until its lease ends
-  kComplete = 2,  // its result is listed
+  kClaimed = 1,     // a worker holds it until its lease ends
+  kComplete = 2,    // its result is listed
   kDeadLetter = 3,  // given up; listed without a text
 };
 
--- a/src/request/token_bucket.h
+++ b/src/request/token_bucket.h
@@ -24,6 +24,12 @@
     return true;
   }
 
+  // The content, negative when in debt.
+  double TokensAt(TimePoint now) {
+    Refill(now);
+    return tokens_;
+  }
+
   // Spends without asking; the bucket may go into debt.
   void Spend(double tokens, TimePoint now) {
     Refill(now);
--- /dev/null
+++ b/tests/serving/desired_state_test.cc
@@ -0,0 +1,96 @@
+#include "platform/desired_state.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+namespace carawayrelay {
+namespace {
+
+struct DesiredStateFixture {
+  std::string text = R"({
+    "version": 7,
+    "routes": [
+      {"name": "a", "host": "h.example", "prefix": "/x/", "routeType": "streaming",
+       "timeoutMs": 5000, "latencyGoalMs": 300, "maxAttempts": 2, "canResume": true,
+       "backends": [{"service": "s1", "weight": 90}, {"service": "s2", "weight": 10}]},
+      {"name": "b", "host": "h.example", "prefix": "/x/deep/", "routeType": "bulk",
+       "service": "s1", "runAimMs": 18000, "keepS": 60.5, "maxPending": 980000},
+      {"name": "c", "host": "other.example", "prefix": "/", "service": "s1", "anonymous": true}],
+    "services": [{"name": "s1", "maxConns": 170, "coldPerS": 28.0}],
+    "tenants": [{"name": "t", "apiKeys": ["k1", "k2"], "ratePerS": 55, "burst": 50}]})";
+
+  ServingConfigPtr Decode() {
+    auto config = platform::DecodeDesiredState(text);
+    REQUIRE_MESSAGE(config, config.error().message);
+    return std::move(config).value();
+  }
+};
+
+// Guards against a request that runs under a shorter prefix than its own.
+TEST_CASE_FIXTURE(DesiredStateFixture,
+                  "ServingConfig, nested prefixes, longest one wins") {
+  const ServingConfigPtr config = Decode();
+  REQUIRE(config->FindRoute("h.example", "/x/deep/1") != nullptr);
+  CHECK(config->FindRoute("h.example", "/x/deep/1")->name == "b");
+  CHECK(config->FindRoute("h.example", "/x/deeper")->name == "a");
+  CHECK(config->FindRoute("h.example", "/y/") == nullptr);
+  CHECK(config->FindRoute("none.example", "/x/1") == nullptr);
+}
+
+TEST_CASE_FIXTURE(DesiredStateFixture,
+                  "DesiredState, full example, decodes units and kinds") {
+  const ServingConfigPtr config = Decode();
+  const ServingRoute& stream = *config->FindRouteByName("a");
+  CHECK(stream.call_class == CallClass::kStream);
+  CHECK(stream.IsRepeatable());
+  CHECK(stream.time_limit == std::chrono::seconds(5));
+  CHECK(stream.services.size() == 2);
+  const ServingRoute& bulk = *config->FindBulkRoute("h.example");
+  CHECK(bulk.bulk.keep == std::chrono::milliseconds(60500));
+  CHECK(bulk.bulk.max_pending_tokens == 980000);
+  CHECK(config->FindRouteByName("c")->call_class == CallClass::kAtMostOnce);
+  CHECK(config->FindWorkspace("k2")->name == "t");
+  CHECK(config->FindWorkspace("k3") == nullptr);
+}
+
+// Guards against a stream that is sent twice because nothing says it may not.
+TEST_CASE_FIXTURE(DesiredStateFixture,
+                  "ServingRoute, stream without resumption, not repeatable") {
+  const size_t at = text.find(R"(, "canResume": true)");
+  text.erase(at, std::string(R"(, "canResume": true)").size());
+  CHECK_FALSE(Decode()->FindRouteByName("a")->IsRepeatable());
+}
+
+TEST_CASE_FIXTURE(DesiredStateFixture,
+                  "DesiredState, several mistakes, all are reported") {
+  const auto config = platform::DecodeDesiredState(
+      R"({"version": "x", "routes": [{"name": "a"}], "tenants": [{}]})");
+  REQUIRE_FALSE(config);
+  CHECK(config.error().message.find("/version") != std::string::npos);
+  CHECK(config.error().message.find("/routes/0/host") != std::string::npos);
+  CHECK(config.error().message.find("/tenants/0/name") != std::string::npos);
+}
+
+// Guards against requests to whatever a foreign writer has registered.
+TEST_CASE_FIXTURE(DesiredStateFixture,
+                  "RunnerEntry, foreign writers, names no backend server") {
+  for (
+      const char* foreign :
+      {"", "\xff\xfe", "[]", "{}",
+       R"({"service":"s","address":"1.1.1.1:1","zone":"z","capacity":8})",
+       R"({"service":"s","address":"1.1.1.1:1","zone":"z","capacity":8,"state":"odd"})",
+       R"({"service":7,"address":"1.1.1.1:1","zone":"z","capacity":8,"state":"ready"})",
+       R"({"service":"s","address":"1.1.1.1:1","zone":"z","capacity":"8","state":"ready"})"}) {
+    CHECK_FALSE(platform::DecodeRunnerEntry("i-1", foreign));
+  }
+  const auto entry = platform::DecodeRunnerEntry(
+      "i-1",
+      R"({"service":"s","address":"1.1.1.1:1","zone":"z","capacity":8,"state":"draining","coldLeftMs":1500,"more":1})");
+  REQUIRE(entry);
+  CHECK(entry.value().is_draining);
+  CHECK(entry.value().cold_left == std::chrono::milliseconds(1500));
+}
+
+}  // namespace
+}  // namespace carawayrelay
--- /dev/null
+++ b/tests/serving/item_worker_test.cc
@@ -0,0 +1,285 @@
+#include "process/serving/item_worker.h"
+
+#include "serving/job_fixture.h"
+
+namespace carawayrelay {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr const char* kOwn = "10.0.0.9:80";
+
+struct ItemWorkerFixture : JobFixture {
+  RunnerDirectory runners{1};
+  ItemWorker worker{{.node = "side-1", .runner_address = kOwn, .seed = 3},
+                    jobs,
+                    writer,
+                    store,
+                    runners,
+                    calls,
+                    clock};
+  int running = 0;
+  int waiting = 0;
+
+  ItemWorkerFixture() {
+    runners.Apply({RunnerRow("own", kOwn)}, true, std::nullopt, now());
+    worker.SetConfig(std::make_shared<ServingConfig>(
+        ServingConfig::Parts{.routes = {route}}));
+  }
+
+  // Answers what is not a run of an item, and lets `time` pass in steps.
+  void Work(milliseconds time = milliseconds(100)) {
+    for (milliseconds passed{0}; passed < time; passed += milliseconds(20)) {
+      Advance(milliseconds(20));
+      worker.Tick(now());
+      AnswerReports();
+      Settle();
+    }
+  }
+  void AnswerReports() {
+    for (const OutboundCall& call : RunnerCalls()) {
+      if (call.target == "/report") {
+        Reply(call.id, 200, {},
+              nlohmann::json{{"running", running}, {"queued", waiting}}.dump());
+      }
+    }
+  }
+  void AddJob(const std::string& id, int items) {
+    Submit(id, Submission(items));
+    Settle();
+  }
+  std::vector<OutboundCall> Runs() const {
+    std::vector<OutboundCall> runs;
+    for (const OutboundCall& call : RunnerCalls()) {
+      if (call.target != "/report") {
+        runs.push_back(call);
+      }
+    }
+    return runs;
+  }
+  static HeaderList SignedFor(const OutboundCall& call) {
+    return {{"x-carawayrelay-request-id",
+             FindHeader(call.headers, "x-carawayrelay-request-id")},
+            {"x-carawayrelay-server-stamp", "s"}};
+  }
+  void Complete(const OutboundCall& call) {
+    Reply(call.id, 200, SignedFor(call),
+          "id: 1\ndata: one\n\nid: 2\ndata: two\n\n");
+  }
+};
+
+TEST_CASE_FIXTURE(ItemWorkerFixture,
+                  "ItemWorker, job with items, all run and are listed") {
+  AddJob("j", 3);
+  for (int i = 0; i < 5; ++i) {
+    Work();
+    for (const OutboundCall& call : Runs()) {
+      CHECK(FindHeader(call.headers, "x-carawayrelay-tenant") == "w");
+      CHECK(FindHeader(call.headers, "x-carawayrelay-model") == "m");
+      CHECK(call.body == "body");
+      Complete(call);
+    }
+  }
+  Work();
+  CHECK(StoredState("j").listed == 3);
+  Read("j", 0);
+  CHECK(LastBody()["results"].size() == 3);
+  CHECK(LastBody()["results"][0]["text"] == "one\ntwo");
+}
+
+// Guards against batch work that holds slots which online requests need.
+TEST_CASE_FIXTURE(ItemWorkerFixture,
+                  "ItemWorker, no free slot, yields and resumes later") {
+  AddJob("j", 1);
+  Work();
+  REQUIRE(Runs().size() == 1);
+  const OutboundCall first = Runs()[0];
+  Head(first.id, 200, SignedFor(first));
+  Data(first.id, "id: 1\ndata: one\n\nid: 2\nda");
+  running = 8;
+  waiting = 1;
+  Work();
+  CHECK(Runs().empty());
+  running = 2;
+  waiting = 0;
+  Work();
+  REQUIRE(Runs().size() == 1);
+  CHECK(FindHeader(Runs()[0].headers, "last-event-id") == "1");
+  Reply(Runs()[0].id, 200, SignedFor(Runs()[0]), "id: 2\ndata: two\n\n");
+  Work();
+  Read("j", 0);
+  CHECK(LastBody()["results"][0]["text"] == "one\ntwo");
+}
+
+// Guards against an item that is given up too early, or tried for ever.
+TEST_CASE_FIXTURE(
+    ItemWorkerFixture,
+    "ItemWorker, item that fails, is given up after the attempts") {
+  AddJob("j", 1);
+  for (int i = 0; i < 3; ++i) {
+    Work();
+    REQUIRE(Runs().size() == 1);
+    CHECK(StoredState("j").listed == 0);
+    Reply(Runs()[0].id, 500, SignedFor(Runs()[0]), "");
+  }
+  Work();
+  CHECK(Runs().empty());
+  CHECK(StoredState("j").items[0].state == ItemState::kDeadLetter);
+}
+
+TEST_CASE_FIXTURE(ItemWorkerFixture,
+                  "ItemWorker, item that cannot be done, is given up at once") {
+  AddJob("j", 1);
+  Work();
+  Reply(Runs()[0].id, 422, SignedFor(Runs()[0]), "");
+  Work();
+  CHECK(StoredState("j").items[0].state == ItemState::kDeadLetter);
+}
+
+// Guards against cuts that count as failures of the item.
+TEST_CASE_FIXTURE(ItemWorkerFixture,
+                  "ItemWorker, cut runs, go on after the last whole event") {
+  AddJob("j", 1);
+  for (int i = 1; i <= 6; ++i) {
+    Work();
+    REQUIRE(Runs().size() == 1);
+    const OutboundCall call = Runs()[0];
+    CHECK(FindHeader(call.headers, "last-event-id") ==
+          (i == 1 ? "" : std::to_string(i - 1)));
+    Head(call.id, 200, SignedFor(call));
+    Data(call.id, "id: " + std::to_string(i) +
+                      "\ndata: e\n\nid: " + std::to_string(i + 1));
+    Fail(call.id, true, "reset");
+  }
+  CHECK(StoredState("j").listed == 0);
+}
+
+// Guards against a text with a gap, and against bytes of another run.
+TEST_CASE_FIXTURE(ItemWorkerFixture,
+                  "ItemWorker, events out of order or foreign, are not taken") {
+  AddJob("j", 1);
+  Work();
+  Reply(Runs()[0].id, 200, SignedFor(Runs()[0]),
+        "id: 1\ndata: one\n\nid: 3\ndata: three\n\n");
+  Work();
+  REQUIRE(Runs().size() == 1);
+  CHECK(FindHeader(Runs()[0].headers, "last-event-id") == "1");
+  Reply(Runs()[0].id, 200,
+        {{"x-carawayrelay-request-id", "other"},
+         {"x-carawayrelay-server-stamp", "s"}},
+        "id: 2\ndata: x\n\n");
+  Work();
+  CHECK(StoredState("j").listed == 0);
+}
+
+TEST_CASE_FIXTURE(ItemWorkerFixture,
+                  "ItemWorker, job ended by its client, runs stop") {
+  AddJob("j", 2);
+  Work();
+  CHECK_FALSE(Runs().empty());
+  api.Handle(ClientId{2}, platform::EndJob{.job = "j"}, "w", true);
+  Settle();
+  Work();
+  CHECK(Runs().empty());
+  CHECK(StoredState("j").listed == 0);
+}
+
+// Guards against an item that is lost with the worker that held it.
+TEST_CASE_FIXTURE(ItemWorkerFixture,
+                  "ItemWorker, other worker died, its item is taken over") {
+  AddJob("j", 1);
+  JobState job = StoredState("j");
+  job.items[0].state = ItemState::kClaimed;
+  job.items[0].owner = "side-2";
+  job.items[0].lease_end = store.StoreTime(now()) + milliseconds(3000);
+  const RowKey key = job_rows::State("j");
+  rows.Put(key.table, key.part, key.key, EncodeJobState(job));
+  jobs.Replace(
+      {.key = key, .value = EncodeJobState(job), .version = rows.version()});
+  Work(milliseconds(1000));
+  CHECK(Runs().empty());
+  Work(milliseconds(3500));
+  CHECK(Runs().size() == 1);
+}
+
+TEST_CASE_FIXTURE(ItemWorkerFixture,
+                  "ItemWorker, claims of its former start, are taken back") {
+  AddJob("j", 1);
+  JobState job = StoredState("j");
+  job.items[0].state = ItemState::kClaimed;
+  job.items[0].owner = "side-1";
+  job.items[0].lease_end = store.StoreTime(now()) + milliseconds(60000);
+  const RowKey key = job_rows::State("j");
+  rows.Put(key.table, key.part, key.key, EncodeJobState(job));
+  jobs.Replace(
+      {.key = key, .value = EncodeJobState(job), .version = rows.version()});
+  Work();
+  CHECK(Runs().size() == 1);
+}
+
+// Guards against a lease that lapses while its item still runs.
+TEST_CASE_FIXTURE(ItemWorkerFixture,
+                  "ItemWorker, long run, its claim is renewed") {
+  AddJob("j", 1);
+  Work();
+  REQUIRE(Runs().size() == 1);
+  const OutboundCall call = Runs()[0];
+  Head(call.id, 200, SignedFor(call));
+  for (int i = 1; i <= 100; ++i) {
+    Data(call.id, "id: " + std::to_string(i) + "\ndata: e\n\n");
+    Work(milliseconds(200));
+  }
+  CHECK(Runs().size() == 1);
+  CHECK(StoredState("j").items[0].lease_end > store.StoreTime(now()));
+}
+
+// Guards against new work for a leaving backend server, and against losing
+// the text of the runs it had.
+TEST_CASE_FIXTURE(ItemWorkerFixture,
+                  "ItemWorker, own server drains, items go back with text") {
+  AddJob("j", 1);
+  Work();
+  const OutboundCall call = Runs()[0];
+  Head(call.id, 200, SignedFor(call));
+  Data(call.id, "id: 1\ndata: one\n\n");
+  runners.Apply({RunnerRow("own", kOwn, "draining")}, false, std::nullopt,
+                now());
+  Work();
+  CHECK(Runs().empty());
+  CHECK(StoredState("j").items[0].state == ItemState::kWaiting);
+  CHECK(StoredState("j").items[0].has_partial);
+  // Another worker goes on after the event.
+  runners.Apply({RunnerRow("own", kOwn)}, false, std::nullopt, now());
+  Work();
+  REQUIRE(Runs().size() == 1);
+  CHECK(FindHeader(Runs()[0].headers, "last-event-id") == "1");
+}
+
+TEST_CASE_FIXTURE(ItemWorkerFixture, "ItemWorker, stop, gives its items back") {
+  AddJob("j", 2);
+  Work();
+  worker.Stop(now());
+  Settle();
+  CHECK(worker.IsIdle());
+  for (const JobItemState& item : StoredState("j").items) {
+    CHECK(item.state == ItemState::kWaiting);
+  }
+}
+
+// Guards against results that are lost while the store is away.
+TEST_CASE_FIXTURE(ItemWorkerFixture,
+                  "ItemWorker, store away at the end, lists when it is back") {
+  AddJob("j", 1);
+  Work();
+  const OutboundCall call = Runs()[0];
+  store_fault = [](const OutboundCall&) { return StoreFault::kLoseCall; };
+  Complete(call);
+  Work(milliseconds(1000));
+  store_fault = nullptr;
+  Work(milliseconds(1000));
+  CHECK(StoredState("j").listed == 1);
+  CHECK(Runs().empty());
+}
+
+}  // namespace
+}  // namespace carawayrelay
--- /dev/null
+++ b/tests/serving/job_api_test.cc
@@ -0,0 +1,176 @@
+#include "process/serving/job_api.h"
+
+#include "serving/job_fixture.h"
+
+namespace carawayrelay {
+namespace {
+
+using std::chrono::milliseconds;
+
+TEST_CASE_FIXTURE(JobFixture, "JobApi, new job, is accepted once stored") {
+  Submit("j", Submission(3));
+  CHECK(answers.empty());
+  Settle();
+  CHECK(LastStatus() == 202);
+  CHECK(StoredState("j").items.size() == 3);
+}
+
+// Guards against a job that is accepted twice, also at another frontend.
+TEST_CASE_FIXTURE(JobFixture, "JobApi, same job again, accepted, stored once") {
+  Submit("j", Submission(3));
+  Settle();
+  const std::uint64_t version = rows.version();
+  Submit("j", Submission(3));
+  Settle();
+  CHECK(LastStatus() == 202);
+  jobs.Apply({}, /*is_full=*/true);  // another frontend knows nothing of it
+  Submit("j", Submission(3));
+  Settle();
+  CHECK(LastStatus() == 202);
+  CHECK(rows.version() == version);
+}
+
+// Guards against a job that is lost after its acceptance, or refused although
+// the store has it: the answer to the write does not arrive.
+TEST_CASE_FIXTURE(JobFixture, "JobApi, answer of the store lost, accepted") {
+  int writes = 0;
+  store_fault = [&](const OutboundCall& call) {
+    return call.method == "POST" && writes++ == 0 ? StoreFault::kLoseAnswer
+                                                  : StoreFault::kNone;
+  };
+  Submit("j", Submission(2));
+  Settle();
+  Advance(milliseconds(50));
+  Settle();
+  CHECK(LastStatus() == 202);
+  CHECK(StoredState("j").items.size() == 2);
+}
+
+// Guards against "not run" for a job that the store may still take.
+TEST_CASE_FIXTURE(JobFixture, "JobApi, store silent, outcome stays unknown") {
+  store_fault = [](const OutboundCall&) { return StoreFault::kLoseCall; };
+  Submit("j", Submission(2));
+  for (int i = 0; i < 40; ++i) {
+    Advance(milliseconds(100));
+    Settle();
+  }
+  REQUIRE(answers.size() == 1);
+  CHECK(std::get<Refusal>(answers[0]).run_state == RunState::kUnknown);
+}
+
+TEST_CASE_FIXTURE(JobFixture, "JobApi, store refuses, refused as not run") {
+  store_fault = [](const OutboundCall&) { return StoreFault::kRefuse; };
+  Submit("j", Submission(2));
+  for (int i = 0; i < 40; ++i) {
+    Advance(milliseconds(100));
+    Settle();
+  }
+  REQUIRE(answers.size() == 1);
+  CHECK(std::get<Refusal>(answers[0]).run_state == RunState::kNotRun);
+  CHECK(LastStatus() == 503);
+}
+
+TEST_CASE_FIXTURE(JobFixture, "JobApi, too many waiting tokens, 429") {
+  route.bulk.max_pending_tokens = 500;
+  Submit("j1", Submission(3));
+  Settle();
+  Submit("j2", Submission(3));
+  CHECK(LastStatus() == 429);
+  CHECK(std::get<Refusal>(answers.back()).run_state == RunState::kNotRun);
+  ListItem("j1", 0, "a");
+  ListItem("j1", 1, "b");
+  Submit("j2", Submission(3));
+  Settle();
+  CHECK(LastStatus() == 202);
+}
+
+// Guards against jobs that pass the limit together while both are stored.
+TEST_CASE_FIXTURE(JobFixture, "JobApi, jobs being stored, count as waiting") {
+  route.bulk.max_pending_tokens = 500;
+  Submit("j1", Submission(3));
+  Submit("j2", Submission(3));
+  CHECK(LastStatus() == 429);
+}
+
+TEST_CASE_FIXTURE(JobFixture, "JobApi, large submission, goes to an object") {
+  Submit("j", Submission(3, std::string(20000, 'x')));
+  Settle();
+  CHECK(LastStatus() == 202);
+  CHECK(rows.object_count() == 1);
+  api.Handle(ClientId{2}, platform::ReadItemBody{.job = "j", .item = "item-2"},
+             "w", true);
+  Settle();
+  CHECK(std::get<WholeAnswer>(answers.back()).body == std::string(20000, 'x'));
+}
+
+TEST_CASE_FIXTURE(JobFixture, "JobApi, results, come from any position") {
+  Submit("j", Submission(3));
+  Settle();
+  Read("j", 0);
+  CHECK(LastBody()["total"] == 3);
+  CHECK(LastBody()["next"] == 0);
+  ListItem("j", 2, "c\nd");
+  ListItem("j", 0, "a");
+  Read("j", 0);
+  CHECK(LastBody()["next"] == 2);
+  CHECK(LastBody()["results"][0]["id"] == "item-2");
+  CHECK(LastBody()["results"][0]["text"] == "c\nd");
+  Read("j", 1);
+  CHECK(LastBody()["results"].size() == 1);
+  CHECK(LastBody()["results"][0]["id"] == "item-0");
+  Read("j", 2);
+  CHECK(LastBody()["results"].empty());
+  CHECK(LastBody()["next"] == 2);
+}
+
+// Guards against a 404 for a job that another frontend has just accepted.
+TEST_CASE_FIXTURE(JobFixture, "JobApi, job not known yet, is read from store") {
+  Submit("j", Submission(1));
+  Settle();
+  jobs.Apply({}, /*is_full=*/true);
+  Read("j", 0);
+  CHECK(LastStatus() == 200);
+  Read("none", 0);
+  CHECK(LastStatus() == 404);
+}
+
+// Guards against a 404 from a frontend that cannot know.
+TEST_CASE_FIXTURE(JobFixture, "JobApi, job not known and no store, 503") {
+  store_fault = [](const OutboundCall&) { return StoreFault::kRefuse; };
+  Read("j", 0);
+  CHECK(LastStatus() == 503);
+}
+
+TEST_CASE_FIXTURE(JobFixture, "JobApi, job of another workspace, 404") {
+  Submit("j", Submission(1));
+  Settle();
+  api.Handle(ClientId{2}, platform::ReadResults{.job = "j"}, "other", true);
+  CHECK(LastStatus() == 404);
+  api.Handle(ClientId{2}, platform::EndJob{.job = "j"}, "other", true);
+  Settle();
+  CHECK(LastStatus() == 404);
+  CHECK_FALSE(StoredState("j").is_ended);
+}
+
+TEST_CASE_FIXTURE(JobFixture, "JobApi, end, is stored and may come again") {
+  Submit("j", Submission(1));
+  Settle();
+  for (int i = 0; i < 2; ++i) {
+    api.Handle(ClientId{2}, platform::EndJob{.job = "j"}, "w", true);
+    Settle();
+    CHECK(LastStatus() == 200);
+  }
+  CHECK(StoredState("j").is_ended);
+}
+
+TEST_CASE_FIXTURE(JobFixture, "JobApi, malformed submissions, 400") {
+  for (const char* body :
+       {"", "[]", R"({"items":[]})", R"({"items":[{"id":"a"}]})",
+        R"({"items":[{"id":"a","path":"/b/1","body":"?"}]})"}) {
+    Submit("j", body);
+    CHECK(LastStatus() == 400);
+  }
+}
+
+}  // namespace
+}  // namespace carawayrelay
--- /dev/null
+++ b/tests/serving/job_fixture.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "platform/base64.h"
+#include "process/serving/job_api.h"
+#include "process/serving/job_table.h"
+#include "process/serving/job_writer.h"
+#include "serving/serving_fixture.h"
+
+namespace carawayrelay {
+
+// A frontend's side of batch jobs over the store stand-in.
+struct JobFixture : ServingFixture {
+  JobTable jobs;
+  JobWriter writer{jobs, store.port(), clock};
+  std::vector<ClientAnswer> answers;
+  JobApi api{jobs, writer, store, clock, [this](ClientId, ClientAnswer answer) {
+               answers.push_back(std::move(answer));
+             }};
+  ServingRoute route{.name = "bulk",
+                     .host = "h",
+                     .prefix = "/b/",
+                     .call_class = CallClass::kBulk,
+                     .max_attempts = 3,
+                     .services = {{.service = "llm"}},
+                     .bulk = {.run_goal = std::chrono::seconds(18),
+                              .keep = std::chrono::seconds(60)}};
+  ServingWorkspace workspace{.name = "w", .keys = {"k"}};
+
+  static std::string Submission(int items, const std::string& body = "body") {
+    nlohmann::json list = nlohmann::json::array();
+    for (int i = 0; i < items; ++i) {
+      list.push_back({{"id", "item-" + std::to_string(i)},
+                      {"path", "/b/" + std::to_string(i)},
+                      {"headers", {{"X-Carawayrelay-Model", "m"}}},
+                      {"body", platform::ToBase64(body)},
+                      {"tokens", 100}});
+    }
+    return nlohmann::json{{"items", std::move(list)}}.dump();
+  }
+  void Submit(const std::string& job, const std::string& body) {
+    api.Submit({.client = ClientId{1},
+                .request_id = job,
+                .host = "h",
+                .body = body,
+                .arrived = now()},
+               route, workspace, now());
+  }
+  // Runs the steps of the deciding thread until nothing is left to do.
+  void Settle() {
+    for (int i = 0; i < 20; ++i) {
+      writer.Tick(now());
+      api.Tick(now());
+      if (RunStore() == 0) {
+        break;
+      }
+    }
+  }
+  int LastStatus() const {
+    REQUIRE_FALSE(answers.empty());
+    if (const auto* whole = std::get_if<WholeAnswer>(&answers.back())) {
+      return whole->status;
+    }
+    return HttpStatus(std::get<Refusal>(answers.back()).code);
+  }
+  nlohmann::json LastBody() const {
+    return nlohmann::json::parse(std::get<WholeAnswer>(answers.back()).body);
+  }
+  JobState StoredState(const std::string& job) const {
+    const RowKey key = job_rows::State(job);
+    auto state = DecodeJobState(job, rows.Get(key.table, key.part, key.key));
+    REQUIRE(state);
+    return std::move(state).value();
+  }
+  // Lists one item, as a worker does.
+  void ListItem(const std::string& job, size_t index, const std::string& text) {
+    writer.Add(job, {.apply =
+                         [job, index, text](JobState& state,
+                                            RowsTransaction& transaction) {
+                           state.items[index].state = ItemState::kComplete;
+                           transaction.writes.push_back(
+                               {.key = job_rows::Result(job, state.listed),
+                                .value = EncodeItemResult(
+                                    {.item = "item-" + std::to_string(index),
+                                     .is_complete = true,
+                                     .text = text})});
+                           ++state.listed;
+                           return JobWriter::Outcome::kChanged;
+                         },
+                     .done = [](JobWriter::Outcome) {}});
+    Settle();
+  }
+  void Read(const std::string& job, size_t from, bool is_current = true) {
+    api.Handle(ClientId{2}, platform::ReadResults{.job = job, .from = from},
+               workspace.name, is_current);
+    Settle();
+  }
+};
+
+}  // namespace carawayrelay
--- /dev/null
+++ b/tests/serving/log_story_test.cc
@@ -0,0 +1,42 @@
+#include "process/serving/log_story.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+namespace carawayrelay {
+namespace {
+
+struct LogStoryFixture {
+  std::vector<std::string> log = {
+      R"(12.1 n1 {"t_ms":2000,"event":1934,"name":"request_ended","node":"n1","id":"q","outcome":"backend_failed","status":0,"runner":"r1","route":"a","workspace":"w","attempts":1,"last_event":"","ms":40,"reason":"reset"})",
+      R"({"t_ms":1990,"event":1933,"name":"attempt_failed","node":"n1","id":"q","runner":"r1","was_sent":true,"attempt":1,"resends":false,"after_event":"","reason":"reset"})",
+      R"({"t_ms":1500,"event":1924,"name":"runner_avoided","node":"n1","runner":"r1","avoid_ms":500,"reason":"silent"})",
+      R"({"t_ms":1500,"event":1924,"name":"runner_avoided","node":"n2","runner":"r1","avoid_ms":500,"reason":"silent"})",
+      R"({"t_ms":1600,"event":1924,"name":"runner_avoided","node":"n1","runner":"r9","avoid_ms":500,"reason":"silent"})",
+      R"({"t_ms":1700,"event":1914,"name":"store_lost","node":"n1","status":"unknown","reason":"x"})",
+      R"({"t_ms":1995,"event":1934,"name":"request_ended","node":"n1","id":"other"})",
+      "not a log line"};
+};
+
+// Guards against a cause that stands in the logs but not in the story.
+TEST_CASE_FIXTURE(LogStoryFixture,
+                  "LogStory, failed request, has its lines and their causes") {
+  const std::vector<std::string> story = TellStory("q", log);
+  REQUIRE(story.size() == 4);
+  CHECK(story[0].find("avoids backend server r1 for 500 ms: silent") !=
+        std::string::npos);
+  CHECK(story[1].find("lost the store") != std::string::npos);
+  CHECK(story[2].find("attempt 1 at backend server r1 failed: reset") !=
+        std::string::npos);
+  CHECK(story[3].find("ended after 40 ms: backend_failed") !=
+        std::string::npos);
+}
+
+TEST_CASE_FIXTURE(LogStoryFixture, "LogStory, unknown id, tells nothing") {
+  CHECK(TellStory("none", log).empty());
+}
+
+}  // namespace
+}  // namespace carawayrelay
--- /dev/null
+++ b/tests/serving/runner_directory_test.cc
@@ -0,0 +1,119 @@
+#include "process/serving/runner_directory.h"
+
+#include <set>
+
+#include "serving/serving_fixture.h"
+
+namespace carawayrelay {
+namespace {
+
+using std::chrono::milliseconds;
+
+struct RunnerDirectoryFixture : ServingFixture {
+  RunnerDirectory runners{1};
+
+  void Put(const std::vector<StoredRow>& changed,
+           std::optional<TimePoint> regained_at = std::nullopt) {
+    runners.Apply(changed, /*is_full=*/false, regained_at, now());
+  }
+  static StoredRow Gone(const std::string& id) {
+    return {.key = {.table = "servers", .key = id},
+            .version = 2,
+            .is_removed = true};
+  }
+  // Ids that are chosen in many draws.
+  std::set<std::string> Chosen() {
+    std::set<std::string> ids;
+    for (int i = 0; i < 50; ++i) {
+      if (const auto* runner =
+              runners.Choose({.service = "llm", .zone = "zone-1"}, now())) {
+        ids.insert(runner->entry.id);
+      }
+    }
+    return ids;
+  }
+};
+
+// Guards against new work for a backend server that is leaving.
+TEST_CASE_FIXTURE(RunnerDirectoryFixture,
+                  "RunnerDirectory, draining entry, is not chosen") {
+  Put({RunnerRow("a", "1.1.1.1:1"), RunnerRow("b", "1.1.1.2:1")});
+  CHECK(Chosen() == std::set<std::string>{"a", "b"});
+  Put({RunnerRow("a", "1.1.1.1:1", "draining")});
+  CHECK(Chosen() == std::set<std::string>{"b"});
+}
+
+TEST_CASE_FIXTURE(RunnerDirectoryFixture,
+                  "RunnerDirectory, zone out of service, is not chosen") {
+  Put({RunnerRow("a", "1.1.1.1:1")});
+  runners.SetEvacuated({"zone-1"});
+  CHECK(Chosen().empty());
+}
+
+// Guards against entries of an outage that count as gone: they come back.
+TEST_CASE_FIXTURE(RunnerDirectoryFixture,
+                  "RunnerDirectory, entry vanished in an outage, is kept") {
+  Put({RunnerRow("a", "1.1.1.1:1")});
+  const TimePoint regained = now();
+  Advance(milliseconds(100));
+  Put({Gone("a")}, regained);
+  CHECK(Chosen() == std::set<std::string>{"a"});
+  Put({RunnerRow("a", "1.1.1.1:1")}, regained);
+  Advance(milliseconds(5000));
+  runners.Tick(now());
+  CHECK(Chosen() == std::set<std::string>{"a"});
+}
+
+TEST_CASE_FIXTURE(RunnerDirectoryFixture,
+                  "RunnerDirectory, entry did not come back, is gone") {
+  Put({RunnerRow("a", "1.1.1.1:1")});
+  const TimePoint regained = now();
+  Put({Gone("a")}, regained);
+  Advance(milliseconds(2400));
+  runners.Tick(now());
+  CHECK(runners.size() == 0);
+}
+
+// Guards against requests to a leaving backend server whose entry went 2.7 s
+// after an outage and was kept 2.3 s longer (telar trouble-3, 28.2 s).
+TEST_CASE_FIXTURE(
+    RunnerDirectoryFixture,
+    "RunnerDirectory, entry vanished long after, is gone at once") {
+  Put({RunnerRow("a", "1.1.1.1:1")});
+  const TimePoint regained = now();
+  Advance(milliseconds(2700));
+  Put({Gone("a")}, regained);
+  CHECK(runners.size() == 0);
+}
+
+TEST_CASE_FIXTURE(RunnerDirectoryFixture,
+                  "RunnerDirectory, unreadable entry, others hold") {
+  Put({RunnerRow("a", "1.1.1.1:1"), RunnerRow("b", "1.1.1.2:1")});
+  Put({{.key = {.table = "servers", .key = "a"}, .value = "??", .version = 3}});
+  CHECK(Chosen() == std::set<std::string>{"b"});
+}
+
+TEST_CASE_FIXTURE(RunnerDirectoryFixture,
+                  "RunnerDirectory, failed server, only used without another") {
+  Put({RunnerRow("a", "1.1.1.1:1"), RunnerRow("b", "1.1.1.2:1")});
+  runners.NoteFailure(*runners.Find("a"), "reset", now());
+  CHECK(Chosen() == std::set<std::string>{"b"});
+  Put({Gone("b")});
+  CHECK(Chosen() == std::set<std::string>{"a"});
+}
+
+// Guards against a second start under the same id that inherits suspicion.
+TEST_CASE_FIXTURE(RunnerDirectoryFixture,
+                  "RunnerDirectory, busy server, least loaded is chosen") {
+  Put({RunnerRow("a", "1.1.1.1:1"), RunnerRow("b", "1.1.1.2:1")});
+  runners.Find("a")->running = 3;
+  CHECK(Chosen() == std::set<std::string>{"b"});
+  runners.NoteLoad(*runners.Find("b"), {.running = 8, .waiting = 2, .slots = 8},
+                   now());
+  CHECK(Chosen() == std::set<std::string>{"a"});
+  Advance(milliseconds(5000));
+  CHECK(Chosen() == std::set<std::string>{"b"});
+}
+
+}  // namespace
+}  // namespace carawayrelay
--- /dev/null
+++ b/tests/serving/serving_settings_test.cc
@@ -0,0 +1,57 @@
+#include "process/serving/serving_settings.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+namespace carawayrelay {
+namespace {
+
+struct ServingSettingsFixture {
+  Findings findings;
+
+  bool Reports(const std::string& path) const {
+    for (const Finding& finding : findings.items()) {
+      if (finding.path == path) {
+        return true;
+      }
+    }
+    return false;
+  }
+};
+
+TEST_CASE_FIXTURE(ServingSettingsFixture,
+                  "FrontendSettings, complete file, is read") {
+  const auto settings = ParseFrontendSettings(
+      R"({"node":"n","zone":"z","listen_clients":"10.0.0.1:80",
+          "listen_ready":"10.0.0.1:81","store_address":"10.0.0.2:82",
+          "key_revocation_ms":5000,"stop_grace_ms":8000})",
+      findings);
+  REQUIRE_MESSAGE(settings, findings.ToText());
+  CHECK(settings->stop_grace == std::chrono::seconds(8));
+}
+
+// Guards against a start that stops at the first mistake.
+TEST_CASE_FIXTURE(ServingSettingsFixture,
+                  "FrontendSettings, several mistakes, all are reported") {
+  CHECK_FALSE(ParseFrontendSettings(
+      R"({"zone":1,"listen_clients":"host:80","stop_grace_ms":"x","odd":1})",
+      findings));
+  for (const char* path : {"/node", "/zone", "/listen_clients", "/listen_ready",
+                           "/store_address", "/stop_grace_ms", "/odd"}) {
+    CHECK_MESSAGE(Reports(path), path);
+  }
+}
+
+TEST_CASE_FIXTURE(ServingSettingsFixture,
+                  "WorkerSettings, slots out of range, are reported") {
+  CHECK_FALSE(ParseWorkerSettings(
+      R"({"node":"n","zone":"z","runner_address":"10.0.0.1:80",
+          "store_address":"10.0.0.2:82","reserved_slots":-1})",
+      findings));
+  CHECK(Reports("/reserved_slots"));
+  CHECK(findings.items().size() == 1);
+}
+
+}  // namespace
+}  // namespace carawayrelay
--- /dev/null
+++ b/tests/serving/table_watch_test.cc
@@ -0,0 +1,97 @@
+#include "process/serving/table_watch.h"
+
+#include "serving/serving_fixture.h"
+
+namespace carawayrelay {
+namespace {
+
+using std::chrono::milliseconds;
+
+struct TableWatchFixture : ServingFixture {
+  TableWatch watch{
+      {.table = "t", .parts = {"p0", "p1"}},
+      store.port(),
+      clock,
+      [this](const std::vector<StoredRow>& changed, bool is_full, TimePoint) {
+        if (is_full) {
+          seen.clear();
+        }
+        fulls += is_full ? 1 : 0;
+        for (const StoredRow& row : changed) {
+          if (row.is_removed) {
+            seen.erase(row.key.key);
+          } else {
+            seen[row.key.key] = row.value;
+          }
+        }
+      }};
+  std::map<std::string, std::string> seen;
+  int fulls = 0;
+
+  void Step() {
+    watch.Tick(now());
+    RunStore();
+    watch.Tick(now());
+  }
+};
+
+TEST_CASE_FIXTURE(TableWatchFixture,
+                  "TableWatch, rows in several parts, reads all and follows") {
+  rows.Put("t", "p0", "a", "1");
+  rows.Put("t", "p1", "b", "2");
+  Step();
+  CHECK(seen == std::map<std::string, std::string>{{"a", "1"}, {"b", "2"}});
+  rows.Put("t", "p1", "b", "3");
+  rows.Remove("t", "p0", "a");
+  Step();
+  CHECK(seen == std::map<std::string, std::string>{{"b", "3"}});
+  CHECK(fulls == 1);
+}
+
+// Guards against changes that stay unseen after the store lost its history.
+TEST_CASE_FIXTURE(TableWatchFixture,
+                  "TableWatch, history lost, reads the whole table again") {
+  rows.Put("t", "p0", "a", "1");
+  Step();
+  rows.Remove("t", "p0", "a");
+  rows.Put("t", "p0", "c", "4");
+  rows.ForgetHistory();
+  Step();
+  Step();
+  CHECK(seen == std::map<std::string, std::string>{{"c", "4"}});
+  CHECK(fulls == 2);
+}
+
+// Guards against a proof that is newer than the state it speaks of: a change
+// may happen between the call and its answer.
+TEST_CASE_FIXTURE(TableWatchFixture,
+                  "TableWatch, slow answer, proof is as old as the call") {
+  Step();
+  Advance(milliseconds(700));
+  ends_watches = true;
+  const TimePoint sent = now() - milliseconds(700);
+  RunStore();
+  CHECK(watch.proven_at() == sent);
+}
+
+TEST_CASE_FIXTURE(TableWatchFixture,
+                  "TableWatch, outage, proof stays and return is noted") {
+  Step();
+  const auto proven = watch.proven_at();
+  store_fault = [](const OutboundCall&) { return StoreFault::kRefuse; };
+  ends_watches = true;
+  for (int i = 0; i < 20; ++i) {
+    Advance(milliseconds(200));
+    Step();
+  }
+  CHECK(watch.proven_at() == proven);
+  CHECK_FALSE(watch.regained_at());
+  store_fault = nullptr;
+  Advance(milliseconds(500));
+  Step();
+  CHECK(watch.regained_at() == now());
+  CHECK(watch.proven_at() == now());
+}
+
+}  // namespace
+}  // namespace carawayrelay
--- /dev/null
+++ b/tools/standins/row_store.cc
@@ -0,0 +1,245 @@
+#include "standins/row_store.h"
+
+#include <algorithm>
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "platform/base64.h"
+
+namespace carawayrelay {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view kObjectPut = "/blob-put/";
+constexpr std::string_view kObjectGet = "/blob-get/";
+constexpr std::string_view kChanges = "/rows-feed";
+constexpr std::string_view kRead = "/rows-get";
+constexpr size_t kMaxRows = 500;
+
+std::string Decode(std::string_view text) {
+  std::string out;
+  for (size_t i = 0; i < text.size(); ++i) {
+    int value = 0;
+    if (text[i] == '%' && i + 2 < text.size() &&
+        std::from_chars(text.data() + i + 1, text.data() + i + 3, value, 16)
+                .ec == std::errc()) {
+      out.push_back(static_cast<char>(value));
+      i += 2;
+    } else {
+      out.push_back(text[i]);
+    }
+  }
+  return out;
+}
+
+// The value of a query parameter, or nothing.
+std::optional<std::string> Parameter(std::string_view target,
+                                     std::string_view name) {
+  const size_t question = target.find('?');
+  std::string_view rest =
+      question == std::string_view::npos ? "" : target.substr(question + 1);
+  while (!rest.empty()) {
+    const size_t end = rest.find('&');
+    const std::string_view pair = rest.substr(0, end);
+    const size_t equals = pair.find('=');
+    if (pair.substr(0, equals) == name && equals != std::string_view::npos) {
+      return Decode(pair.substr(equals + 1));
+    }
+    rest.remove_prefix(end == std::string_view::npos ? rest.size() : end + 1);
+  }
+  return std::nullopt;
+}
+
+std::uint64_t NumberParameter(std::string_view target, std::string_view name) {
+  const std::string text = Parameter(target, name).value_or("0");
+  std::uint64_t value = 0;
+  (void)std::from_chars(text.data(), text.data() + text.size(), value);
+  return value;
+}
+
+std::int64_t NowMs() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::steady_clock::now().time_since_epoch())
+      .count();
+}
+
+std::tuple<std::string, std::string, std::string> KeyOf(const json& row) {
+  return {row.value("table", ""), row.value("part", ""), row.value("key", "")};
+}
+
+}  // namespace
+
+RowStore::Answer RowStore::Handle(const std::string& method,
+                                  const std::string& target,
+                                  const std::string& body) {
+  const std::string_view path = std::string_view(target).substr(
+      0, std::min(target.size(), target.find('?')));
+  if (method == "POST" && path == "/rows-tx") {
+    return Transact(body);
+  }
+  if (method == "GET" && path == kRead) {
+    return Read(target);
+  }
+  if (method == "GET" && path == kChanges) {
+    return Changes(target);
+  }
+  if (method == "PUT" && path.starts_with(kObjectPut)) {
+    const std::string name = Decode(path.substr(kObjectPut.size()));
+    return objects_.emplace(name, body).second ? Answer{200, "{}"}
+                                               : Answer{412, "{}"};
+  }
+  if (method == "GET" && path.starts_with(kObjectGet)) {
+    const auto it = objects_.find(Decode(path.substr(kObjectGet.size())));
+    return it == objects_.end() ? Answer{404, "{}"} : Answer{200, it->second};
+  }
+  return {404, "{}"};
+}
+
+std::uint64_t RowStore::VersionOf(const Key& key) const {
+  const auto it = rows_.find(key);
+  return it == rows_.end() || it->second.is_removed ? 0 : it->second.version;
+}
+
+RowStore::Answer RowStore::Transact(const std::string& body) {
+  const json root = json::parse(body, nullptr, false);
+  if (!root.is_object()) {
+    return {400, "{}"};
+  }
+  json current = json::array();
+  bool holds = true;
+  for (const json& expected : root.value("expectRev", json::array())) {
+    const Key key = KeyOf(expected);
+    const std::uint64_t version = VersionOf(key);
+    holds &= version == expected.value("ver", std::uint64_t{0});
+    json row = {{"table", std::get<0>(key)},
+                {"part", std::get<1>(key)},
+                {"key", std::get<2>(key)},
+                {"ver", version}};
+    if (version > 0) {
+      row["value"] = platform::ToBase64(rows_.at(key).value);
+    }
+    current.push_back(std::move(row));
+  }
+  if (!holds) {
+    return {412, json{{"rows", std::move(current)},
+                      {"ver", version_},
+                      {"nowMs", NowMs()}}
+                     .dump()};
+  }
+  ++version_;
+  for (const json& write : root.value("writes", json::array())) {
+    rows_[KeyOf(write)] = {
+        .value = platform::FromBase64(write.value("value", "")).value_or(""),
+        .version = version_};
+  }
+  for (const json& removal : root.value("remove", json::array())) {
+    rows_[KeyOf(removal)] = {.version = version_, .is_removed = true};
+  }
+  return {200, json{{"ver", version_}, {"nowMs", NowMs()}}.dump()};
+}
+
+RowStore::Answer RowStore::Read(const std::string& target) const {
+  const std::string table = Parameter(target, "table").value_or("");
+  const std::string part = Parameter(target, "part").value_or("");
+  const std::string from = Parameter(target, "from").value_or("");
+  const std::optional<std::string> to = Parameter(target, "to");
+  json rows = json::array();
+  bool has_more = false;
+  for (const auto& [key, row] : rows_) {
+    const auto& [row_table, row_part, row_key] = key;
+    if (row.is_removed || row_table != table || row_part != part ||
+        row_key < from || (to && row_key >= *to)) {
+      continue;
+    }
+    if (rows.size() == kMaxRows) {
+      has_more = true;
+      break;
+    }
+    rows.push_back({{"table", table},
+                    {"part", part},
+                    {"key", row_key},
+                    {"value", platform::ToBase64(row.value)},
+                    {"ver", row.version}});
+  }
+  return {200, json{{"rows", std::move(rows)},
+                    {"hasMore", has_more},
+                    {"ver", version_},
+                    {"nowMs", NowMs()}}
+                   .dump()};
+}
+
+bool RowStore::HasChanges(const std::string& target) const {
+  if (!target.starts_with(kChanges)) {
+    return true;
+  }
+  const std::string table = Parameter(target, "table").value_or("");
+  const std::uint64_t after = NumberParameter(target, "after");
+  return after < oldest_known_ ||
+         std::any_of(rows_.begin(), rows_.end(), [&](const auto& item) {
+           return std::get<0>(item.first) == table &&
+                  item.second.version > after;
+         });
+}
+
+std::chrono::milliseconds RowStore::WaitOf(const std::string& target) {
+  return std::chrono::milliseconds(NumberParameter(target, "waitMs"));
+}
+
+RowStore::Answer RowStore::Changes(const std::string& target) const {
+  const std::string table = Parameter(target, "table").value_or("");
+  const std::uint64_t after = NumberParameter(target, "after");
+  if (after < oldest_known_) {
+    return {410, "{}"};
+  }
+  std::vector<std::pair<std::uint64_t, json>> changed;
+  for (const auto& [key, row] : rows_) {
+    if (std::get<0>(key) != table || row.version <= after) {
+      continue;
+    }
+    json entry = {{"table", table},
+                  {"part", std::get<1>(key)},
+                  {"key", std::get<2>(key)},
+                  {"ver", row.version}};
+    if (row.is_removed) {
+      entry["removed"] = true;
+    } else {
+      entry["value"] = platform::ToBase64(row.value);
+    }
+    changed.emplace_back(row.version, std::move(entry));
+  }
+  std::sort(changed.begin(), changed.end(),
+            [](const auto& a, const auto& b) { return a.first < b.first; });
+  json rows = json::array();
+  for (auto& [version, row] : changed) {
+    rows.push_back(std::move(row));
+  }
+  return {200,
+          json{{"rows", std::move(rows)}, {"ver", version_}, {"nowMs", NowMs()}}
+              .dump()};
+}
+
+void RowStore::Put(const std::string& table,
+                   const std::string& part,
+                   const std::string& key,
+                   const std::string& value) {
+  rows_[{table, part, key}] = {.value = value, .version = ++version_};
+}
+
+void RowStore::Remove(const std::string& table,
+                      const std::string& part,
+                      const std::string& key) {
+  rows_[{table, part, key}] = {.version = ++version_, .is_removed = true};
+}
+
+std::string RowStore::Get(const std::string& table,
+                          const std::string& part,
+                          const std::string& key) const {
+  const auto it = rows_.find({table, part, key});
+  return it == rows_.end() ? std::string() : it->second.value;
+}
+
+}  // namespace carawayrelay
--- /dev/null
+++ b/tools/standins/row_store.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <tuple>
+
+namespace carawayrelay {
+
+// Stand-in for the platform's store: rows with versions, transactions under
+// conditions, changes and objects, in memory. It speaks the store's protocol
+// without sockets; one thread uses it at a time.
+class RowStore {
+ public:
+  struct Answer {
+    int status = 0;
+    std::string body;
+  };
+
+  // Serves one call. A call for changes is answered at once, without rows when
+  // there are none; HasChanges() tells whether to wait.
+  Answer Handle(const std::string& method,
+                const std::string& target,
+                const std::string& body);
+  // Whether a call for changes would be answered with rows now. True for all
+  // other calls.
+  bool HasChanges(const std::string& target) const;
+  // How long a call for changes may be held.
+  static std::chrono::milliseconds WaitOf(const std::string& target);
+
+  // Writes a row, as an operator or a backend server does.
+  void Put(const std::string& table,
+           const std::string& part,
+           const std::string& key,
+           const std::string& value);
+  void Remove(const std::string& table,
+              const std::string& part,
+              const std::string& key);
+  // The value of a row, or an empty string.
+  std::string Get(const std::string& table,
+                  const std::string& part,
+                  const std::string& key) const;
+  // Answers calls for changes after older versions with 410 from now on.
+  void ForgetHistory() { oldest_known_ = version_; }
+  std::uint64_t version() const { return version_; }
+  size_t object_count() const { return objects_.size(); }
+
+ private:
+  using Key = std::tuple<std::string, std::string, std::string>;
+  struct Row {
+    std::string value;
+    std::uint64_t version = 0;
+    bool is_removed = false;
+  };
+
+  Answer Transact(const std::string& body);
+  Answer Read(const std::string& target) const;
+  Answer Changes(const std::string& target) const;
+  std::uint64_t VersionOf(const Key& key) const;
+
+  std::map<Key, Row> rows_;  // removed rows stay, for the changes
+  std::map<std::string, std::string> objects_;
+  std::uint64_t version_ = 0;
+  std::uint64_t oldest_known_ = 0;
+};
+
+}  // namespace carawayrelay
