--- a/src/process/serving/item_worker.cc
+++ b/src/process/serving/item_worker.cc
@@ -220,7 +220,14 @@
     return std::nullopt;
   }
   const milliseconds store_now = store_.StoreTime(now);
-  std::vector<std::pair<milliseconds, std::string>> found;
+  struct Choice {
+    bool is_late;  // its results will hardly be in time
+    milliseconds due;
+    std::string job;
+
+    auto operator<=>(const Choice&) const = default;
+  };
+  std::vector<Choice> found;
   for (const auto& [id, entry] : jobs_.jobs()) {
     if (!entry.job.IsOpen()) {
       continue;
@@ -235,7 +242,10 @@
     }
     for (size_t i = 0; i < entry.job.items.size(); ++i) {
       if (IsClaimable(id, i, entry.job.items[i], store_now)) {
-        found.emplace_back(entry.job.accepted + route->bulk.run_goal, id);
+        const milliseconds due = entry.job.accepted + route->bulk.run_goal;
+        found.push_back({.is_late = due - store_now < options_.run_time,
+                         .due = due,
+                         .job = id});
         break;
       }
     }
@@ -244,9 +254,13 @@
     return std::nullopt;
   }
   std::sort(found.begin(), found.end());
+  const auto in_time = static_cast<size_t>(
+      std::count_if(found.begin(), found.end(),
+                    [](const Choice& choice) { return !choice.is_late; }));
+  const size_t choices = in_time > 0 ? in_time : found.size();
   std::uniform_int_distribution<size_t> pick(
-      0, std::min(found.size(), kJobChoices) - 1);
-  return found[pick(random_)].second;
+      0, std::min(choices, kJobChoices) - 1);
+  return found[pick(random_)].job;
 }
 
 void ItemWorker::Claim(int count, TimePoint now) {
--- a/src/process/serving/item_worker.h
+++ b/src/process/serving/item_worker.h
@@ -30,7 +30,10 @@
     std::string node;
     std::string runner_address;  // "IP:port"
     // Slots that stay free for online requests.
-    int reserved_slots = 1;
+    int reserved_slots = 0;
+    // How long an item runs as a rule. Items that are due sooner come after
+    // those that can still be in time.
+    std::chrono::milliseconds run_time{4000};
     std::uint64_t seed = 1;
     std::chrono::milliseconds report_interval{40};
     // A claim that is not renewed for this long may be taken over.
--- a/src/process/serving/serving_settings.h
+++ b/src/process/serving/serving_settings.h
@@ -31,7 +31,7 @@
   std::string store_address;   // "IP:port"
   std::string listen_metrics;  // "IP:port"; empty for none
   // Slots of the backend server that batch items leave free.
-  int reserved_slots = 1;
+  int reserved_slots = 0;
   std::chrono::milliseconds stop_grace{8000};
 };
 
