--- a/src/process/active_jobs.cc
+++ b/src/process/batch/active_jobs.cc
@@ -1,4 +1,4 @@
-#include "process/active_jobs.h"
+#include "process/batch/active_jobs.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/process/active_jobs.h
+++ b/src/process/batch/active_jobs.h
@@ -12,7 +12,7 @@
 #include <vector>
 
 #include "carawayrelay/request.h"
-#include "process/batch_event.h"
+#include "process/batch/batch_event.h"
 
 namespace carawayrelay {
 
--- a/src/process/api_reply.cc
+++ b/src/process/batch/api_reply.cc
@@ -1,4 +1,4 @@
-#include "process/api_reply.h"
+#include "process/batch/api_reply.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/process/api_reply.h
+++ b/src/process/batch/api_reply.h
@@ -2,7 +2,7 @@
 
 #include <string>
 
-#include "process/http_client.h"
+#include "process/transport/http_client.h"
 
 namespace carawayrelay {
 
--- a/src/process/batch_api.cc
+++ b/src/process/batch/batch_api.cc
@@ -1,4 +1,4 @@
-#include "process/batch_api.h"
+#include "process/batch/batch_api.h"
 
 #include <algorithm>
 #include <charconv>
@@ -7,10 +7,10 @@
 #include <string_view>
 #include <utility>
 
-#include "process/batch_json.h"
-#include "process/batch_route.h"
-#include "process/batch_upload.h"
-#include "process/refusal_json.h"
+#include "process/batch/batch_json.h"
+#include "process/batch/batch_route.h"
+#include "process/batch/batch_upload.h"
+#include "process/dispatch/refusal_json.h"
 
 namespace carawayrelay {
 namespace {
--- a/src/process/batch_api.h
+++ b/src/process/batch/batch_api.h
@@ -8,9 +8,9 @@
 
 #include "carawayrelay/request.h"
 #include "carawayrelay/version.h"
-#include "process/batch_event.h"
-#include "process/http_server.h"
-#include "process/job_store.h"
+#include "process/batch/batch_event.h"
+#include "process/batch/job_store.h"
+#include "process/transport/http_server.h"
 
 namespace carawayrelay {
 
--- a/src/process/batch_api_thread.cc
+++ b/src/process/batch/batch_api_thread.cc
@@ -1,9 +1,9 @@
-#include "process/batch_api_thread.h"
+#include "process/batch/batch_api_thread.h"
 
 #include <chrono>
 #include <utility>
 
-#include "process/batch_store_thread.h"
+#include "process/batch/batch_store_thread.h"
 
 namespace carawayrelay {
 
--- a/src/process/batch_api_thread.h
+++ b/src/process/batch/batch_api_thread.h
@@ -9,11 +9,11 @@
 
 #include "carawayrelay/request.h"
 #include "carawayrelay/version.h"
-#include "process/batch_api.h"
-#include "process/batch_event.h"
-#include "process/http_server.h"
-#include "process/platform_client.h"
-#include "process/ring.h"
+#include "process/batch/batch_api.h"
+#include "process/batch/batch_event.h"
+#include "process/store/platform_client.h"
+#include "process/transport/http_server.h"
+#include "process/transport/ring.h"
 
 namespace carawayrelay {
 
--- a/src/process/batch_dispatcher.cc
+++ b/src/process/batch/batch_dispatcher.cc
@@ -1,9 +1,9 @@
-#include "process/batch_dispatcher.h"
+#include "process/batch/batch_dispatcher.h"
 
 #include <algorithm>
 #include <utility>
 
-#include "process/batch_route.h"
+#include "process/batch/batch_route.h"
 
 namespace carawayrelay {
 namespace {
--- a/src/process/batch_dispatcher.h
+++ b/src/process/batch/batch_dispatcher.h
@@ -12,9 +12,9 @@
 #include "carawayrelay/connection.h"
 #include "carawayrelay/request.h"
 #include "carawayrelay/version.h"
-#include "process/active_jobs.h"
-#include "process/batch_event.h"
-#include "process/chunk_book.h"
+#include "process/batch/active_jobs.h"
+#include "process/batch/batch_event.h"
+#include "process/batch/chunk_book.h"
 
 namespace carawayrelay {
 
--- a/src/process/batch_event.h
+++ b/src/process/batch/batch_event.h
@@ -9,11 +9,11 @@
 
 #include "carawayrelay/connection.h"
 #include "carawayrelay/version.h"
-#include "process/chunk_record.h"
-#include "process/chunk_store.h"
-#include "process/common_event.h"
-#include "process/job_store.h"
-#include "process/link_thread.h"
+#include "process/batch/chunk_record.h"
+#include "process/batch/chunk_store.h"
+#include "process/batch/job_store.h"
+#include "process/dispatch/common_event.h"
+#include "process/transport/link_thread.h"
 
 namespace carawayrelay {
 
--- a/src/process/batch_json.cc
+++ b/src/process/batch/batch_json.cc
@@ -1,4 +1,4 @@
-#include "process/batch_json.h"
+#include "process/batch/batch_json.h"
 
 #include <nlohmann/json.hpp>
 #include <utility>
--- a/src/process/batch_json.h
+++ b/src/process/batch/batch_json.h
@@ -6,8 +6,8 @@
 #include <vector>
 
 #include "carawayrelay/request.h"
-#include "process/file_record.h"
-#include "process/job_record.h"
+#include "process/batch/file_record.h"
+#include "process/batch/job_record.h"
 
 namespace carawayrelay {
 
--- a/src/process/batch_route.cc
+++ b/src/process/batch/batch_route.cc
@@ -1,4 +1,4 @@
-#include "process/batch_route.h"
+#include "process/batch/batch_route.h"
 
 namespace carawayrelay {
 
--- a/src/process/batch_store_thread.cc
+++ b/src/process/batch/batch_store_thread.cc
@@ -1,10 +1,10 @@
-#include "process/batch_store_thread.h"
+#include "process/batch/batch_store_thread.h"
 
 #include <chrono>
 #include <random>
 #include <utility>
 
-#include "process/log.h"
+#include "process/telemetry/log.h"
 
 namespace carawayrelay {
 
--- a/src/process/batch_store_thread.h
+++ b/src/process/batch/batch_store_thread.h
@@ -5,10 +5,10 @@
 #include <thread>
 
 #include "carawayrelay/request.h"
-#include "process/batch_event.h"
-#include "process/batch_store_worker.h"
-#include "process/platform_client.h"
-#include "process/ring.h"
+#include "process/batch/batch_event.h"
+#include "process/batch/batch_store_worker.h"
+#include "process/store/platform_client.h"
+#include "process/transport/ring.h"
 
 namespace carawayrelay {
 
--- a/src/process/batch_store_worker.cc
+++ b/src/process/batch/batch_store_worker.cc
@@ -1,8 +1,8 @@
-#include "process/batch_store_worker.h"
+#include "process/batch/batch_store_worker.h"
 
 #include <utility>
 
-#include "process/log.h"
+#include "process/telemetry/log.h"
 
 namespace carawayrelay {
 namespace {
--- a/src/process/batch_store_worker.h
+++ b/src/process/batch/batch_store_worker.h
@@ -5,11 +5,11 @@
 #include <string>
 
 #include "carawayrelay/request.h"
-#include "process/batch_event.h"
-#include "process/chunk_store.h"
-#include "process/job_store.h"
-#include "process/session_lease.h"
-#include "process/store_access.h"
+#include "process/batch/batch_event.h"
+#include "process/batch/chunk_store.h"
+#include "process/batch/job_store.h"
+#include "process/batch/session_lease.h"
+#include "process/store/store_access.h"
 
 namespace carawayrelay {
 
--- a/src/process/batch_thread.cc
+++ b/src/process/batch/batch_thread.cc
@@ -1,9 +1,9 @@
-#include "process/batch_thread.h"
+#include "process/batch/batch_thread.h"
 
 #include <cassert>
 #include <utility>
 
-#include "process/log.h"
+#include "process/telemetry/log.h"
 
 namespace carawayrelay {
 namespace {
--- a/src/process/batch_thread.h
+++ b/src/process/batch/batch_thread.h
@@ -9,12 +9,12 @@
 #include "carawayrelay/connection.h"
 #include "carawayrelay/request.h"
 #include "carawayrelay/version.h"
-#include "process/batch_api_thread.h"
-#include "process/batch_dispatcher.h"
-#include "process/batch_event.h"
-#include "process/batch_store_thread.h"
-#include "process/link_thread.h"
-#include "process/ring.h"
+#include "process/batch/batch_api_thread.h"
+#include "process/batch/batch_dispatcher.h"
+#include "process/batch/batch_event.h"
+#include "process/batch/batch_store_thread.h"
+#include "process/transport/link_thread.h"
+#include "process/transport/ring.h"
 
 namespace carawayrelay {
 
--- a/src/process/batch_upload.cc
+++ b/src/process/batch/batch_upload.cc
@@ -1,4 +1,4 @@
-#include "process/batch_upload.h"
+#include "process/batch/batch_upload.h"
 
 #include <algorithm>
 #include <cctype>
--- a/src/process/chunk_book.cc
+++ b/src/process/batch/chunk_book.cc
@@ -1,4 +1,4 @@
-#include "process/chunk_book.h"
+#include "process/batch/chunk_book.h"
 
 #include <algorithm>
 #include <cassert>
--- a/src/process/chunk_book.h
+++ b/src/process/batch/chunk_book.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "carawayrelay/request.h"
-#include "process/chunk_record.h"
+#include "process/batch/chunk_record.h"
 
 namespace carawayrelay {
 
--- a/src/process/chunk_record.cc
+++ b/src/process/batch/chunk_record.cc
@@ -1,4 +1,4 @@
-#include "process/chunk_record.h"
+#include "process/batch/chunk_record.h"
 
 #include <cassert>
 #include <nlohmann/json.hpp>
--- a/src/process/chunk_record.h
+++ b/src/process/batch/chunk_record.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "carawayrelay/request.h"
-#include "process/job_record.h"
+#include "process/batch/job_record.h"
 
 namespace carawayrelay {
 
--- a/src/process/chunk_store.cc
+++ b/src/process/batch/chunk_store.cc
@@ -1,4 +1,4 @@
-#include "process/chunk_store.h"
+#include "process/batch/chunk_store.h"
 
 #include <algorithm>
 #include <functional>
--- a/src/process/chunk_store.h
+++ b/src/process/batch/chunk_store.h
@@ -9,11 +9,11 @@
 #include <vector>
 
 #include "carawayrelay/request.h"
-#include "process/chunk_record.h"
-#include "process/job_record.h"
-#include "process/job_store.h"
-#include "process/session_lease.h"
-#include "process/store_access.h"
+#include "process/batch/chunk_record.h"
+#include "process/batch/job_record.h"
+#include "process/batch/job_store.h"
+#include "process/batch/session_lease.h"
+#include "process/store/store_access.h"
 
 namespace carawayrelay {
 
--- a/src/process/file_record.cc
+++ b/src/process/batch/file_record.cc
@@ -1,4 +1,4 @@
-#include "process/file_record.h"
+#include "process/batch/file_record.h"
 
 #include <nlohmann/json.hpp>
 #include <numeric>
--- a/src/process/job_record.cc
+++ b/src/process/batch/job_record.cc
@@ -1,4 +1,4 @@
-#include "process/job_record.h"
+#include "process/batch/job_record.h"
 
 #include <cassert>
 #include <nlohmann/json.hpp>
--- a/src/process/job_record.h
+++ b/src/process/batch/job_record.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "carawayrelay/request.h"
-#include "process/file_record.h"
+#include "process/batch/file_record.h"
 
 namespace carawayrelay {
 
--- a/src/process/job_store.cc
+++ b/src/process/batch/job_store.cc
@@ -1,4 +1,4 @@
-#include "process/job_store.h"
+#include "process/batch/job_store.h"
 
 #include <nlohmann/json.hpp>
 #include <utility>
--- a/src/process/job_store.h
+++ b/src/process/batch/job_store.h
@@ -5,10 +5,10 @@
 #include <vector>
 
 #include "carawayrelay/request.h"
-#include "process/chunk_record.h"
-#include "process/file_record.h"
-#include "process/job_record.h"
-#include "process/store_access.h"
+#include "process/batch/chunk_record.h"
+#include "process/batch/file_record.h"
+#include "process/batch/job_record.h"
+#include "process/store/store_access.h"
 
 namespace carawayrelay {
 
--- a/src/process/submit_check.cc
+++ b/src/process/batch/submit_check.cc
@@ -1,4 +1,4 @@
-#include "process/submit_check.h"
+#include "process/batch/submit_check.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/process/admin_client.cc
+++ b/src/process/commands/admin_client.cc
@@ -1,10 +1,10 @@
-#include "process/admin_client.h"
+#include "process/commands/admin_client.h"
 
 #include <chrono>
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "process/api_reply.h"
+#include "process/batch/api_reply.h"
 
 namespace carawayrelay {
 namespace {
--- a/src/process/admin_client.h
+++ b/src/process/commands/admin_client.h
@@ -5,7 +5,7 @@
 #include <vector>
 
 #include "carawayrelay/version.h"
-#include "process/http_client.h"
+#include "process/transport/http_client.h"
 
 namespace carawayrelay {
 
--- a/src/process/command_check.cc
+++ b/src/process/commands/command_check.cc
@@ -1,4 +1,4 @@
-#include "process/command_check.h"
+#include "process/commands/command_check.h"
 
 #include <algorithm>
 #include <array>
@@ -6,13 +6,13 @@
 #include <string_view>
 #include <vector>
 
+#include "process/commands/text_file.h"
 #include "process/serving/serving_settings.h"
-#include "process/text_file.h"
-#if __has_include("process/entry_settings.h")
-#include "process/entry_settings.h"
+#if __has_include("process/entry/entry_settings.h")
+#include "process/entry/entry_settings.h"
 #endif
-#if __has_include("process/agent_settings.h")
-#include "process/agent_settings.h"
+#if __has_include("process/gate/agent_settings.h")
+#include "process/gate/agent_settings.h"
 #endif
 
 namespace carawayrelay {
@@ -24,7 +24,7 @@
 };
 
 void CheckEntry([[maybe_unused]] const std::string& text, Findings& findings) {
-#if __has_include("process/entry_settings.h")
+#if __has_include("process/entry/entry_settings.h")
   ParseEntrySettings(text, findings);
 #else
   findings.Add("", "this build has no entry role");
@@ -32,7 +32,7 @@
 }
 
 void CheckAgent([[maybe_unused]] const std::string& text, Findings& findings) {
-#if __has_include("process/agent_settings.h")
+#if __has_include("process/gate/agent_settings.h")
   ParseAgentSettings(text, findings);
 #else
   findings.Add("", "this build has no agent role");
--- a/src/process/command_check.h
+++ b/src/process/commands/command_check.h
@@ -3,8 +3,8 @@
 #include <optional>
 #include <string>
 
-#include "process/command.h"
-#include "process/exit_code.h"
+#include "process/commands/command.h"
+#include "process/commands/exit_code.h"
 
 namespace carawayrelay {
 
--- a/src/process/command_config.cc
+++ b/src/process/commands/command_config.cc
@@ -1,4 +1,4 @@
-#include "process/command_config.h"
+#include "process/commands/command_config.h"
 
 #include <chrono>
 #include <functional>
@@ -7,9 +7,9 @@
 #include <string>
 #include <thread>
 
-#include "process/admin_client.h"
-#include "process/command_check.h"
-#include "process/text_file.h"
+#include "process/commands/admin_client.h"
+#include "process/commands/command_check.h"
+#include "process/commands/text_file.h"
 
 namespace carawayrelay {
 namespace {
--- a/src/process/command_explain.cc
+++ b/src/process/commands/command_explain.cc
@@ -1,11 +1,11 @@
-#include "process/command_explain.h"
+#include "process/commands/command_explain.h"
 
 #include <sstream>
 #include <string>
 #include <vector>
 
-#include "process/serving/log_story.h"
-#include "process/text_file.h"
+#include "process/commands/text_file.h"
+#include "process/telemetry/log_story.h"
 
 namespace carawayrelay {
 
--- a/src/process/command_explain.h
+++ b/src/process/commands/command_explain.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "process/command.h"
-#include "process/exit_code.h"
+#include "process/commands/command.h"
+#include "process/commands/exit_code.h"
 
 namespace carawayrelay {
 
--- a/src/process/command_help.cc
+++ b/src/process/commands/command_help.cc
@@ -1,4 +1,4 @@
-#include "process/command_help.h"
+#include "process/commands/command_help.h"
 
 namespace carawayrelay {
 
--- a/src/process/command_job.cc
+++ b/src/process/commands/command_job.cc
@@ -1,4 +1,4 @@
-#include "process/command_job.h"
+#include "process/commands/command_job.h"
 
 #include <algorithm>
 #include <chrono>
@@ -7,9 +7,9 @@
 #include <thread>
 #include <utility>
 
-#include "process/api_reply.h"
-#include "process/http_client.h"
-#include "process/text_file.h"
+#include "process/batch/api_reply.h"
+#include "process/commands/text_file.h"
+#include "process/transport/http_client.h"
 
 namespace carawayrelay {
 namespace {
--- a/src/process/command_line.cc
+++ b/src/process/commands/command_line.cc
@@ -1,4 +1,4 @@
-#include "process/command_line.h"
+#include "process/commands/command_line.h"
 
 #include <gflags/gflags.h>
 
--- a/src/process/command_line.h
+++ b/src/process/commands/command_line.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "carawayrelay/request.h"
-#include "process/command.h"
+#include "process/commands/command.h"
 
 namespace carawayrelay {
 
--- a/src/process/command_runner.cc
+++ b/src/process/commands/command_runner.cc
@@ -1,16 +1,16 @@
-#include "process/command_runner.h"
+#include "process/commands/command_runner.h"
 
-#include "process/command_check.h"
-#include "process/command_config.h"
-#include "process/command_explain.h"
-#include "process/command_help.h"
-#include "process/command_job.h"
+#include "process/commands/command_check.h"
+#include "process/commands/command_config.h"
+#include "process/commands/command_explain.h"
+#include "process/commands/command_help.h"
+#include "process/commands/command_job.h"
 #include "process/serving/serving_command.h"
-#if __has_include("process/entry_command.h")
-#include "process/entry_command.h"
+#if __has_include("process/commands/entry_command.h")
+#include "process/commands/entry_command.h"
 #endif
-#if __has_include("process/agent_process.h")
-#include "process/agent_process.h"
+#if __has_include("process/gate/agent_process.h")
+#include "process/gate/agent_process.h"
 #endif
 
 namespace carawayrelay {
@@ -21,7 +21,7 @@
   explicit Runner(const CommandContext& context) : context_(context) {}
 
   int operator()([[maybe_unused]] const EntryCommand& command) const {
-#if __has_include("process/entry_command.h")
+#if __has_include("process/commands/entry_command.h")
     return RunEntry(command.settings_file);
 #else
     context_.err << "this build has no entry role\n";
@@ -29,7 +29,7 @@
 #endif
   }
   int operator()([[maybe_unused]] const AgentCommand& command) const {
-#if __has_include("process/agent_process.h")
+#if __has_include("process/gate/agent_process.h")
     return RunAgent(command.settings_file);
 #else
     context_.err << "this build has no agent role\n";
--- a/src/process/entry_command.cc
+++ b/src/process/commands/entry_command.cc
@@ -1,4 +1,4 @@
-#include "process/entry_command.h"
+#include "process/commands/entry_command.h"
 
 #include <csignal>
 #include <fstream>
@@ -6,9 +6,9 @@
 #include <random>
 #include <sstream>
 
-#include "process/entry_process.h"
-#include "process/entry_services.h"
-#include "process/log.h"
+#include "process/entry/entry_process.h"
+#include "process/entry/entry_services.h"
+#include "process/telemetry/log.h"
 
 namespace carawayrelay {
 namespace {
--- a/src/process/backend_table.cc
+++ b/src/process/dispatch/backend_table.cc
@@ -1,4 +1,4 @@
-#include "process/backend_table.h"
+#include "process/dispatch/backend_table.h"
 
 #include <algorithm>
 
--- a/src/process/call_spans.cc
+++ b/src/process/dispatch/call_spans.cc
@@ -1,4 +1,4 @@
-#include "process/call_spans.h"
+#include "process/dispatch/call_spans.h"
 
 #include <utility>
 
--- a/src/process/call_spans.h
+++ b/src/process/dispatch/call_spans.h
@@ -7,8 +7,8 @@
 #include <string>
 
 #include "carawayrelay/request.h"
-#include "process/engine_call.h"
-#include "process/span.h"
+#include "process/gate/engine_call.h"
+#include "process/telemetry/span.h"
 
 namespace carawayrelay {
 
--- a/src/process/caller_replies.cc
+++ b/src/process/dispatch/caller_replies.cc
@@ -1,9 +1,9 @@
-#include "process/caller_replies.h"
+#include "process/dispatch/caller_replies.h"
 
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "process/refusal_json.h"
+#include "process/dispatch/refusal_json.h"
 
 namespace carawayrelay {
 namespace {
--- a/src/process/caller_replies.h
+++ b/src/process/dispatch/caller_replies.h
@@ -5,8 +5,8 @@
 #include <vector>
 
 #include "carawayrelay/request.h"
-#include "process/dispatch_event.h"
-#include "process/http_server.h"
+#include "process/dispatch/dispatch_event.h"
+#include "process/transport/http_server.h"
 
 namespace carawayrelay {
 
--- a/src/process/chat_api.cc
+++ b/src/process/dispatch/chat_api.cc
@@ -1,4 +1,4 @@
-#include "process/chat_api.h"
+#include "process/dispatch/chat_api.h"
 
 #include <xxhash.h>
 
@@ -6,7 +6,7 @@
 #include <string_view>
 #include <utility>
 
-#include "process/refusal_json.h"
+#include "process/dispatch/refusal_json.h"
 
 namespace carawayrelay {
 namespace {
--- a/src/process/dispatch_event.h
+++ b/src/process/dispatch/dispatch_event.h
@@ -11,9 +11,9 @@
 #include "carawayrelay/connection.h"
 #include "carawayrelay/request.h"
 #include "carawayrelay/version.h"
-#include "process/common_event.h"
-#include "process/limit_lease_book.h"
-#include "process/link_thread.h"
+#include "process/dispatch/common_event.h"
+#include "process/limits/limit_lease_book.h"
+#include "process/transport/link_thread.h"
 
 namespace carawayrelay {
 
--- a/src/process/dispatch_thread.cc
+++ b/src/process/dispatch/dispatch_thread.cc
@@ -1,9 +1,9 @@
-#include "process/dispatch_thread.h"
+#include "process/dispatch/dispatch_thread.h"
 
 #include <algorithm>
 #include <utility>
 
-#include "process/log.h"
+#include "process/telemetry/log.h"
 
 namespace carawayrelay {
 namespace {
--- a/src/process/dispatch_thread.h
+++ b/src/process/dispatch/dispatch_thread.h
@@ -8,11 +8,11 @@
 #include <thread>
 
 #include "carawayrelay/request.h"
-#include "process/caller_replies.h"
-#include "process/dispatch_event.h"
-#include "process/dispatcher.h"
-#include "process/link_thread.h"
-#include "process/ring.h"
+#include "process/dispatch/caller_replies.h"
+#include "process/dispatch/dispatch_event.h"
+#include "process/dispatch/dispatcher.h"
+#include "process/transport/link_thread.h"
+#include "process/transport/ring.h"
 
 namespace carawayrelay {
 
--- a/src/process/dispatcher.cc
+++ b/src/process/dispatch/dispatcher.cc
@@ -1,4 +1,4 @@
-#include "process/dispatcher.h"
+#include "process/dispatch/dispatcher.h"
 
 #include <algorithm>
 #include <cassert>
--- a/src/process/dispatcher.h
+++ b/src/process/dispatch/dispatcher.h
@@ -10,11 +10,11 @@
 
 #include "carawayrelay/request.h"
 #include "carawayrelay/version.h"
-#include "process/backend_table.h"
-#include "process/dispatch_event.h"
-#include "process/local_limits.h"
-#include "process/request_table.h"
-#include "process/shared_limits.h"
+#include "process/dispatch/backend_table.h"
+#include "process/dispatch/dispatch_event.h"
+#include "process/dispatch/request_table.h"
+#include "process/limits/local_limits.h"
+#include "process/limits/shared_limits.h"
 
 namespace carawayrelay {
 
--- a/src/process/dispatcher_attempts.cc
+++ b/src/process/dispatch/dispatcher_attempts.cc
@@ -5,7 +5,7 @@
 #include <cassert>
 #include <utility>
 
-#include "process/dispatcher.h"
+#include "process/dispatch/dispatcher.h"
 
 namespace carawayrelay {
 namespace {
--- a/src/process/refusal_json.cc
+++ b/src/process/dispatch/refusal_json.cc
@@ -1,4 +1,4 @@
-#include "process/refusal_json.h"
+#include "process/dispatch/refusal_json.h"
 
 #include <chrono>
 #include <nlohmann/json.hpp>
--- a/src/process/refusal_json.h
+++ b/src/process/dispatch/refusal_json.h
@@ -3,7 +3,7 @@
 #include <string>
 
 #include "carawayrelay/request.h"
-#include "process/http_server.h"
+#include "process/transport/http_server.h"
 
 namespace carawayrelay {
 
--- a/src/process/request_table.cc
+++ b/src/process/dispatch/request_table.cc
@@ -1,4 +1,4 @@
-#include "process/request_table.h"
+#include "process/dispatch/request_table.h"
 
 #include <cassert>
 #include <utility>
--- a/src/process/admin_api.cc
+++ b/src/process/entry/admin_api.cc
@@ -1,11 +1,11 @@
-#include "process/admin_api.h"
+#include "process/entry/admin_api.h"
 
 #include <chrono>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <utility>
 
-#include "process/refusal_json.h"
+#include "process/dispatch/refusal_json.h"
 
 namespace carawayrelay {
 namespace {
--- a/src/process/admin_api.h
+++ b/src/process/entry/admin_api.h
@@ -4,8 +4,8 @@
 #include <string>
 
 #include "carawayrelay/version.h"
-#include "process/config_watch.h"
-#include "process/http_server.h"
+#include "process/store/config_watch.h"
+#include "process/transport/http_server.h"
 
 namespace carawayrelay {
 
--- a/src/process/entry_process.cc
+++ b/src/process/entry/entry_process.cc
@@ -1,12 +1,12 @@
-#include "process/entry_process.h"
+#include "process/entry/entry_process.h"
 
 #include <map>
 #include <set>
 #include <thread>
 #include <utility>
 
-#include "process/log.h"
-#include "process/refusal_json.h"
+#include "process/dispatch/refusal_json.h"
+#include "process/telemetry/log.h"
 
 namespace carawayrelay {
 namespace {
--- a/src/process/entry_process.h
+++ b/src/process/entry/entry_process.h
@@ -6,11 +6,11 @@
 #include <vector>
 
 #include "carawayrelay/request.h"
-#include "process/chat_api.h"
-#include "process/dispatch_thread.h"
-#include "process/entry_settings.h"
-#include "process/http_server.h"
-#include "process/link_thread.h"
+#include "process/dispatch/chat_api.h"
+#include "process/dispatch/dispatch_thread.h"
+#include "process/entry/entry_settings.h"
+#include "process/transport/http_server.h"
+#include "process/transport/link_thread.h"
 
 namespace carawayrelay {
 
--- a/src/process/entry_services.cc
+++ b/src/process/entry/entry_services.cc
@@ -1,13 +1,13 @@
-#include "process/entry_services.h"
+#include "process/entry/entry_services.h"
 
 #include <algorithm>
 #include <utility>
 
-#include "process/chat_api.h"
-#include "process/intent_thread.h"
-#include "process/log.h"
-#include "process/platform_client.h"
-#include "process/refusal_json.h"
+#include "process/dispatch/chat_api.h"
+#include "process/dispatch/refusal_json.h"
+#include "process/store/intent_thread.h"
+#include "process/store/platform_client.h"
+#include "process/telemetry/log.h"
 
 namespace carawayrelay {
 namespace {
--- a/src/process/entry_services.h
+++ b/src/process/entry/entry_services.h
@@ -7,15 +7,15 @@
 
 #include "carawayrelay/request.h"
 #include "carawayrelay/version.h"
-#include "process/admin_api.h"
-#include "process/batch_thread.h"
-#include "process/config_watch.h"
-#include "process/entry_process.h"
-#include "process/entry_settings.h"
-#include "process/intent_thread.h"
-#include "process/limits_thread.h"
-#include "process/metrics.h"
-#include "process/telemetry_thread.h"
+#include "process/batch/batch_thread.h"
+#include "process/entry/admin_api.h"
+#include "process/entry/entry_process.h"
+#include "process/entry/entry_settings.h"
+#include "process/limits/limits_thread.h"
+#include "process/store/config_watch.h"
+#include "process/store/intent_thread.h"
+#include "process/telemetry/metrics.h"
+#include "process/telemetry/telemetry_thread.h"
 
 namespace carawayrelay {
 
--- a/src/process/entry_settings.cc
+++ b/src/process/entry/entry_settings.cc
@@ -1,8 +1,8 @@
-#include "process/entry_settings.h"
+#include "process/entry/entry_settings.h"
 
 #include <nlohmann/json.hpp>
 
-#include "process/endpoint.h"
+#include "process/transport/endpoint.h"
 
 namespace carawayrelay {
 namespace {
--- a/src/process/entry_settings.h
+++ b/src/process/entry/entry_settings.h
@@ -6,8 +6,8 @@
 #include <vector>
 
 #include "carawayrelay/version.h"
-#include "process/dispatcher.h"
-#include "process/log.h"
+#include "process/dispatch/dispatcher.h"
+#include "process/telemetry/log.h"
 
 namespace carawayrelay {
 
--- a/src/process/serving/online_forwarder.cc
+++ b/src/process/forward/online_forwarder.cc
@@ -1,4 +1,4 @@
-#include "process/serving/online_forwarder.h"
+#include "process/forward/online_forwarder.h"
 
 #include <algorithm>
 #include <memory>
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "platform/runner_codec.h"
-#include "process/serving/decision_log.h"
+#include "process/telemetry/decision_log.h"
 #include "request/overloaded.h"
 
 namespace carawayrelay {
--- a/src/process/serving/online_forwarder.h
+++ b/src/process/forward/online_forwarder.h
@@ -8,10 +8,10 @@
 #include <set>
 #include <string>
 
-#include "process/serving/allowances.h"
-#include "process/serving/outbound_calls.h"
-#include "process/serving/runner_directory.h"
+#include "process/forward/runner_directory.h"
+#include "process/limits/allowances.h"
 #include "process/serving/step_clock.h"
+#include "process/transport/outbound_calls.h"
 #include "request/client_call.h"
 #include "request/event_cutter.h"
 #include "version/serving_config.h"
--- a/src/process/serving/runner_directory.cc
+++ b/src/process/forward/runner_directory.cc
@@ -1,10 +1,10 @@
-#include "process/serving/runner_directory.h"
+#include "process/forward/runner_directory.h"
 
 #include <algorithm>
 #include <cmath>
 
 #include "platform/desired_state.h"
-#include "process/serving/decision_log.h"
+#include "process/telemetry/decision_log.h"
 
 namespace carawayrelay {
 namespace {
--- a/src/process/serving/runner_directory.h
+++ b/src/process/forward/runner_directory.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "connection/runner_entry.h"
-#include "process/serving/store_call.h"
+#include "process/store/store_call.h"
 #include "request/boot_clock.h"
 
 namespace carawayrelay {
--- a/src/process/agent_process.cc
+++ b/src/process/gate/agent_process.cc
@@ -1,4 +1,4 @@
-#include "process/agent_process.h"
+#include "process/gate/agent_process.h"
 
 #include <csignal>
 #include <cstdio>
@@ -8,8 +8,8 @@
 #include <sstream>
 #include <utility>
 
-#include "process/exit_code.h"
-#include "process/log.h"
+#include "process/commands/exit_code.h"
+#include "process/telemetry/log.h"
 
 namespace carawayrelay {
 namespace {
--- a/src/process/agent_process.h
+++ b/src/process/gate/agent_process.h
@@ -6,14 +6,14 @@
 #include <thread>
 
 #include "carawayrelay/request.h"
-#include "process/agent_settings.h"
-#include "process/call_spans.h"
-#include "process/engine_client.h"
-#include "process/gate.h"
-#include "process/link_thread.h"
-#include "process/load_watch.h"
-#include "process/ring.h"
-#include "process/telemetry_thread.h"
+#include "process/dispatch/call_spans.h"
+#include "process/gate/agent_settings.h"
+#include "process/gate/engine_client.h"
+#include "process/gate/gate.h"
+#include "process/gate/load_watch.h"
+#include "process/telemetry/telemetry_thread.h"
+#include "process/transport/link_thread.h"
+#include "process/transport/ring.h"
 
 namespace carawayrelay {
 
--- a/src/process/agent_settings.cc
+++ b/src/process/gate/agent_settings.cc
@@ -1,11 +1,11 @@
-#include "process/agent_settings.h"
+#include "process/gate/agent_settings.h"
 
 #include <cmath>
 #include <nlohmann/json.hpp>
 #include <set>
 #include <string_view>
 
-#include "process/endpoint.h"
+#include "process/transport/endpoint.h"
 
 namespace carawayrelay {
 namespace {
--- a/src/process/agent_settings.h
+++ b/src/process/gate/agent_settings.h
@@ -7,7 +7,7 @@
 
 #include "carawayrelay/connection.h"
 #include "carawayrelay/version.h"
-#include "process/engine_response.h"
+#include "process/gate/engine_response.h"
 
 namespace carawayrelay {
 
--- a/src/process/engine_client.cc
+++ b/src/process/gate/engine_client.cc
@@ -1,4 +1,4 @@
-#include "process/engine_client.h"
+#include "process/gate/engine_client.h"
 
 #include <curl/curl.h>
 
@@ -8,8 +8,8 @@
 #include <utility>
 #include <variant>
 
-#include "process/log.h"
-#include "process/ring.h"
+#include "process/telemetry/log.h"
+#include "process/transport/ring.h"
 
 namespace carawayrelay {
 namespace {
--- a/src/process/engine_client.h
+++ b/src/process/gate/engine_client.h
@@ -6,8 +6,8 @@
 #include <string>
 
 #include "carawayrelay/request.h"
-#include "process/engine_call.h"
-#include "process/engine_response.h"
+#include "process/gate/engine_call.h"
+#include "process/gate/engine_response.h"
 
 namespace carawayrelay {
 
--- a/src/process/engine_response.cc
+++ b/src/process/gate/engine_response.cc
@@ -1,4 +1,4 @@
-#include "process/engine_response.h"
+#include "process/gate/engine_response.h"
 
 #include <nlohmann/json.hpp>
 #include <utility>
--- a/src/process/engine_response.h
+++ b/src/process/gate/engine_response.h
@@ -7,7 +7,7 @@
 #include <variant>
 
 #include "carawayrelay/request.h"
-#include "process/engine_call.h"
+#include "process/gate/engine_call.h"
 
 namespace carawayrelay {
 
--- a/src/process/gate.cc
+++ b/src/process/gate/gate.cc
@@ -1,10 +1,10 @@
-#include "process/gate.h"
+#include "process/gate/gate.h"
 
 #include <algorithm>
 #include <cassert>
 #include <utility>
 
-#include "process/submit_check.h"
+#include "process/batch/submit_check.h"
 
 namespace carawayrelay {
 namespace {
--- a/src/process/gate.h
+++ b/src/process/gate/gate.h
@@ -11,7 +11,7 @@
 
 #include "carawayrelay/connection.h"
 #include "carawayrelay/version.h"
-#include "process/gate_event.h"
+#include "process/gate/gate_event.h"
 
 namespace carawayrelay {
 
--- a/src/process/gate_event.h
+++ b/src/process/gate/gate_event.h
@@ -5,9 +5,9 @@
 
 #include "carawayrelay/connection.h"
 #include "carawayrelay/version.h"
-#include "process/common_event.h"
-#include "process/engine_call.h"
-#include "process/link_thread.h"
+#include "process/dispatch/common_event.h"
+#include "process/gate/engine_call.h"
+#include "process/transport/link_thread.h"
 
 namespace carawayrelay {
 
--- a/src/process/load_watch.cc
+++ b/src/process/gate/load_watch.cc
@@ -1,4 +1,4 @@
-#include "process/load_watch.h"
+#include "process/gate/load_watch.h"
 
 #include <curl/curl.h>
 
@@ -7,7 +7,7 @@
 #include <thread>
 #include <utility>
 
-#include "process/ring.h"
+#include "process/transport/ring.h"
 
 namespace carawayrelay {
 namespace {
--- a/src/process/load_watch.h
+++ b/src/process/gate/load_watch.h
@@ -6,7 +6,7 @@
 #include <string>
 
 #include "carawayrelay/request.h"
-#include "process/gate_event.h"
+#include "process/gate/gate_event.h"
 
 namespace carawayrelay {
 
--- a/src/process/serving/item_worker.cc
+++ b/src/process/jobs/item_worker.cc
@@ -1,11 +1,11 @@
-#include "process/serving/item_worker.h"
+#include "process/jobs/item_worker.h"
 
 #include <algorithm>
 #include <memory>
 
 #include "platform/runner_codec.h"
-#include "process/serving/decision_log.h"
-#include "process/serving/job_api.h"
+#include "process/jobs/job_api.h"
+#include "process/telemetry/decision_log.h"
 #include "request/overloaded.h"
 
 namespace carawayrelay {
@@ -273,7 +273,7 @@
   }
   is_claiming_ = true;
   auto claimed = std::make_shared<std::vector<size_t>>();
-  const auto apply = [this, id = *job, count, claimed](JobState& state,
+  const auto apply = [this, id = *job, count, claimed](BulkJob& state,
                                                        RowsTransaction&) {
     claimed->clear();
     if (state.is_ended) {
@@ -537,7 +537,7 @@
 }
 
 void ItemWorker::List(const ItemKey& key, const ItemResult& result) {
-  const auto apply = [key, result](JobState& state,
+  const auto apply = [key, result](BulkJob& state,
                                    RowsTransaction& transaction) {
     JobItemState& item = state.items[key.second];
     if (item.IsListed()) {
@@ -575,7 +575,7 @@
   const PartialRun progress = run.progress;
   const int failures = run.failures;
   const auto apply = [key, progress, failures, node = options_.node](
-                         JobState& state, RowsTransaction& transaction) {
+                         BulkJob& state, RowsTransaction& transaction) {
     JobItemState& item = state.items[key.second];
     if (item.state != ItemState::kClaimed || item.owner != node) {
       return JobWriter::Outcome::kAlready;
@@ -608,7 +608,7 @@
     run.is_renewing = true;
     const milliseconds lease_end = store_now + options_.lease;
     const auto apply = [key = key, lease_end, node = options_.node](
-                           JobState& state, RowsTransaction&) {
+                           BulkJob& state, RowsTransaction&) {
       JobItemState& item = state.items[key.second];
       if (item.state != ItemState::kClaimed || item.owner != node) {
         return JobWriter::Outcome::kMoot;
--- a/src/process/serving/item_worker.h
+++ b/src/process/jobs/item_worker.h
@@ -11,11 +11,11 @@
 #include <vector>
 
 #include "platform/job_codec.h"
-#include "process/serving/job_table.h"
-#include "process/serving/job_writer.h"
-#include "process/serving/outbound_calls.h"
-#include "process/serving/runner_directory.h"
-#include "process/serving/store_client.h"
+#include "process/forward/runner_directory.h"
+#include "process/jobs/job_table.h"
+#include "process/jobs/job_writer.h"
+#include "process/store/store_client.h"
+#include "process/transport/outbound_calls.h"
 #include "request/event_cutter.h"
 #include "version/serving_config.h"
 
--- a/src/process/serving/job_api.cc
+++ b/src/process/jobs/job_api.cc
@@ -1,11 +1,11 @@
-#include "process/serving/job_api.h"
+#include "process/jobs/job_api.h"
 
 #include <algorithm>
 #include <memory>
 #include <utility>
 #include <vector>
 
-#include "process/serving/decision_log.h"
+#include "process/telemetry/decision_log.h"
 #include "request/overloaded.h"
 
 namespace carawayrelay {
@@ -41,7 +41,7 @@
 
 }  // namespace
 
-std::int64_t JobApi::ReservedTokens(const JobState& job) const {
+std::int64_t JobApi::ReservedTokens(const BulkJob& job) const {
   std::int64_t tokens = 0;
   for (const auto& [id, submission] : submissions_) {
     if (submission.job.workspace == job.workspace &&
@@ -78,10 +78,10 @@
                                  .reason = items.error().message});
     return;
   }
-  JobState job{.id = id,
-               .workspace = workspace.name,
-               .route = route.name,
-               .accepted = store_.StoreTime(now)};
+  BulkJob job{.id = id,
+              .workspace = workspace.name,
+              .route = route.name,
+              .accepted = store_.StoreTime(now)};
   for (const platform::SubmittedItem& item : items.value()) {
     job.items.push_back({.tokens = item.tokens});
   }
@@ -163,7 +163,7 @@
   RowsTransaction transaction;
   transaction.expected.push_back({.key = key, .version = 0});
   transaction.writes.push_back(
-      {.key = key, .value = EncodeJobState(submission.job)});
+      {.key = key, .value = EncodeBulkJob(submission.job)});
   transaction.writes.push_back({.key = job_rows::Submission(job),
                                 .value = submission.object_written
                                              ? std::string(1, kInObject)
@@ -178,7 +178,7 @@
   Submission& submission = submissions_.at(job);
   if (reply.status == StoreStatus::kDone) {
     jobs_.Put({.key = job_rows::State(job),
-               .value = EncodeJobState(submission.job),
+               .value = EncodeBulkJob(submission.job),
                .version = reply.version});
     FinishSubmission(job, EmptyObject(202), "accepted");
     return;
@@ -235,19 +235,19 @@
       Overloaded{
           [&](platform::ReadResults& read) {
             WithJob(client, read.job, workspace, is_current,
-                    [this, client, from = read.from](const JobState& job) {
+                    [this, client, from = read.from](const BulkJob& job) {
                       SendResults(client, job, from);
                     });
           },
           [&](platform::ReadItemBody& read) {
             WithJob(client, read.job, workspace, /*is_current=*/true,
-                    [this, client, item = read.item](const JobState& job) {
+                    [this, client, item = read.item](const BulkJob& job) {
                       SendItemBody(client, job, item);
                     });
           },
           [&](platform::EndJob& end) {
             WithJob(client, end.job, workspace, /*is_current=*/true,
-                    [this, client](const JobState& job) { End(client, job); });
+                    [this, client](const BulkJob& job) { End(client, job); });
           },
       },
       call);
@@ -257,7 +257,7 @@
                      const std::string& job,
                      const std::string& workspace,
                      bool is_current,
-                     std::function<void(const JobState&)> then) {
+                     std::function<void(const BulkJob&)> then) {
   const auto use = [this, client, workspace,
                     then = std::move(then)](const JobTable::Entry* entry) {
     if (entry == nullptr || entry->job.workspace != workspace) {
@@ -266,7 +266,7 @@
       return;
     }
     // A copy, because the table may change while the store is asked.
-    then(JobState(entry->job));
+    then(BulkJob(entry->job));
   };
   const JobTable::Entry* known = jobs_.Find(job);
   if (known != nullptr && is_current) {
@@ -294,7 +294,7 @@
   answer_(client, StoreDown(reason));
 }
 
-void JobApi::SendResults(ClientId client, const JobState& job, size_t from) {
+void JobApi::SendResults(ClientId client, const BulkJob& job, size_t from) {
   const size_t total = job.items.size();
   const auto reply_with = [this, client, total,
                            from](const std::vector<ItemResult>& results) {
@@ -353,7 +353,7 @@
 }
 
 void JobApi::SendItemBody(ClientId client,
-                          const JobState& job,
+                          const BulkJob& job,
                           const std::string& item) {
   LoadSubmission(
       job.id, store_,
@@ -378,10 +378,10 @@
       });
 }
 
-void JobApi::End(ClientId client, const JobState& job) {
+void JobApi::End(ClientId client, const BulkJob& job) {
   writer_.Add(job.id,
               {.apply =
-                   [](JobState& state, RowsTransaction&) {
+                   [](BulkJob& state, RowsTransaction&) {
                      return std::exchange(state.is_ended, true)
                                 ? JobWriter::Outcome::kAlready
                                 : JobWriter::Outcome::kChanged;
--- a/src/process/serving/job_api.h
+++ b/src/process/jobs/job_api.h
@@ -6,9 +6,9 @@
 #include <string>
 
 #include "platform/job_codec.h"
-#include "process/serving/job_table.h"
-#include "process/serving/job_writer.h"
-#include "process/serving/store_client.h"
+#include "process/jobs/job_table.h"
+#include "process/jobs/job_writer.h"
+#include "process/store/store_client.h"
 #include "request/client_call.h"
 #include "version/serving_config.h"
 
@@ -50,7 +50,7 @@
   // A submission on its way into the store.
   struct Submission {
     ClientId client{0};
-    JobState job;
+    BulkJob job;
     std::string body;
     TimePoint arrived{};
     bool object_written = false;
@@ -69,7 +69,7 @@
   void FinishSubmission(const std::string& job,
                         ClientAnswer answer,
                         const std::string& outcome);
-  std::int64_t ReservedTokens(const JobState& job) const;
+  std::int64_t ReservedTokens(const BulkJob& job) const;
 
   // Finds the job of the workspace, in the store when it is not known or
   // `is_current` is not set, and calls `then`. Answers itself when there is
@@ -78,12 +78,12 @@
                const std::string& job,
                const std::string& workspace,
                bool is_current,
-               std::function<void(const JobState&)> then);
-  void SendResults(ClientId client, const JobState& job, size_t from);
+               std::function<void(const BulkJob&)> then);
+  void SendResults(ClientId client, const BulkJob& job, size_t from);
   void SendItemBody(ClientId client,
-                    const JobState& job,
+                    const BulkJob& job,
                     const std::string& item);
-  void End(ClientId client, const JobState& job);
+  void End(ClientId client, const BulkJob& job);
   void Unavailable(ClientId client,
                    const std::string& job,
                    const std::string& reason);
--- a/src/process/serving/job_table.cc
+++ b/src/process/jobs/job_table.cc
@@ -1,11 +1,11 @@
-#include "process/serving/job_table.h"
+#include "process/jobs/job_table.h"
 
 #include <array>
 #include <cstdio>
 #include <set>
 #include <utility>
 
-#include "process/serving/decision_log.h"
+#include "process/telemetry/decision_log.h"
 
 namespace carawayrelay {
 namespace job_rows {
@@ -90,7 +90,7 @@
   if (known != jobs_.end() && known->second.version >= row.version) {
     return &known->second;
   }
-  carawayrelay::Result<JobState> job = DecodeJobState(id, row.value);
+  carawayrelay::Result<BulkJob> job = DecodeBulkJob(id, row.value);
   if (!job) {
     LogDecision(LogEvent::kJobRowUnreadable, "job", id, "version", row.version,
                 "reason", job.error().message);
--- a/src/process/serving/job_table.h
+++ b/src/process/jobs/job_table.h
@@ -6,9 +6,9 @@
 #include <string>
 #include <vector>
 
-#include "process/serving/store_call.h"
+#include "process/store/store_call.h"
 #include "request/boot_clock.h"
-#include "request/job_state.h"
+#include "request/bulk_job.h"
 
 namespace carawayrelay {
 
@@ -38,7 +38,7 @@
 class JobTable {
  public:
   struct Entry {
-    JobState job;
+    BulkJob job;
     std::uint64_t version = 0;
   };
 
--- a/src/process/serving/job_writer.cc
+++ b/src/process/jobs/job_writer.cc
@@ -1,4 +1,4 @@
-#include "process/serving/job_writer.h"
+#include "process/jobs/job_writer.h"
 
 #include <algorithm>
 #include <iterator>
@@ -74,7 +74,7 @@
 void JobWriter::Write(const std::string& job) {
   Pending& pending = pending_[job];
   const JobTable::Entry& entry = *jobs_.Find(job);
-  JobState state = entry.job;
+  BulkJob state = entry.job;
   RowsTransaction transaction;
   std::vector<std::pair<Edit, Outcome>> settled;
   std::vector<Edit> writing;
@@ -93,7 +93,7 @@
     pending.writing = std::move(writing);
     const RowKey key = job_rows::State(job);
     transaction.expected.push_back({.key = key, .version = entry.version});
-    const std::string value = EncodeJobState(state);
+    const std::string value = EncodeBulkJob(state);
     transaction.writes.push_back({.key = key, .value = value});
     store_(std::move(transaction), [this, job, key, value](StoreReply reply) {
       if (reply.status == StoreStatus::kDone) {
--- a/src/process/serving/job_writer.h
+++ b/src/process/jobs/job_writer.h
@@ -5,9 +5,9 @@
 #include <string>
 #include <vector>
 
-#include "process/serving/job_table.h"
+#include "process/jobs/job_table.h"
 #include "process/serving/step_clock.h"
-#include "process/serving/store_call.h"
+#include "process/store/store_call.h"
 #include "request/boot_clock.h"
 
 namespace carawayrelay {
@@ -25,7 +25,7 @@
   };
   struct Edit {
     // Changes `job`; adds rows that must be written or removed with it.
-    std::function<Outcome(JobState& job, RowsTransaction& transaction)> apply;
+    std::function<Outcome(BulkJob& job, RowsTransaction& transaction)> apply;
     // Told once: kChanged when written, otherwise as `apply` said.
     std::function<void(Outcome)> done;
   };
--- a/src/process/serving/allowances.cc
+++ b/src/process/limits/allowances.cc
@@ -1,11 +1,11 @@
-#include "process/serving/allowances.h"
+#include "process/limits/allowances.h"
 
 #include <algorithm>
 #include <cmath>
 #include <nlohmann/json.hpp>
 #include <numeric>
 
-#include "process/serving/decision_log.h"
+#include "process/telemetry/decision_log.h"
 
 namespace carawayrelay {
 namespace {
--- a/src/process/serving/allowances.h
+++ b/src/process/limits/allowances.h
@@ -9,7 +9,7 @@
 #include <utility>
 #include <vector>
 
-#include "process/serving/store_call.h"
+#include "process/store/store_call.h"
 #include "request/token_bucket.h"
 #include "version/serving_config.h"
 
--- a/src/process/limit_holder.cc
+++ b/src/process/limits/limit_holder.cc
@@ -1,4 +1,4 @@
-#include "process/limit_holder.h"
+#include "process/limits/limit_holder.h"
 
 #include <xxhash.h>
 
--- a/src/process/limit_holder.h
+++ b/src/process/limits/limit_holder.h
@@ -8,7 +8,7 @@
 #include "carawayrelay/connection.h"
 #include "carawayrelay/request.h"
 #include "carawayrelay/version.h"
-#include "process/limit_row.h"
+#include "process/limits/limit_row.h"
 
 namespace carawayrelay {
 
--- a/src/process/limit_lease_book.cc
+++ b/src/process/limits/limit_lease_book.cc
@@ -1,4 +1,4 @@
-#include "process/limit_lease_book.h"
+#include "process/limits/limit_lease_book.h"
 
 #include <xxhash.h>
 
--- a/src/process/limit_lease_book.h
+++ b/src/process/limits/limit_lease_book.h
@@ -7,8 +7,8 @@
 #include <vector>
 
 #include "carawayrelay/request.h"
-#include "process/limit_holder.h"
-#include "process/limit_row.h"
+#include "process/limits/limit_holder.h"
+#include "process/limits/limit_row.h"
 
 namespace carawayrelay {
 
--- a/src/process/limit_member.cc
+++ b/src/process/limits/limit_member.cc
@@ -1,4 +1,4 @@
-#include "process/limit_member.h"
+#include "process/limits/limit_member.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/process/limit_member.h
+++ b/src/process/limits/limit_member.h
@@ -10,7 +10,7 @@
 #include "carawayrelay/connection.h"
 #include "carawayrelay/request.h"
 #include "carawayrelay/version.h"
-#include "process/limit_holder.h"
+#include "process/limits/limit_holder.h"
 
 namespace carawayrelay {
 
--- a/src/process/limit_row.cc
+++ b/src/process/limits/limit_row.cc
@@ -1,4 +1,4 @@
-#include "process/limit_row.h"
+#include "process/limits/limit_row.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
--- a/src/process/limits_thread.cc
+++ b/src/process/limits/limits_thread.cc
@@ -1,10 +1,10 @@
-#include "process/limits_thread.h"
+#include "process/limits/limits_thread.h"
 
 #include <chrono>
 #include <map>
 #include <utility>
 
-#include "process/log.h"
+#include "process/telemetry/log.h"
 
 namespace carawayrelay {
 namespace {
--- a/src/process/limits_thread.h
+++ b/src/process/limits/limits_thread.h
@@ -8,9 +8,9 @@
 #include <vector>
 
 #include "carawayrelay/request.h"
-#include "process/limit_lease_book.h"
-#include "process/platform_client.h"
-#include "process/ring.h"
+#include "process/limits/limit_lease_book.h"
+#include "process/store/platform_client.h"
+#include "process/transport/ring.h"
 
 namespace carawayrelay {
 
--- a/src/process/shared_limits.cc
+++ b/src/process/limits/shared_limits.cc
@@ -1,4 +1,4 @@
-#include "process/shared_limits.h"
+#include "process/limits/shared_limits.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/process/shared_limits.h
+++ b/src/process/limits/shared_limits.h
@@ -9,10 +9,10 @@
 #include "carawayrelay/connection.h"
 #include "carawayrelay/request.h"
 #include "carawayrelay/version.h"
-#include "process/common_event.h"
-#include "process/limit_holder.h"
-#include "process/limit_lease_book.h"
-#include "process/limit_member.h"
+#include "process/dispatch/common_event.h"
+#include "process/limits/limit_holder.h"
+#include "process/limits/limit_lease_book.h"
+#include "process/limits/limit_member.h"
 
 namespace carawayrelay {
 
--- a/src/process/serving/frontend_process.cc
+++ b/src/process/serving/frontend_process.cc
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "platform/client_codec.h"
-#include "process/serving/decision_log.h"
+#include "process/telemetry/decision_log.h"
 #include "request/overloaded.h"
 
 namespace carawayrelay {
--- a/src/process/serving/frontend_process.h
+++ b/src/process/serving/frontend_process.h
@@ -7,9 +7,9 @@
 #include <string>
 #include <thread>
 
-#include "process/serving/allowances.h"
-#include "process/serving/job_api.h"
-#include "process/serving/online_forwarder.h"
+#include "process/forward/online_forwarder.h"
+#include "process/jobs/job_api.h"
+#include "process/limits/allowances.h"
 #include "process/serving/serving_core.h"
 #include "process/serving/serving_settings.h"
 
--- a/src/process/serving/serving_command.cc
+++ b/src/process/serving/serving_command.cc
@@ -5,11 +5,11 @@
 #include <random>
 
 #include "platform/settings_file.h"
-#include "process/exit_code.h"
-#include "process/serving/decision_log.h"
+#include "process/commands/exit_code.h"
+#include "process/commands/text_file.h"
 #include "process/serving/frontend_process.h"
 #include "process/serving/worker_process.h"
-#include "process/text_file.h"
+#include "process/telemetry/decision_log.h"
 
 namespace carawayrelay {
 namespace {
--- a/src/process/serving/serving_core.h
+++ b/src/process/serving/serving_core.h
@@ -3,17 +3,17 @@
 #include <memory>
 #include <string>
 
-#include "process/ring.h"
-#include "process/serving/http_caller.h"
-#include "process/serving/job_table.h"
-#include "process/serving/job_writer.h"
-#include "process/serving/operator_watch.h"
-#include "process/serving/outbound_calls.h"
-#include "process/serving/runner_directory.h"
+#include "process/forward/runner_directory.h"
+#include "process/jobs/job_table.h"
+#include "process/jobs/job_writer.h"
 #include "process/serving/serving_event.h"
 #include "process/serving/step_clock.h"
-#include "process/serving/store_client.h"
-#include "process/serving/table_watch.h"
+#include "process/store/operator_watch.h"
+#include "process/store/store_client.h"
+#include "process/store/table_watch.h"
+#include "process/transport/http_caller.h"
+#include "process/transport/outbound_calls.h"
+#include "process/transport/ring.h"
 
 namespace carawayrelay {
 
--- a/src/process/serving/serving_event.h
+++ b/src/process/serving/serving_event.h
@@ -3,7 +3,7 @@
 #include <variant>
 
 #include "connection/outbound_call.h"
-#include "process/http_server.h"
+#include "process/transport/http_server.h"
 
 namespace carawayrelay {
 
--- a/src/process/serving/serving_settings.cc
+++ b/src/process/serving/serving_settings.cc
@@ -2,7 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "process/endpoint.h"
+#include "process/transport/endpoint.h"
 #include "version/json_reader.h"
 
 namespace carawayrelay {
--- a/src/process/serving/worker_process.cc
+++ b/src/process/serving/worker_process.cc
@@ -3,7 +3,7 @@
 #include <sstream>
 #include <utility>
 
-#include "process/serving/decision_log.h"
+#include "process/telemetry/decision_log.h"
 #include "request/overloaded.h"
 
 namespace carawayrelay {
--- a/src/process/serving/worker_process.h
+++ b/src/process/serving/worker_process.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <thread>
 
-#include "process/serving/item_worker.h"
+#include "process/jobs/item_worker.h"
 #include "process/serving/serving_core.h"
 #include "process/serving/serving_settings.h"
 
--- a/src/process/config_store.cc
+++ b/src/process/store/config_store.cc
@@ -1,4 +1,4 @@
-#include "process/config_store.h"
+#include "process/store/config_store.h"
 
 #include <nlohmann/json.hpp>
 #include <utility>
--- a/src/process/config_store.h
+++ b/src/process/store/config_store.h
@@ -6,7 +6,7 @@
 #include <variant>
 
 #include "carawayrelay/version.h"
-#include "process/platform_client.h"
+#include "process/store/platform_client.h"
 
 namespace carawayrelay {
 
--- a/src/process/config_watch.cc
+++ b/src/process/store/config_watch.cc
@@ -1,13 +1,13 @@
-#include "process/config_watch.h"
+#include "process/store/config_watch.h"
 
 #include <algorithm>
 #include <random>
 #include <thread>
 #include <utility>
 
-#include "process/log.h"
-#include "process/poll_backoff.h"
-#include "process/ring.h"
+#include "process/store/poll_backoff.h"
+#include "process/telemetry/log.h"
+#include "process/transport/ring.h"
 
 namespace carawayrelay {
 namespace {
--- a/src/process/config_watch.h
+++ b/src/process/store/config_watch.h
@@ -9,9 +9,9 @@
 #include <vector>
 
 #include "carawayrelay/version.h"
-#include "process/common_event.h"
-#include "process/config_store.h"
-#include "process/platform_client.h"
+#include "process/dispatch/common_event.h"
+#include "process/store/config_store.h"
+#include "process/store/platform_client.h"
 
 namespace carawayrelay {
 
--- a/src/process/intent_record.cc
+++ b/src/process/store/intent_record.cc
@@ -1,4 +1,4 @@
-#include "process/intent_record.h"
+#include "process/store/intent_record.h"
 
 #include <cassert>
 #include <nlohmann/json.hpp>
--- a/src/process/intent_record.h
+++ b/src/process/store/intent_record.h
@@ -5,7 +5,7 @@
 #include <string>
 
 #include "carawayrelay/request.h"
-#include "process/dispatch_event.h"
+#include "process/dispatch/dispatch_event.h"
 
 namespace carawayrelay {
 
--- a/src/process/intent_thread.cc
+++ b/src/process/store/intent_thread.cc
@@ -1,11 +1,11 @@
-#include "process/intent_thread.h"
+#include "process/store/intent_thread.h"
 
 #include <array>
 #include <chrono>
 #include <random>
 #include <variant>
 
-#include "process/log.h"
+#include "process/telemetry/log.h"
 
 namespace carawayrelay {
 namespace {
--- a/src/process/intent_thread.h
+++ b/src/process/store/intent_thread.h
@@ -10,11 +10,11 @@
 #include <utility>
 
 #include "carawayrelay/request.h"
-#include "process/dispatch_event.h"
-#include "process/dispatch_thread.h"
-#include "process/intent_record.h"
-#include "process/platform_client.h"
-#include "process/ring.h"
+#include "process/dispatch/dispatch_event.h"
+#include "process/dispatch/dispatch_thread.h"
+#include "process/store/intent_record.h"
+#include "process/store/platform_client.h"
+#include "process/transport/ring.h"
 
 namespace carawayrelay {
 
--- a/src/process/serving/operator_watch.cc
+++ b/src/process/store/operator_watch.cc
@@ -1,10 +1,10 @@
-#include "process/serving/operator_watch.h"
+#include "process/store/operator_watch.h"
 
 #include <string_view>
 #include <utility>
 
 #include "platform/desired_state.h"
-#include "process/serving/decision_log.h"
+#include "process/telemetry/decision_log.h"
 
 namespace carawayrelay {
 
--- a/src/process/serving/operator_watch.h
+++ b/src/process/store/operator_watch.h
@@ -4,7 +4,7 @@
 #include <set>
 #include <string>
 
-#include "process/serving/table_watch.h"
+#include "process/store/table_watch.h"
 #include "version/serving_config.h"
 
 namespace carawayrelay {
--- a/src/process/platform_client.cc
+++ b/src/process/store/platform_client.cc
@@ -1,11 +1,11 @@
-#include "process/platform_client.h"
+#include "process/store/platform_client.h"
 
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <utility>
 
-#include "process/http_client.h"
+#include "process/transport/http_client.h"
 
 namespace carawayrelay {
 namespace {
--- a/src/process/store_access.cc
+++ b/src/process/store/store_access.cc
@@ -1,4 +1,4 @@
-#include "process/store_access.h"
+#include "process/store/store_access.h"
 
 #include <iterator>
 #include <utility>
--- a/src/process/store_access.h
+++ b/src/process/store/store_access.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "process/platform_client.h"
+#include "process/store/platform_client.h"
 
 namespace carawayrelay {
 
--- a/src/process/serving/store_client.cc
+++ b/src/process/store/store_client.cc
@@ -1,10 +1,10 @@
-#include "process/serving/store_client.h"
+#include "process/store/store_client.h"
 
 #include <memory>
 #include <utility>
 
 #include "platform/store_codec.h"
-#include "process/serving/decision_log.h"
+#include "process/telemetry/decision_log.h"
 #include "request/overloaded.h"
 
 namespace carawayrelay {
--- a/src/process/serving/store_client.h
+++ b/src/process/store/store_client.h
@@ -3,9 +3,9 @@
 #include <functional>
 #include <string>
 
-#include "process/serving/outbound_calls.h"
 #include "process/serving/step_clock.h"
-#include "process/serving/store_call.h"
+#include "process/store/store_call.h"
+#include "process/transport/outbound_calls.h"
 #include "request/boot_clock.h"
 
 namespace carawayrelay {
--- a/src/process/serving/table_watch.cc
+++ b/src/process/store/table_watch.cc
@@ -1,4 +1,4 @@
-#include "process/serving/table_watch.h"
+#include "process/store/table_watch.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/process/serving/table_watch.h
+++ b/src/process/store/table_watch.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "process/serving/step_clock.h"
-#include "process/serving/store_call.h"
+#include "process/store/store_call.h"
 #include "request/boot_clock.h"
 
 namespace carawayrelay {
--- a/src/process/serving/decision_log.cc
+++ b/src/process/telemetry/decision_log.cc
@@ -1,4 +1,4 @@
-#include "process/serving/decision_log.h"
+#include "process/telemetry/decision_log.h"
 
 #include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
--- a/src/process/serving/decision_log.h
+++ b/src/process/telemetry/decision_log.h
@@ -6,7 +6,7 @@
 #include <string_view>
 #include <type_traits>
 
-#include "process/events.h"
+#include "process/telemetry/events.h"
 #include "request/boot_clock.h"
 
 namespace carawayrelay {
--- a/src/process/events.cc
+++ b/src/process/telemetry/events.cc
@@ -1,4 +1,4 @@
-#include "process/events.h"
+#include "process/telemetry/events.h"
 
 namespace carawayrelay {
 
--- a/src/process/log.cc
+++ b/src/process/telemetry/log.cc
@@ -1,4 +1,4 @@
-#include "process/log.h"
+#include "process/telemetry/log.h"
 
 #include <spdlog/sinks/stdout_sinks.h>
 
--- a/src/process/log.h
+++ b/src/process/telemetry/log.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <utility>
 
-#include "process/events.h"
+#include "process/telemetry/events.h"
 
 namespace carawayrelay {
 
--- a/src/process/serving/log_story.cc
+++ b/src/process/telemetry/log_story.cc
@@ -1,4 +1,4 @@
-#include "process/serving/log_story.h"
+#include "process/telemetry/log_story.h"
 
 #include <algorithm>
 #include <array>
--- a/src/process/metrics.cc
+++ b/src/process/telemetry/metrics.cc
@@ -1,4 +1,4 @@
-#include "process/metrics.h"
+#include "process/telemetry/metrics.h"
 
 #include <spdlog/fmt/fmt.h>
 
--- a/src/process/metrics.h
+++ b/src/process/telemetry/metrics.h
@@ -9,7 +9,7 @@
 #include <tuple>
 #include <utility>
 
-#include "process/dispatch_event.h"
+#include "process/dispatch/dispatch_event.h"
 
 namespace carawayrelay {
 
--- a/src/process/telemetry_thread.cc
+++ b/src/process/telemetry/telemetry_thread.cc
@@ -1,4 +1,4 @@
-#include "process/telemetry_thread.h"
+#include "process/telemetry/telemetry_thread.h"
 
 #include <spdlog/fmt/fmt.h>
 
@@ -6,7 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "process/log.h"
+#include "process/telemetry/log.h"
 
 namespace carawayrelay {
 namespace {
--- a/src/process/telemetry_thread.h
+++ b/src/process/telemetry/telemetry_thread.h
@@ -9,9 +9,9 @@
 #include <vector>
 
 #include "carawayrelay/request.h"
-#include "process/http_client.h"
-#include "process/ring.h"
-#include "process/span.h"
+#include "process/telemetry/span.h"
+#include "process/transport/http_client.h"
+#include "process/transport/ring.h"
 
 namespace carawayrelay {
 
--- a/src/process/endpoint.cc
+++ b/src/process/transport/endpoint.cc
@@ -1,4 +1,4 @@
-#include "process/endpoint.h"
+#include "process/transport/endpoint.h"
 
 #include <asio/ip/address.hpp>
 #include <charconv>
--- a/src/process/serving/http_caller.cc
+++ b/src/process/transport/http_caller.cc
@@ -1,4 +1,4 @@
-#include "process/serving/http_caller.h"
+#include "process/transport/http_caller.h"
 
 #include <curl/curl.h>
 #include <netinet/in.h>
@@ -14,7 +14,7 @@
 #include <utility>
 #include <variant>
 
-#include "process/ring.h"
+#include "process/transport/ring.h"
 
 namespace carawayrelay {
 namespace {
--- a/src/process/http_client.cc
+++ b/src/process/transport/http_client.cc
@@ -1,4 +1,4 @@
-#include "process/http_client.h"
+#include "process/transport/http_client.h"
 
 #include <curl/curl.h>
 
@@ -6,7 +6,7 @@
 #include <cctype>
 #include <utility>
 
-#include "process/endpoint.h"
+#include "process/transport/endpoint.h"
 
 namespace carawayrelay {
 namespace {
--- a/src/process/http_server.cc
+++ b/src/process/transport/http_server.cc
@@ -1,4 +1,4 @@
-#include "process/http_server.h"
+#include "process/transport/http_server.h"
 
 #include <algorithm>
 #include <atomic>
@@ -9,7 +9,7 @@
 #include <unordered_map>
 #include <utility>
 
-#include "process/endpoint.h"
+#include "process/transport/endpoint.h"
 
 namespace carawayrelay {
 namespace {
--- a/src/process/link_thread.cc
+++ b/src/process/transport/link_thread.cc
@@ -1,4 +1,4 @@
-#include "process/link_thread.h"
+#include "process/transport/link_thread.h"
 
 #include <asio/connect.hpp>
 #include <asio/executor_work_guard.hpp>
@@ -12,9 +12,9 @@
 
 #include "carawayrelay/request.h"
 #include "connection/link.h"
-#include "process/endpoint.h"
-#include "process/log.h"
-#include "process/ring.h"
+#include "process/telemetry/log.h"
+#include "process/transport/endpoint.h"
+#include "process/transport/ring.h"
 
 namespace carawayrelay {
 namespace {
--- a/src/process/serving/outbound_calls.cc
+++ b/src/process/transport/outbound_calls.cc
@@ -1,4 +1,4 @@
-#include "process/serving/outbound_calls.h"
+#include "process/transport/outbound_calls.h"
 
 namespace carawayrelay {
 
--- a/src/request/job_state.cc
+++ b/src/request/bulk_job.cc
@@ -1,4 +1,4 @@
-#include "request/job_state.h"
+#include "request/bulk_job.h"
 
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -46,7 +46,7 @@
 
 }  // namespace
 
-std::int64_t JobState::PendingTokens() const {
+std::int64_t BulkJob::PendingTokens() const {
   std::int64_t tokens = 0;
   for (const JobItemState& item : items) {
     tokens += item.IsListed() ? 0 : item.tokens;
@@ -54,7 +54,7 @@
   return tokens;
 }
 
-std::string EncodeJobState(const JobState& job) {
+std::string EncodeBulkJob(const BulkJob& job) {
   json items = json::array();
   for (const JobItemState& item : job.items) {
     items.push_back(EncodeItem(item));
@@ -68,8 +68,7 @@
       .dump();
 }
 
-Result<JobState> DecodeJobState(const std::string& id,
-                                const std::string& text) {
+Result<BulkJob> DecodeBulkJob(const std::string& id, const std::string& text) {
   const json root = json::parse(text, nullptr, false);
   using Type = json::value_t;
   if (!root.is_object() || !Has(root, "workspace", Type::string) ||
@@ -80,13 +79,12 @@
       !Has(root, "items", Type::array)) {
     return NotA("job state");
   }
-  JobState job{
-      .id = id,
-      .workspace = root["workspace"].get<std::string>(),
-      .route = root["route"].get<std::string>(),
-      .accepted = milliseconds(root["accepted_ms"].get<std::int64_t>()),
-      .is_ended = root["ended"].get<bool>(),
-      .listed = root["listed"].get<size_t>()};
+  BulkJob job{.id = id,
+              .workspace = root["workspace"].get<std::string>(),
+              .route = root["route"].get<std::string>(),
+              .accepted = milliseconds(root["accepted_ms"].get<std::int64_t>()),
+              .is_ended = root["ended"].get<bool>(),
+              .listed = root["listed"].get<size_t>()};
   for (const json& value : root["items"]) {
     BOOST_OUTCOME_TRY(JobItemState item, DecodeItem(value));
     job.items.push_back(std::move(item));
--- a/src/request/job_state.h
+++ b/src/request/bulk_job.h
@@ -34,7 +34,7 @@
 
 // The part of a batch job that changes: one row of the store, written under
 // the condition that nobody else has changed it.
-struct JobState {
+struct BulkJob {
   std::string id;
   std::string workspace;
   std::string route;
@@ -50,9 +50,9 @@
   std::int64_t PendingTokens() const;
 };
 
-std::string EncodeJobState(const JobState& job);
+std::string EncodeBulkJob(const BulkJob& job);
 // Fails with kInvalid for text that is not an encoded job state.
-Result<JobState> DecodeJobState(const std::string& id, const std::string& text);
+Result<BulkJob> DecodeBulkJob(const std::string& id, const std::string& text);
 
 // Result of one item, a row of the store that is written once.
 struct ItemResult {
--- a/tests/process/batch_api_test.cc
+++ b/tests/process/batch_api_test.cc
@@ -1,4 +1,4 @@
-#include "process/batch_api.h"
+#include "process/batch/batch_api.h"
 
 #include <doctest/doctest.h>
 
--- a/tests/process/batch_dispatcher_test.cc
+++ b/tests/process/batch_dispatcher_test.cc
@@ -1,4 +1,4 @@
-#include "process/batch_dispatcher.h"
+#include "process/batch/batch_dispatcher.h"
 
 #include <doctest/doctest.h>
 
--- a/tests/process/batch_model.h
+++ b/tests/process/batch_model.h
@@ -14,9 +14,9 @@
 
 #include "carawayrelay/process.h"
 #include "carawayrelay/version.h"
-#include "process/batch_dispatcher.h"
-#include "process/batch_store_worker.h"
-#include "process/job_store.h"
+#include "process/batch/batch_dispatcher.h"
+#include "process/batch/batch_store_worker.h"
+#include "process/batch/job_store.h"
 
 namespace carawayrelay {
 
--- a/tests/process/batch_thread_test.cc
+++ b/tests/process/batch_thread_test.cc
@@ -1,4 +1,4 @@
-#include "process/batch_thread.h"
+#include "process/batch/batch_thread.h"
 
 #include <doctest/doctest.h>
 
--- a/tests/process/config_watch_test.cc
+++ b/tests/process/config_watch_test.cc
@@ -8,7 +8,7 @@
 
 #include "carawayrelay/process.h"
 #include "process/fake_platform.h"
-#include "process/poll_backoff.h"
+#include "process/store/poll_backoff.h"
 #include "property.h"
 
 namespace carawayrelay {
--- a/tests/process/intent_thread_test.cc
+++ b/tests/process/intent_thread_test.cc
@@ -1,4 +1,4 @@
-#include "process/intent_thread.h"
+#include "process/store/intent_thread.h"
 
 #include <doctest/doctest.h>
 
--- a/tests/process/metrics_test.cc
+++ b/tests/process/metrics_test.cc
@@ -1,4 +1,4 @@
-#include "process/metrics.h"
+#include "process/telemetry/metrics.h"
 
 #include <doctest/doctest.h>
 
@@ -6,7 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
-#include "process/telemetry_thread.h"
+#include "process/telemetry/telemetry_thread.h"
 
 namespace carawayrelay {
 namespace {
--- a/tests/process/session_lease_test.cc
+++ b/tests/process/session_lease_test.cc
@@ -1,4 +1,4 @@
-#include "process/session_lease.h"
+#include "process/batch/session_lease.h"
 
 #include <doctest/doctest.h>
 
--- a/tests/serving/allowances_test.cc
+++ b/tests/serving/allowances_test.cc
@@ -1,4 +1,4 @@
-#include "process/serving/allowances.h"
+#include "process/limits/allowances.h"
 
 #include <deque>
 #include <memory>
--- a/tests/serving/item_worker_test.cc
+++ b/tests/serving/item_worker_test.cc
@@ -1,4 +1,4 @@
-#include "process/serving/item_worker.h"
+#include "process/jobs/item_worker.h"
 
 #include "serving/job_fixture.h"
 
@@ -188,14 +188,14 @@
 TEST_CASE_FIXTURE(ItemWorkerFixture,
                   "ItemWorker, other worker died, its item is taken over") {
   AddJob("j", 1);
-  JobState job = StoredState("j");
+  BulkJob job = StoredState("j");
   job.items[0].state = ItemState::kClaimed;
   job.items[0].owner = "side-2";
   job.items[0].lease_end = store.StoreTime(now()) + milliseconds(3000);
   const RowKey key = job_rows::State("j");
-  rows.Put(key.table, key.part, key.key, EncodeJobState(job));
+  rows.Put(key.table, key.part, key.key, EncodeBulkJob(job));
   jobs.Replace(
-      {.key = key, .value = EncodeJobState(job), .version = rows.version()});
+      {.key = key, .value = EncodeBulkJob(job), .version = rows.version()});
   Work(milliseconds(1000));
   CHECK(Runs().empty());
   Work(milliseconds(3500));
@@ -205,14 +205,14 @@
 TEST_CASE_FIXTURE(ItemWorkerFixture,
                   "ItemWorker, claims of its former start, are taken back") {
   AddJob("j", 1);
-  JobState job = StoredState("j");
+  BulkJob job = StoredState("j");
   job.items[0].state = ItemState::kClaimed;
   job.items[0].owner = "side-1";
   job.items[0].lease_end = store.StoreTime(now()) + milliseconds(60000);
   const RowKey key = job_rows::State("j");
-  rows.Put(key.table, key.part, key.key, EncodeJobState(job));
+  rows.Put(key.table, key.part, key.key, EncodeBulkJob(job));
   jobs.Replace(
-      {.key = key, .value = EncodeJobState(job), .version = rows.version()});
+      {.key = key, .value = EncodeBulkJob(job), .version = rows.version()});
   Work();
   CHECK(Runs().size() == 1);
 }
--- a/tests/serving/job_api_test.cc
+++ b/tests/serving/job_api_test.cc
@@ -1,4 +1,4 @@
-#include "process/serving/job_api.h"
+#include "process/jobs/job_api.h"
 
 #include "serving/job_fixture.h"
 
--- a/tests/serving/job_fixture.h
+++ b/tests/serving/job_fixture.h
@@ -5,9 +5,9 @@
 #include <vector>
 
 #include "platform/base64.h"
-#include "process/serving/job_api.h"
-#include "process/serving/job_table.h"
-#include "process/serving/job_writer.h"
+#include "process/jobs/job_api.h"
+#include "process/jobs/job_table.h"
+#include "process/jobs/job_writer.h"
 #include "serving/serving_fixture.h"
 
 namespace carawayrelay {
@@ -69,16 +69,16 @@
   nlohmann::json LastBody() const {
     return nlohmann::json::parse(std::get<WholeAnswer>(answers.back()).body);
   }
-  JobState StoredState(const std::string& job) const {
+  BulkJob StoredState(const std::string& job) const {
     const RowKey key = job_rows::State(job);
-    auto state = DecodeJobState(job, rows.Get(key.table, key.part, key.key));
+    auto state = DecodeBulkJob(job, rows.Get(key.table, key.part, key.key));
     REQUIRE(state);
     return std::move(state).value();
   }
   // Lists one item, as a worker does.
   void ListItem(const std::string& job, size_t index, const std::string& text) {
     writer.Add(job, {.apply =
-                         [job, index, text](JobState& state,
+                         [job, index, text](BulkJob& state,
                                             RowsTransaction& transaction) {
                            state.items[index].state = ItemState::kComplete;
                            transaction.writes.push_back(
--- a/tests/serving/job_writer_test.cc
+++ b/tests/serving/job_writer_test.cc
@@ -1,4 +1,4 @@
-#include "process/serving/job_writer.h"
+#include "process/jobs/job_writer.h"
 
 #include "serving/job_fixture.h"
 
@@ -18,7 +18,7 @@
   // Adds one failure to the item; the edit knows its effect by the count.
   JobWriter::Edit Count(size_t item, int expected) {
     return {.apply =
-                [item, expected](JobState& job, RowsTransaction&) {
+                [item, expected](BulkJob& job, RowsTransaction&) {
                   if (job.items[item].failures >= expected) {
                     return JobWriter::Outcome::kAlready;
                   }
@@ -29,10 +29,10 @@
   }
   // Another process changes the same job.
   void ChangeElsewhere() {
-    JobState job = StoredState("j");
+    BulkJob job = StoredState("j");
     job.items[3].failures = 9;
     const RowKey key = job_rows::State("j");
-    rows.Put(key.table, key.part, key.key, EncodeJobState(job));
+    rows.Put(key.table, key.part, key.key, EncodeBulkJob(job));
   }
 };
 
--- a/tests/serving/online_forwarder_test.cc
+++ b/tests/serving/online_forwarder_test.cc
@@ -1,4 +1,4 @@
-#include "process/serving/online_forwarder.h"
+#include "process/forward/online_forwarder.h"
 
 #include <set>
 
--- a/tests/serving/runner_directory_test.cc
+++ b/tests/serving/runner_directory_test.cc
@@ -1,4 +1,4 @@
-#include "process/serving/runner_directory.h"
+#include "process/forward/runner_directory.h"
 
 #include <set>
 
--- a/tests/serving/serving_fixture.h
+++ b/tests/serving/serving_fixture.h
@@ -12,13 +12,13 @@
 #include <utility>
 #include <vector>
 
-#include "process/serving/job_writer.h"
-#include "process/serving/operator_watch.h"
-#include "process/serving/outbound_calls.h"
-#include "process/serving/runner_directory.h"
+#include "process/forward/runner_directory.h"
+#include "process/jobs/job_writer.h"
 #include "process/serving/step_clock.h"
-#include "process/serving/store_client.h"
-#include "process/serving/table_watch.h"
+#include "process/store/operator_watch.h"
+#include "process/store/store_client.h"
+#include "process/store/table_watch.h"
+#include "process/transport/outbound_calls.h"
 #include "standins/row_store.h"
 
 namespace carawayrelay {
--- a/tools/check_events.py
+++ b/tools/check_events.py
@@ -4,7 +4,7 @@
 import re
 import sys
 
-CODE = pathlib.Path("src/process/events.h")
+CODE = pathlib.Path("src/process/telemetry/events.h")
 CATALOGUE = pathlib.Path("docs/events.md")
 
 
