--- a/src/process/jobs/item_worker.h
+++ b/src/process/jobs/item_worker.h
@@ -106,6 +106,9 @@
   int CountHeld() const;
 
   void DropMoot(TimePoint now);
+  void GiveUpExpired(TimePoint now);
+  void GiveUpAll(const std::string& job,
+                 const std::vector<platform::SubmittedItem>& items);
   void Claim(int count, TimePoint now);
   std::optional<std::string> ChooseJob(TimePoint now);
   bool IsClaimable(const std::string& job,
@@ -148,6 +151,7 @@
   bool is_claiming_ = false;
   bool is_stopping_ = false;
   bool is_asking_ = false;
+  bool is_giving_up_ = false;
   TimePoint next_report_{};
   TimePoint next_claim_{};
   TimePoint next_sweep_{};
--- a/tests/serving/item_worker_test.cc
+++ b/tests/serving/item_worker_test.cc
@@ -255,6 +255,20 @@
   CHECK(FindHeader(Runs()[0].headers, "last-event-id") == "1");
 }
 
+// Guards against a job that stays open for ever when its items cannot run.
+TEST_CASE_FIXTURE(ItemWorkerFixture,
+                  "ItemWorker, job kept for too long, items are given up") {
+  runners.Apply({}, true, std::nullopt, now());
+  AddJob("j", 2);
+  Work(milliseconds(59000));
+  CHECK(StoredState("j").listed == 0);
+  Work(milliseconds(2000));
+  CHECK(StoredState("j").listed == 2);
+  CHECK(StoredState("j").items[1].state == ItemState::kDeadLetter);
+  Read("j", 0);
+  CHECK(LastBody()["results"][1]["id"] == "item-1");
+}
+
 TEST_CASE_FIXTURE(ItemWorkerFixture, "ItemWorker, stop, gives its items back") {
   AddJob("j", 2);
   Work();
--- a/tests/serving/job_fixture.h
+++ b/tests/serving/job_fixture.h
@@ -30,6 +30,13 @@
                               .keep = std::chrono::seconds(60)}};
   ServingWorkspace workspace{.name = "w", .keys = {"k"}};
 
+  // A frontend takes jobs only once it has read the store, which tells its
+  // time.
+  JobFixture() {
+    store.Send(RowsRead{.table = "op"}, [](const StoreReply&) {});
+    RunStore();
+  }
+
   static std::string Submission(int items, const std::string& body = "body") {
     nlohmann::json list = nlohmann::json::array();
     for (int i = 0; i < items; ++i) {
