Keep a slot free only while online is busy, read the store less, spread claims

Workers raced for the items of each new job: up to 48 writes of one row.

Now a worker waits up to 400 ms at random before it claims items of a job that changed, a lost claim is tried again once, watches of jobs and backend servers run less often, and one slot stays free while three or more online requests run on the backend server.

--- a/src/process/forward/online_forwarder.h
+++ b/src/process/forward/online_forwarder.h
@@ -30,7 +30,7 @@
     int max_offers = 4;
     // Backend servers asked for a free slot before a request is sent to the
     // best of them without one; 0 asks none.
-    int max_holds = 3;
+    int max_holds = 2;
     // How long a slot stays reserved for a request that is on its way.
     std::chrono::milliseconds hold_time{400};
     // A stream that may be resumed is, after this long without an event.
--- a/src/process/jobs/item_worker.cc
+++ b/src/process/jobs/item_worker.cc
@@ -14,7 +14,13 @@
 using std::chrono::milliseconds;
 
 // Items that one write may claim.
-constexpr int kMaxClaim = 2;
+constexpr int kMaxClaim = 3;
+// A claim that lost against other workers is tried again once, then left to
+// them.
+constexpr int kMaxClaimTries = 2;
+// Workers wait up to so long at random before they claim items of a job that
+// has changed, so that they seldom write the same row.
+constexpr milliseconds kClaimSpread{400};
 // Jobs that are due first, of which one is picked at random so that workers
 // seldom write the same row.
 constexpr size_t kJobChoices = 3;
@@ -132,8 +138,11 @@
   if (runner == nullptr || is_stopping_) {
     return;
   }
-  int room = runner->entry.slots - load.running - load.waiting -
-             options_.reserved_slots;
+  const int online = load.running + load.waiting - CountRunning();
+  int room = runner->entry.slots - load.running - load.waiting;
+  if (online >= options_.reserve_from_online) {
+    room -= options_.reserved_slots;
+  }
   if (room < 0) {
     Yield(-room, now);
     return;
@@ -185,6 +194,10 @@
     return;
   }
   next_sweep_ = now + kSweepInterval;
+  std::erase_if(claim_times_, [&](const auto& item) {
+    const JobTable::Entry* entry = jobs_.Find(item.first);
+    return entry == nullptr || !entry->job.IsOpen();
+  });
   const milliseconds store_now = store_.StoreTime(now);
   for (const auto& [id, entry] : jobs_.jobs()) {
     const ServingRoute* route = config_->FindRouteByName(entry.job.route);
@@ -253,6 +266,17 @@
          item.lease_end <= store_now;
 }
 
+bool ItemWorker::IsClaimTime(const std::string& job,
+                             std::uint64_t version,
+                             TimePoint now) {
+  ClaimTime& time = claim_times_[job];
+  if (time.version != version) {
+    std::uniform_int_distribution<std::int64_t> delay(0, kClaimSpread.count());
+    time = {.version = version, .at = now + milliseconds(delay(random_))};
+  }
+  return now >= time.at;
+}
+
 std::optional<std::string> ItemWorker::ChooseJob(TimePoint now) {
   const RunnerDirectory::Runner* runner = OwnRunner();
   if (runner == nullptr || !config_) {
@@ -279,6 +303,9 @@
                      })) {
       continue;
     }
+    if (!IsClaimTime(id, entry.version, now)) {
+      continue;
+    }
     for (size_t i = 0; i < entry.job.items.size(); ++i) {
       if (IsClaimable(id, i, entry.job.items[i], store_now)) {
         const milliseconds due = entry.job.accepted + route->bulk.run_goal;
@@ -312,10 +339,11 @@
   }
   is_claiming_ = true;
   auto claimed = std::make_shared<std::vector<size_t>>();
-  const auto apply = [this, id = *job, count, claimed](BulkJob& state,
-                                                       RowsTransaction&) {
+  const auto apply = [this, id = *job, count, claimed,
+                      tries = std::make_shared<int>(0)](BulkJob& state,
+                                                        RowsTransaction&) {
     claimed->clear();
-    if (state.is_ended) {
+    if (state.is_ended || ++*tries > kMaxClaimTries) {
       return JobWriter::Outcome::kMoot;
     }
     const milliseconds store_now = store_.StoreTime(clock_.now());
--- a/src/process/jobs/item_worker.h
+++ b/src/process/jobs/item_worker.h
@@ -29,8 +29,11 @@
   struct Options {
     std::string node;
     std::string runner_address;  // "IP:port"
-    // Slots that stay free for online requests.
-    int reserved_slots = 0;
+    // Slots that stay free for online requests while at least
+    // `reserve_from_online` of them run. Fewer of them seldom come so close
+    // together that they need a free slot at once.
+    int reserved_slots = 1;
+    int reserve_from_online = 3;
     // How long an item runs as a rule. Items that are due sooner come after
     // those that can still be in time.
     std::chrono::milliseconds run_time{4000};
@@ -111,6 +114,10 @@
                  const std::vector<platform::SubmittedItem>& items);
   void Claim(int count, TimePoint now);
   std::optional<std::string> ChooseJob(TimePoint now);
+  // Whether the wait before a claim of the job at this version is over.
+  bool IsClaimTime(const std::string& job,
+                   std::uint64_t version,
+                   TimePoint now);
   bool IsClaimable(const std::string& job,
                    size_t index,
                    const JobItemState& item,
@@ -148,6 +155,12 @@
   ServingConfigPtr config_;
   std::mt19937_64 random_;
   std::map<ItemKey, Run> runs_;
+  // When items of a job may be claimed, at the version that was known then.
+  struct ClaimTime {
+    std::uint64_t version = 0;
+    TimePoint at{};
+  };
+  std::map<std::string, ClaimTime> claim_times_;
   bool is_claiming_ = false;
   bool is_stopping_ = false;
   bool is_asking_ = false;
--- a/src/process/serving/serving_core.cc
+++ b/src/process/serving/serving_core.cc
@@ -10,7 +10,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kWatchWait{1000};
-constexpr milliseconds kRunnersInterval{100};
+constexpr milliseconds kRunnersInterval{500};
 
 }  // namespace
 
--- a/src/process/serving/serving_core.h
+++ b/src/process/serving/serving_core.h
@@ -25,7 +25,7 @@
     std::string store_address;
     std::uint64_t seed = 1;
     // Least time between two reads of changes to batch jobs.
-    std::chrono::milliseconds jobs_interval{200};
+    std::chrono::milliseconds jobs_interval{500};
   };
 
   // Fails with kInternal when the calling thread cannot be set up.
--- a/src/process/serving/serving_settings.h
+++ b/src/process/serving/serving_settings.h
@@ -30,8 +30,9 @@
   std::string runner_address;  // "IP:port" of the backend server
   std::string store_address;   // "IP:port"
   std::string listen_metrics;  // "IP:port"; empty for none
-  // Slots of the backend server that batch items leave free.
-  int reserved_slots = 0;
+  // Slots of the backend server that batch items leave free while it is busy
+  // with online requests.
+  int reserved_slots = 1;
   std::chrono::milliseconds stop_grace{8000};
 };
 
--- a/src/process/serving/worker_process.cc
+++ b/src/process/serving/worker_process.cc
@@ -12,7 +12,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kTickInterval{20};
-constexpr milliseconds kJobsInterval{250};
+constexpr milliseconds kJobsInterval{400};
 // Before the end of the grace, for the threads to end.
 constexpr milliseconds kStopReserve{1000};
 constexpr const char* kMetricsType = "text/plain; version=0.0.4";
