--- a/src/process/jobs/item_worker_runs.cc
+++ b/src/process/jobs/item_worker_runs.cc
@@ -168,7 +168,7 @@
   }
   result.object = job_rows::ResultObject(key.first, key.second);
   store_.Send(ObjectWrite{.name = result.object, .data = run.progress.text},
-              [this, key, result](StoreReply reply) {
+              [this, key, result](const StoreReply& reply) {
                 const auto it = runs_.find(key);
                 if (it == runs_.end()) {
                   return;
--- a/src/process/jobs/job_api.cc
+++ b/src/process/jobs/job_api.cc
@@ -143,7 +143,7 @@
 void JobApi::WriteObject(const std::string& job) {
   store_.Send(ObjectWrite{.name = job_rows::SubmissionObject(job),
                           .data = submissions_.at(job).body},
-              [this, job](StoreReply reply) {
+              [this, job](const StoreReply& reply) {
                 Submission& submission = submissions_.at(job);
                 submission.is_running = false;
                 // The object may exist from an earlier try of the same job.
@@ -168,7 +168,7 @@
                                 .value = submission.object_written
                                              ? std::string(1, kInObject)
                                              : kInline + submission.body});
-  store_.Send(std::move(transaction), [this, job](StoreReply reply) {
+  store_.Send(std::move(transaction), [this, job](const StoreReply& reply) {
     submissions_.at(job).is_running = false;
     OnStored(job, reply);
   });
@@ -314,7 +314,7 @@
                .part = first.part,
                .from = first.key,
                .to = job_rows::Result(job.id, job.listed).key},
-      [this, client, id, reply_with](StoreReply reply) {
+      [this, client, id, reply_with](const StoreReply& reply) {
         if (reply.status != StoreStatus::kDone || reply.rows.empty()) {
           Unavailable(client, id, "the results cannot be read");
           return;
@@ -416,7 +416,7 @@
                  return;
                }
                store.Send(ObjectRead{job_rows::SubmissionObject(job)},
-                          [done](StoreReply object) {
+                          [done](const StoreReply& object) {
                             if (object.status != StoreStatus::kDone) {
                               done(Error{ErrorCode::kUnavailable,
                                          "the submission cannot be read: " +
--- a/src/process/jobs/job_table.cc
+++ b/src/process/jobs/job_table.cc
@@ -33,6 +33,7 @@
 
 std::vector<std::string> Parts() {
   std::vector<std::string> parts;
+  parts.reserve(kParts);
   for (int i = 0; i < kParts; ++i) {
     parts.push_back("p" + std::to_string(i));
   }
--- a/src/process/jobs/job_writer.cc
+++ b/src/process/jobs/job_writer.cc
@@ -95,11 +95,12 @@
     transaction.expected.push_back({.key = key, .version = entry.version});
     const std::string value = EncodeBulkJob(state);
     transaction.writes.push_back({.key = key, .value = value});
-    store_(std::move(transaction), [this, job, key, value](StoreReply reply) {
+    store_(std::move(transaction), [this, job, key,
+                                    value](const StoreReply& reply) {
       if (reply.status == StoreStatus::kDone) {
         jobs_.Put({.key = key, .value = value, .version = reply.version});
       }
-      OnWritten(job, std::move(reply));
+      OnWritten(job, reply);
     });
   }
   for (auto& [edit, outcome] : settled) {
@@ -107,7 +108,7 @@
   }
 }
 
-void JobWriter::OnWritten(const std::string& job, StoreReply reply) {
+void JobWriter::OnWritten(const std::string& job, const StoreReply& reply) {
   Pending& pending = pending_[job];
   pending.is_running = false;
   std::vector<Edit> edits = std::exchange(pending.writing, {});
--- a/src/process/jobs/job_writer.h
+++ b/src/process/jobs/job_writer.h
@@ -52,7 +52,7 @@
   void Advance(const std::string& job, TimePoint now);
   void Read(const std::string& job);
   void Write(const std::string& job);
-  void OnWritten(const std::string& job, StoreReply reply);
+  void OnWritten(const std::string& job, const StoreReply& reply);
   void Fail(const std::string& job, bool must_read);
 
   JobTable& jobs_;
--- a/src/process/serving/frontend_process.cc
+++ b/src/process/serving/frontend_process.cc
@@ -342,20 +342,21 @@
   transaction.writes.push_back(
       {.key = {.table = kDemandTable, .key = settings_.node},
        .value = allowances_.MakeReport(now)});
-  core_->store().Send(std::move(transaction), [this, now](StoreReply reply) {
-    if (reply.status != StoreStatus::kDone) {
-      is_reporting_ = false;
-      next_demand_ = core_->clock().now() + kDemandRetry;
-      return;
-    }
-    allowances_.ReportStored(now);
-    ReadDemand(core_->clock().now());
-  });
+  core_->store().Send(std::move(transaction),
+                      [this, now](const StoreReply& reply) {
+                        if (reply.status != StoreStatus::kDone) {
+                          is_reporting_ = false;
+                          next_demand_ = core_->clock().now() + kDemandRetry;
+                          return;
+                        }
+                        allowances_.ReportStored(now);
+                        ReadDemand(core_->clock().now());
+                      });
 }
 
 void FrontendProcess::ReadDemand(TimePoint now) {
   core_->store().Send(RowsRead{.table = kDemandTable},
-                      [this](StoreReply reply) {
+                      [this](const StoreReply& reply) {
                         is_reporting_ = false;
                         const TimePoint at = core_->clock().now();
                         if (reply.status == StoreStatus::kDone) {
--- a/src/process/serving/serving_core.cc
+++ b/src/process/serving/serving_core.cc
@@ -15,10 +15,10 @@
 }  // namespace
 
 Result<std::unique_ptr<ServingCore>> ServingCore::Make(
-    Options options,
+    const Options& options,
     OperatorWatch::OnChange on_change) {
   std::unique_ptr<ServingCore> core(
-      new ServingCore(std::move(options), std::move(on_change)));
+      new ServingCore(options, std::move(on_change)));
   BOOST_OUTCOME_TRY(
       core->caller_, HttpCaller::Make({}, [raw = core.get()](CallEvent event) {
         std::visit(
@@ -28,7 +28,8 @@
   return core;
 }
 
-ServingCore::ServingCore(Options options, OperatorWatch::OnChange on_change)
+ServingCore::ServingCore(const Options& options,
+                         OperatorWatch::OnChange on_change)
     : events_(kEventCapacity),
       calls_(
           [this](OutboundCall call) { return caller_->Start(std::move(call)); },
--- a/src/process/serving/serving_core.h
+++ b/src/process/serving/serving_core.h
@@ -30,7 +30,7 @@
 
   // Fails with kInternal when the calling thread cannot be set up.
   static Result<std::unique_ptr<ServingCore>> Make(
-      Options options,
+      const Options& options,
       OperatorWatch::OnChange on_change);
 
   Ring<ServingEvent>& events() { return events_; }
@@ -57,7 +57,7 @@
   void Stop();
 
  private:
-  ServingCore(Options options, OperatorWatch::OnChange on_change);
+  ServingCore(const Options& options, OperatorWatch::OnChange on_change);
 
   static constexpr size_t kEventCapacity = 4096;
 
--- a/src/process/store/table_watch.cc
+++ b/src/process/store/table_watch.cc
@@ -86,10 +86,10 @@
                    .wait = failures_ > 0 ? std::chrono::milliseconds(0)
                                          : options_.wait,
                    .limit = Limit()},
-         [this, now](StoreReply reply) { OnChanges(std::move(reply), now); });
+         [this, now](const StoreReply& reply) { OnChanges(reply, now); });
 }
 
-void TableWatch::OnChanges(StoreReply reply, TimePoint sent_at) {
+void TableWatch::OnChanges(const StoreReply& reply, TimePoint sent_at) {
   const TimePoint now = clock_.now();
   if (reply.status == StoreStatus::kHistoryLost) {
     is_running_ = false;
--- a/src/process/store/table_watch.h
+++ b/src/process/store/table_watch.h
@@ -47,7 +47,7 @@
   void ReadNextPart(TimePoint now);
   void Watch(TimePoint now);
   void OnRead(StoreReply reply, TimePoint sent_at);
-  void OnChanges(StoreReply reply, TimePoint sent_at);
+  void OnChanges(const StoreReply& reply, TimePoint sent_at);
   void Fail(TimePoint now);
   std::chrono::milliseconds Limit() const;
   void Prove(TimePoint sent_at, TimePoint now);
--- a/src/process/telemetry/decision_log.cc
+++ b/src/process/telemetry/decision_log.cc
@@ -17,7 +17,6 @@
 constexpr size_t kQueuedLines = 4096;
 // Lines of one event in a second; more are only counted.
 constexpr int kLinesPerSecond = 200;
-constexpr std::chrono::seconds kFlushInterval{1};
 
 struct Budget {
   std::chrono::seconds second{0};
@@ -79,7 +78,7 @@
   return true;
 }
 
-void WriteLogLine(std::string line) {
+void WriteLogLine(const std::string& line) {
   if (const auto logger = State().logger) {
     logger->info(line);
   }
--- a/src/process/telemetry/decision_log.h
+++ b/src/process/telemetry/decision_log.h
@@ -29,7 +29,7 @@
 
 // Whether the budget of the event has room for one more line this second.
 bool TakeLogBudget(LogEvent event);
-void WriteLogLine(std::string line);
+void WriteLogLine(const std::string& line);
 std::string BeginLogLine(LogEvent event);
 void AppendText(std::string& line, std::string_view value);
 
@@ -71,7 +71,7 @@
   std::string line = internal::BeginLogLine(event);
   internal::AppendFields(line, fields...);
   line += '}';
-  internal::WriteLogLine(std::move(line));
+  internal::WriteLogLine(line);
 }
 
 }  // namespace carawayrelay
--- a/src/process/transport/http_caller.cc
+++ b/src/process/transport/http_caller.cc
@@ -205,7 +205,9 @@
     }
     for (const auto& [name, value] : transfer.call.headers) {
       // A semicolon stands for an empty value in libcurl.
-      add(value.empty() ? name + ";" : name + ": " + value);
+      std::string line = name;
+      line += value.empty() ? ";" : ": ";
+      add(line += value);
     }
     transfer.headers = std::move(list);
     curl_easy_setopt(transfer.easy.get(), CURLOPT_HTTPHEADER,
