Keep the rate over many entries and over restarts

A hot workspace and the restart of all 34 frontends met: each restarted frontend began with a full part of the burst, and each could admit 5 requests on credit, 170 together, before reports showed the crowd.

A bucket now begins empty, and the credit of all entries together is bounded.

Ruled out: attempts that are sent again (3 in the window at most, by the log).

--- a/src/process/limits/allowances.cc
+++ b/src/process/limits/allowances.cc
@@ -24,9 +24,14 @@
 constexpr double kSpareRequests = 12;
 constexpr double kSparePart = 0.05;
 // An entry may borrow while all entries together are estimated to use less
-// than this part of what the window allows, and this many requests at a time.
+// than this part of what the window allows.
 constexpr double kBorrowPart = 0.7;
+// Requests that one entry may borrow, and that all entries together may, as a
+// number and as a part of what the window allows. A crowd that arrives at all
+// entries at once is admitted on credit everywhere until reports show it.
 constexpr double kMaxDebt = 5;
+constexpr double kDebtRequests = 70;
+constexpr double kDebtPart = 0.1;
 // The window over which the rate is checked, and the slices that it is counted
 // in.
 constexpr std::chrono::milliseconds kWindow{5000};
@@ -128,7 +133,10 @@
       usage.split.share > 0
           ? (own - kOwnCountMargin * std::sqrt(own)) / usage.split.share
           : 0;
-  return usage.bucket->TokensAt(now) > 1 - kMaxDebt &&
+  const double max_debt =
+      std::min(kMaxDebt, (kDebtRequests + kDebtPart * allowed) /
+                             static_cast<double>(live_members_));
+  return usage.bucket->TokensAt(now) > 1 - max_debt &&
          std::max(by_reports, by_own_count) < kBorrowPart * allowed;
 }
 
@@ -243,11 +251,22 @@
     if (usage.bucket) {
       usage.bucket->SetRate(rate, burst, now);
     } else {
+      // Empty, because the process may have been restarted just after it
+      // admitted its share of the burst.
       usage.bucket.emplace(rate, burst, now);
+      usage.bucket->Spend(burst, now);
     }
   }
 }
 
+double Allowances::Borrowed(TimePoint now) {
+  double sum = 0;
+  for (auto& [name, usage] : usage_) {
+    sum += usage.bucket ? std::max(0.0, -usage.bucket->TokensAt(now)) : 0;
+  }
+  return sum;
+}
+
 std::vector<StoredRow> Allowances::Abandoned(std::chrono::milliseconds age,
                                              TimePoint now) const {
   std::vector<StoredRow> rows;
--- a/src/process/limits/allowances.h
+++ b/src/process/limits/allowances.h
@@ -50,6 +50,8 @@
   std::vector<StoredRow> Abandoned(std::chrono::milliseconds age,
                                    TimePoint now) const;
   size_t member_count() const { return live_members_; }
+  // Requests admitted beyond the shares that are not made up for yet.
+  double Borrowed(TimePoint now);
 
  private:
   struct Member {
--- a/tests/serving/allowances_test.cc
+++ b/tests/serving/allowances_test.cc
@@ -134,6 +134,54 @@
   });
 }
 
+// Guards against more than the rate when a crowd comes to many entries at once
+// and each admits some of it on credit (telar grown trouble-3, 9.4 s: 252 of
+// 251 tolerated, together with the restart of all entries).
+TEST_CASE_FIXTURE(AllowancesFixture,
+                  "Allowances, crowd at many entries, rate holds") {
+  CheckProperty("rate holds at many entries", [this] {
+    entries.clear();
+    reports.clear();
+    admitted.clear();
+    workspace.rate_per_second = *rc::gen::inRange(4, 80);
+    workspace.burst = workspace.rate_per_second;
+    Make(*rc::gen::inRange(20, 40));
+    std::mt19937_64 random(
+        static_cast<std::uint64_t>(*rc::gen::inRange(1, 1000000)));
+    const double calm = workspace.rate_per_second * 0.5;
+    const double hot = workspace.rate_per_second * *rc::gen::inRange(2, 7);
+    Run(calm, milliseconds(4000), random);
+    Run(hot, milliseconds(5000), random);
+    RC_ASSERT(static_cast<double>(WorstWindow()) <= Bound());
+  });
+}
+
+// Guards against a second burst from entries that were restarted.
+TEST_CASE_FIXTURE(AllowancesFixture,
+                  "Allowances, all entries restart under load, rate holds") {
+  CheckProperty("rate holds over restarts", [this] {
+    entries.clear();
+    reports.clear();
+    admitted.clear();
+    workspace.rate_per_second = *rc::gen::inRange(4, 80);
+    workspace.burst = workspace.rate_per_second;
+    Make(*rc::gen::inRange(2, 40));
+    std::mt19937_64 random(
+        static_cast<std::uint64_t>(*rc::gen::inRange(1, 1000000)));
+    const double hot = workspace.rate_per_second * 2;
+    Run(hot, milliseconds(4000), random);
+    for (int times = 0; times < 2; ++times) {
+      for (size_t i = 0; i < entries.size(); ++i) {
+        entries[i] = std::make_unique<Allowances>("node-" + std::to_string(i));
+        Configure(*entries[i]);
+        Report(i);
+      }
+      Run(hot, milliseconds(2000), random);
+    }
+    RC_ASSERT(static_cast<double>(WorstWindow()) <= Bound());
+  });
+}
+
 // Guards against refusals inside the rate, which is 1.6 times the demand of
 // the peaks: a burst that is split over entries
 // is less than one request each (skoz quiet-1: 140 of 2,357 refused).
@@ -157,6 +205,7 @@
 TEST_CASE_FIXTURE(AllowancesFixture,
                   "Allowances, reports not stored for long, no share") {
   Make(2);
+  Advance(milliseconds(2000));
   CHECK(Ask(0));
   Advance(Allowances::kReportLapse);
   CHECK(entries[0]->Admit(workspace, now()) == Allowances::Verdict::kNoShare);
