--- a/src/connection/runner_entry.h
+++ b/src/connection/runner_entry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <string>
 
 namespace carawayrelay {
@@ -15,6 +16,8 @@
   bool is_draining = false;
   // How long it stayed cold when the entry was written.
   std::chrono::milliseconds cold_left{0};
+  // Of the row; only a backend server that lives gets a higher one.
+  std::uint64_t version = 0;
 };
 
 // Load that a backend server reported in an answer.
--- a/src/connection/wire_codec.cc
+++ b/src/connection/wire_codec.cc
@@ -235,7 +235,7 @@
 }
 
 Result<Message> Take(wire::Refused& w) {
-  if (w.code < 0 || w.code > static_cast<int>(RefusalCode::kInternal) ||
+  if (w.code < 0 || w.code > static_cast<int>(kLastRefusalCode) ||
       w.run_state < 0 || w.run_state > static_cast<int>(RunState::kUnknown)) {
     return Error{ErrorCode::kInvalid, "refusal code or run state out of range"};
   }
--- a/src/process/batch/batch_dispatcher.cc
+++ b/src/process/batch/batch_dispatcher.cc
@@ -223,6 +223,7 @@
       return;
     case RefusalCode::kInvalidRequest:
     case RefusalCode::kTooLarge:
+    case RefusalCode::kHeadersTooLarge:
       book_.Finish(attempt.item,
                    ItemError{ToString(refusal.code), refusal.reason}, now);
       return;
--- a/src/process/dispatch/dispatch_event.h
+++ b/src/process/dispatch/dispatch_event.h
@@ -13,6 +13,7 @@
 #include "carawayrelay/version.h"
 #include "process/dispatch/common_event.h"
 #include "process/limits/limit_lease_book.h"
+#include "process/telemetry/request_observed.h"
 #include "process/transport/link_thread.h"
 
 namespace carawayrelay {
@@ -158,21 +159,6 @@
   std::vector<AcknowledgedNodes> shards;
 };
 
-// One finished request, for metrics.
-struct RequestObserved {
-  std::string workspace;
-  std::string route;
-  // Empty when the caller got a whole answer or left.
-  std::optional<RefusalCode> refused;
-  int attempts = 0;
-  Duration total{0};
-  // Until the first part of the answer came from the agent.
-  std::optional<Duration> first_part;
-  // Span of the request in this entry and its parent, 0 for none.
-  std::optional<TraceContext> span;
-  std::uint64_t parent_span = 0;
-};
-
 using DispatchAction = std::variant<SendMessage,
                                     CloseConnection,
                                     Answer,
--- a/src/process/dispatch/refusal_json.cc
+++ b/src/process/dispatch/refusal_json.cc
@@ -13,6 +13,7 @@
     case RefusalCode::kNotFound:
     case RefusalCode::kConflict:
     case RefusalCode::kTooLarge:
+    case RefusalCode::kHeadersTooLarge:
       return "invalid_request_error";
     case RefusalCode::kUnauthorized:
       return "authentication_error";
--- a/src/process/entry/entry_services.cc
+++ b/src/process/entry/entry_services.cc
@@ -154,22 +154,9 @@
 void EntryServices::Observe(const RequestObserved& observed) {
   metrics_.Observe(observed);
   const auto telemetry = Share(mutex_, telemetry_);
-  if (!telemetry || !observed.span || !observed.span->sampled) {
-    return;
+  if (auto span = ToSpan(observed); span && telemetry) {
+    telemetry->TryPush(*std::move(span));
   }
-  using Clock = std::chrono::system_clock;
-  const Clock::time_point end = Clock::now();
-  telemetry->TryPush(
-      {.trace_id = observed.span->trace_id,
-       .span_id = observed.span->span_id,
-       .parent_id = observed.parent_span,
-       .name = "entry " + observed.route,
-       .start =
-           end - std::chrono::duration_cast<Clock::duration>(observed.total),
-       .end = end,
-       .attributes = {{"workspace", observed.workspace},
-                      {"outcome", observed.refused ? ToString(*observed.refused)
-                                                   : "ok"}}});
 }
 
 ConfigPtr EntryServices::config() const {
--- a/src/process/forward/online_forwarder.cc
+++ b/src/process/forward/online_forwarder.cc
@@ -19,6 +19,8 @@
 // Backend servers are not asked for slots for this long after one did not know
 // the call.
 constexpr std::chrono::seconds kHoldsPause{10};
+// Carries the trace of a request from hop to hop (W3C Trace Context).
+constexpr const char* kTraceHeader = "traceparent";
 // Answers that are not streams are held until they are whole.
 constexpr size_t kMaxHeldBytes = size_t{8} << 20;
 
@@ -81,10 +83,26 @@
         return;
     }
   }
+  ContinueTrace(request);
   request.service = ChooseService(route);
   Send(request, now);
 }
 
+void OnlineForwarder::ContinueTrace(Request& request) {
+  for (auto& [name, value] : request.call.headers) {
+    if (name != kTraceHeader) {
+      continue;
+    }
+    const std::optional<TraceContext> parent = ParseTraceparent(value);
+    if (parent) {
+      request.span = MakeChild(parent, random_);
+      request.parent_span = parent->span_id;
+      value = ToTraceparent(*request.span);
+    }
+    return;
+  }
+}
+
 std::string OnlineForwarder::ChooseService(const ServingRoute& route) {
   double total = 0;
   for (const WeightedService& item : route.services) {
@@ -250,7 +268,10 @@
     runners_.NoteLoad(*runner, *answer.load, now);
   }
   if (answer.is_declined) {
-    if (runner != nullptr) {
+    if (runner != nullptr && answer.is_other_runner) {
+      runners_.NoteReplaced(*runner, "its address belongs to another start");
+      --request.offers;
+    } else if (runner != nullptr) {
       runners_.NoteFull(*runner, now);
     }
     Decline(request, "declined with " + std::to_string(answer.status), now);
@@ -303,6 +324,9 @@
     whole += event.bytes;
   }
   if (!whole.empty()) {
+    if (!request.first_part) {
+      request.first_part = clock_.now() - request.call.arrived;
+    }
     answer_(request.call.client, AnswerPart{std::move(whole)});
   }
 }
@@ -398,6 +422,7 @@
     refusal.retry_after = kRetryAfter;
   }
   const std::string outcome = ToString(refusal.code);
+  request.refused = refusal.code;
   if (request.head_sent) {
     ++counters_.broken;
     answer_(request.call.client, AnswerBroken{});
@@ -424,6 +449,16 @@
               "last_event", request.last_event, "ms",
               ToMilliseconds(now - request.call.arrived), "reason",
               request.last_failure);
+  if (options_.observe) {
+    options_.observe({.workspace = request.workspace,
+                      .route = request.route,
+                      .refused = request.refused,
+                      .attempts = request.attempts,
+                      .total = now - request.call.arrived,
+                      .first_part = request.first_part,
+                      .span = request.span,
+                      .parent_span = request.parent_span});
+  }
   requests_.erase(request.call.client);
 }
 
--- a/src/process/forward/online_forwarder.h
+++ b/src/process/forward/online_forwarder.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -11,6 +12,7 @@
 #include "process/forward/runner_directory.h"
 #include "process/limits/allowances.h"
 #include "process/serving/step_clock.h"
+#include "process/telemetry/request_observed.h"
 #include "process/transport/outbound_calls.h"
 #include "request/client_call.h"
 #include "request/event_cutter.h"
@@ -37,6 +39,8 @@
     std::chrono::milliseconds resume_after_silence{700};
     // A backend server is avoided when a call gets nothing for this long.
     std::chrono::milliseconds silence_limit{500};
+    // Told of each request that ended; may be empty.
+    std::function<void(const RequestObserved&)> observe;
   };
   using Answer = std::function<void(ClientId, ClientAnswer)>;
 
@@ -103,6 +107,11 @@
     std::string last_event;
     std::uint64_t last_event_number = 0;
     std::string last_failure;
+    std::optional<RefusalCode> refused;
+    std::optional<Duration> first_part;
+    // Of this entry's hop, when the client traces the request.
+    std::optional<TraceContext> span;
+    std::uint64_t parent_span = 0;
   };
 
   // Finds a backend server for the request and sends it, after a slot was
@@ -131,6 +140,8 @@
   void DropAttempt(Request& request);
   void Refuse(Request& request, Refusal refusal, TimePoint now);
   void Finish(Request& request, const char* outcome, TimePoint now);
+  // Makes the hop of this entry a part of the client's trace.
+  void ContinueTrace(Request& request);
   std::string ChooseService(const ServingRoute& route);
 
   Options options_;
--- a/src/process/forward/runner_directory.cc
+++ b/src/process/forward/runner_directory.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 #include "platform/desired_state.h"
 #include "process/telemetry/decision_log.h"
@@ -67,7 +68,9 @@
   const bool changes = is_new || runner.gone_at ||
                        runner.entry.is_draining != entry.value().is_draining ||
                        runner.entry.address != entry.value().address;
+  const bool is_newer = is_new || row.version > runner.entry.version;
   runner.entry = std::move(entry).value();
+  runner.entry.version = row.version;
   runner.gone_at.reset();
   runner.cold_until = now + runner.entry.cold_left;
   if (changes) {
@@ -76,6 +79,27 @@
                 runner.entry.is_draining, "cold_ms",
                 runner.entry.cold_left.count(), "version", row.version);
   }
+  if (is_newer) {
+    runner.is_replaced = false;
+    MarkReplaced(runner);
+  }
+}
+
+void RunnerDirectory::MarkReplaced(Runner& runner) {
+  for (auto& [id, other] : runners_) {
+    if (&other == &runner || other.entry.address != runner.entry.address) {
+      continue;
+    }
+    Runner& older = other.entry.version < runner.entry.version ? other : runner;
+    NoteReplaced(older, "a newer entry has its address");
+  }
+}
+
+void RunnerDirectory::NoteReplaced(Runner& runner, const std::string& reason) {
+  if (!std::exchange(runner.is_replaced, true)) {
+    LogDecision(LogEvent::kRunnerReplaced, "runner", runner.entry.id, "address",
+                runner.entry.address, "reason", reason);
+  }
 }
 
 void RunnerDirectory::Remove(const std::string& id,
@@ -106,7 +130,21 @@
 }
 
 bool RunnerDirectory::IsUsable(const Runner& runner) const {
-  return !runner.entry.is_draining && !evacuated_.contains(runner.entry.zone);
+  return !runner.entry.is_draining && !runner.is_replaced &&
+         !evacuated_.contains(runner.entry.zone);
+}
+
+RunnerDirectory::Counts RunnerDirectory::CountStates(TimePoint now) const {
+  Counts counts;
+  for (const auto& [id, runner] : runners_) {
+    counts.usable += IsUsable(runner) ? 1 : 0;
+    counts.draining += runner.entry.is_draining ? 1 : 0;
+    counts.replaced += runner.is_replaced ? 1 : 0;
+    counts.lapsed += runner.gone_at ? 1 : 0;
+    counts.avoided += now < runner.avoid_until ? 1 : 0;
+    counts.cold += now < runner.cold_until ? 1 : 0;
+  }
+  return counts;
 }
 
 double RunnerDirectory::Score(const Runner& runner,
@@ -156,7 +194,7 @@
   Runner* found = nullptr;
   for (auto& [id, runner] : runners_) {
     if (runner.entry.address == address &&
-        (found == nullptr || found->entry.is_draining)) {
+        (found == nullptr || (IsUsable(runner) && !IsUsable(*found)))) {
       found = &runner;
     }
   }
--- a/src/process/forward/runner_directory.h
+++ b/src/process/forward/runner_directory.h
@@ -23,6 +23,8 @@
     TimePoint cold_until{};
     // Set while the entry is missing but may still come back.
     std::optional<TimePoint> gone_at;
+    // Another start of a backend server has its address now.
+    bool is_replaced = false;
     int running = 0;  // calls of this process
     // Work of others, from the newest load report.
     double others = 0;
@@ -38,6 +40,16 @@
     std::set<std::string> excluded;
   };
 
+  // How many entries are in each state; an entry may be in several.
+  struct Counts {
+    int usable = 0;
+    int draining = 0;
+    int replaced = 0;
+    int lapsed = 0;
+    int avoided = 0;
+    int cold = 0;
+  };
+
   explicit RunnerDirectory(std::uint64_t seed) : random_(seed) {}
 
   // Applies rows of the table of entries. `regained_at` is when contact with
@@ -62,6 +74,7 @@
   Runner* FindByAddress(const std::string& address);
   bool IsUsable(const Runner& runner) const;
   size_t size() const { return runners_.size(); }
+  Counts CountStates(TimePoint now) const;
 
   void NoteLoad(Runner& runner, const RunnerLoad& load, TimePoint now);
   void NoteSuccess(Runner& runner);
@@ -70,12 +83,18 @@
   void NoteFailure(Runner& runner, const std::string& reason, TimePoint now);
   // The backend server had no room.
   void NoteFull(Runner& runner, TimePoint now);
+  // Another backend server answered at the address. The entry is not used
+  // again until it changes.
+  void NoteReplaced(Runner& runner, const std::string& reason);
 
  private:
   void Put(const StoredRow& row, TimePoint now);
   void Remove(const std::string& id,
               std::optional<TimePoint> regained_at,
               TimePoint now);
+  // Marks the older of two entries with one address: entries of backend servers
+  // that crashed stay for some seconds, and only the newest can be listening.
+  void MarkReplaced(Runner& runner);
   double Score(const Runner& runner, const Query& query, TimePoint now);
 
   std::mt19937_64 random_;
--- a/src/process/jobs/item_worker.cc
+++ b/src/process/jobs/item_worker.cc
@@ -277,6 +277,11 @@
   return now >= time.at;
 }
 
+bool ItemWorker::HasOpenJob() const {
+  return std::any_of(jobs_.jobs().begin(), jobs_.jobs().end(),
+                     [](const auto& item) { return item.second.job.IsOpen(); });
+}
+
 std::optional<std::string> ItemWorker::ChooseJob(TimePoint now) {
   const RunnerDirectory::Runner* runner = OwnRunner();
   if (runner == nullptr || !config_) {
--- a/src/process/jobs/item_worker.h
+++ b/src/process/jobs/item_worker.h
@@ -68,6 +68,8 @@
   void Stop(TimePoint now);
   // Whether claims are still being given back.
   bool IsIdle() const { return runs_.empty(); }
+  // Whether items of some job may be waiting.
+  bool HasOpenJob() const;
   const Counters& counters() const { return counters_; }
 
  private:
@@ -91,6 +93,7 @@
     bool is_renewing = false;
     // Of the running call.
     OutboundId out{0};
+    std::string runner;  // id of the backend server it was sent to
     int status = 0;
     bool is_declined = false;
     bool is_foreign = false;
--- a/src/process/jobs/item_worker_runs.cc
+++ b/src/process/jobs/item_worker_runs.cc
@@ -49,6 +49,7 @@
   run.cutter.Reset();
   run.heard_at = now;
   run.started_at = now;
+  run.runner = runner->entry.id;
   const ClientCall call{.request_id = run.item.id,
                         .host = route->host,
                         .method = "POST",
@@ -80,6 +81,12 @@
                        platform::DecodeRunnerHead(head);
                    run.status = answer.status;
                    run.is_declined = answer.is_declined;
+                   RunnerDirectory::Runner* runner = OwnRunner();
+                   if (answer.is_other_runner && runner != nullptr &&
+                       runner->entry.id == run.runner) {
+                     runners_.NoteReplaced(
+                         *runner, "its address belongs to another start");
+                   }
                    run.is_foreign = !answer.request_id.empty() &&
                                     answer.request_id != run.item.id;
                    if (answer.status == 200 && !answer.is_signed) {
--- a/src/process/serving/frontend_process.cc
+++ b/src/process/serving/frontend_process.cc
@@ -1,11 +1,11 @@
 #include "process/serving/frontend_process.h"
 
 #include <algorithm>
-#include <sstream>
 #include <utility>
 #include <vector>
 
 #include "platform/client_codec.h"
+#include "process/serving/serving_metrics.h"
 #include "process/telemetry/decision_log.h"
 #include "request/overloaded.h"
 
@@ -15,6 +15,9 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kTickInterval{50};
+// Without requests; events end the wait.
+constexpr milliseconds kIdleTickInterval{200};
+constexpr milliseconds kMetricsInterval{1000};
 constexpr const char* kDemandTable = "frontend_demand";
 constexpr milliseconds kDemandRetry{200};
 // Reports of frontends that are long gone are removed.
@@ -75,6 +78,9 @@
   if (ready_server_) {
     ready_server_->Stop();
   }
+  if (metrics_server_) {
+    metrics_server_->Stop();
+  }
   if (core_) {
     core_->Stop();
   }
@@ -93,10 +99,30 @@
     Answer(client, std::move(a));
   };
   forwarder_ = std::make_unique<OnlineForwarder>(
-      OnlineForwarder::Options{.zone = settings_.zone, .seed = seed_},
+      OnlineForwarder::Options{
+          .zone = settings_.zone,
+          .seed = seed_,
+          .observe = [this](const RequestObserved& o) { Observe(o); }},
       core_->runners(), allowances_, core_->calls(), core_->clock(), answer);
   job_api_ = std::make_unique<JobApi>(core_->jobs(), core_->writer(),
                                       core_->store(), core_->clock(), answer);
+  if (!settings_.traces_url.empty()) {
+    BOOST_OUTCOME_TRY(telemetry_,
+                      TelemetryThread::Make(
+                          {.resource = {.service_name = "carawayrelay-frontend",
+                                        .instance_id = settings_.node,
+                                        .zone = settings_.zone},
+                           .endpoint = settings_.traces_url}));
+  }
+  if (!settings_.listen_metrics.empty()) {
+    BOOST_OUTCOME_TRY(
+        metrics_server_,
+        HttpServer::Make({.listen_address = settings_.listen_metrics},
+                         [this](const HttpRequest& request,
+                                const HttpExchangePtr& exchange) {
+                           HandleReady(request, exchange);
+                         }));
+  }
   BOOST_OUTCOME_TRY(ready_server_,
                     HttpServer::Make({.listen_address = settings_.listen_ready},
                                      [this](const HttpRequest& request,
@@ -130,7 +156,8 @@
   while (true) {
     const TimePoint now = core_->BeginStep();
     if (now >= next_tick_) {
-      next_tick_ = now + kTickInterval;
+      next_tick_ =
+          now + (exchanges_.empty() ? kIdleTickInterval : kTickInterval);
       Tick(now);
     }
     core_->Tick(now);
@@ -195,11 +222,16 @@
     arrived.exchange->CloseAfterReply();
   }
   exchanges_.emplace(client, std::move(arrived.exchange));
+  next_tick_ = std::min(next_tick_, now + kTickInterval);
   HttpRequest& request = arrived.request;
   if (auto refusal = RefusalForAll(now)) {
     Refuse(client, platform::RequestIdOf(request), *std::move(refusal));
     return;
   }
+  if (auto refusal = RefusalForSize(request)) {
+    Refuse(client, platform::RequestIdOf(request), *std::move(refusal));
+    return;
+  }
   if (auto call = platform::DecodeJobCall(request)) {
     const ServingRoute* route =
         core_->operators().config()->FindBulkRoute(HostOf(request));
@@ -219,6 +251,26 @@
   TakeCall(std::move(call).value(), now);
 }
 
+std::optional<Refusal> FrontendProcess::RefusalForSize(
+    const HttpRequest& request) const {
+  const ClientLimits& limits = core_->operators().config()->limits();
+  if (request.body.size() > limits.body_bytes) {
+    return Refusal{.code = RefusalCode::kTooLarge,
+                   .reason = "the body is over the limit of " +
+                             std::to_string(limits.body_bytes) + " bytes"};
+  }
+  size_t header_bytes = request.path.size() + request.query.size();
+  for (const auto& [name, value] : request.headers) {
+    header_bytes += name.size() + value.size();
+  }
+  if (header_bytes > limits.header_bytes) {
+    return Refusal{.code = RefusalCode::kHeadersTooLarge,
+                   .reason = "the headers are over the limit of " +
+                             std::to_string(limits.header_bytes) + " bytes"};
+  }
+  return std::nullopt;
+}
+
 void FrontendProcess::TakeJobCall(ClientId client,
                                   const HttpRequest& request,
                                   platform::JobCall call,
@@ -330,6 +382,7 @@
   forwarder_->Tick(now);
   ReportDemand(now);
   UpdateReadiness(now);
+  UpdateMetrics(now);
 }
 
 void FrontendProcess::ReportDemand(TimePoint now) {
@@ -387,8 +440,6 @@
                 age ? ToMilliseconds(*age) : -1, "has_share",
                 allowances_.HasShare(now), "runners", core_->runners().size());
   }
-  std::lock_guard lock(metrics_mutex_);
-  metrics_ = MetricsText();
 }
 
 bool FrontendProcess::IsDrained(TimePoint now) const {
@@ -402,30 +453,44 @@
          now - last_active_ >= kQuietTime;
 }
 
-std::string FrontendProcess::MetricsText() const {
+void FrontendProcess::UpdateMetrics(TimePoint now) {
+  if (now < next_metrics_) {
+    return;
+  }
+  next_metrics_ = now + kMetricsInterval;
+  namespace names = serving_metrics;
+  Metrics& metrics = core_->metrics();
   const OnlineForwarder::Counters& c = forwarder_->counters();
-  std::ostringstream text;
-  text << "carawayrelay_requests_served_total " << c.served << '\n'
-       << "carawayrelay_requests_refused_total " << c.refused << '\n'
-       << "carawayrelay_requests_broken_total " << c.broken << '\n'
-       << "carawayrelay_requests_abandoned_total " << c.abandoned << '\n'
-       << "carawayrelay_requests_resent_total " << c.resent << '\n'
-       << "carawayrelay_requests_held_total " << c.held << '\n'
-       << "carawayrelay_requests_unheld_total " << c.unheld << '\n'
-       << "carawayrelay_requests_active " << forwarder_->active() << '\n'
-       << "carawayrelay_runners_known " << core_->runners().size() << '\n'
-       << "carawayrelay_jobs_known " << core_->jobs().jobs().size() << '\n'
-       << "carawayrelay_rate_members " << allowances_.member_count() << '\n'
-       << "carawayrelay_calls_running " << core_->calls().size() << '\n'
-       << "carawayrelay_log_lines_dropped_total " << DroppedLogLines() << '\n';
-  return std::move(text).str();
+  const auto count = [&](const char* event, std::uint64_t value) {
+    metrics.SetCounter(names::kRequestEvents, {{"event", event}}, value);
+  };
+  count("served", c.served);
+  count("refused", c.refused);
+  count("broken", c.broken);
+  count("abandoned", c.abandoned);
+  count("resent", c.resent);
+  count("held", c.held);
+  count("unheld", c.unheld);
+  metrics.SetGauge(names::kRequestsActive, {},
+                   static_cast<double>(forwarder_->active()));
+  metrics.SetGauge(names::kRateMembers, {},
+                   static_cast<double>(allowances_.member_count()));
+  metrics.SetGauge(names::kRateBorrowed, {}, allowances_.Borrowed(now));
+  core_->UpdateMetrics(now);
+}
+
+void FrontendProcess::Observe(const RequestObserved& observed) {
+  core_->metrics().Observe(observed);
+  if (auto span = ToSpan(observed); span && telemetry_) {
+    telemetry_->TryPush(*std::move(span));
+  }
 }
 
 void FrontendProcess::HandleReady(const HttpRequest& request,
                                   const HttpExchangePtr& exchange) {
   if (request.path == kMetricsPath) {
-    std::lock_guard lock(metrics_mutex_);
-    exchange->Reply(200, {{"Content-Type", kMetricsType}}, metrics_);
+    exchange->Reply(200, {{"Content-Type", kMetricsType}},
+                    core_->metrics().ToPrometheusText());
   } else if (request.path == platform::kReadyPath) {
     exchange->Reply(is_ready_ ? 200 : 503, {}, is_ready_ ? "ready\n" : "\n");
   } else {
--- a/src/process/serving/frontend_process.h
+++ b/src/process/serving/frontend_process.h
@@ -12,6 +12,8 @@
 #include "process/limits/allowances.h"
 #include "process/serving/serving_core.h"
 #include "process/serving/serving_settings.h"
+#include "process/telemetry/request_observed.h"
+#include "process/telemetry/telemetry_thread.h"
 
 namespace carawayrelay {
 
@@ -55,7 +57,10 @@
   void RemoveAbandonedReports(TimePoint now);
   void UpdateReadiness(TimePoint now);
   bool IsDrained(TimePoint now) const;
-  std::string MetricsText() const;
+  void UpdateMetrics(TimePoint now);
+  // The refusal of a request that is over the limits of the configuration.
+  std::optional<Refusal> RefusalForSize(const HttpRequest& request) const;
+  void Observe(const RequestObserved& observed);
   void HandleReady(const HttpRequest& request, const HttpExchangePtr& exchange);
 
   FrontendSettings settings_;
@@ -72,14 +77,13 @@
   TimePoint last_active_{};
   TimePoint next_tick_{};
   TimePoint next_demand_{};
+  TimePoint next_metrics_{};
   bool is_reporting_ = false;
   std::unique_ptr<HttpServer> clients_server_;
   std::unique_ptr<HttpServer> ready_server_;
+  std::unique_ptr<HttpServer> metrics_server_;
+  std::unique_ptr<TelemetryThread> telemetry_;
   std::thread thread_;
-
-  // Copied for the thread of the readiness server.
-  mutable std::mutex metrics_mutex_;
-  std::string metrics_;
 };
 
 }  // namespace carawayrelay
--- a/src/process/serving/serving_core.cc
+++ b/src/process/serving/serving_core.cc
@@ -3,6 +3,8 @@
 #include <utility>
 
 #include "platform/desired_state.h"
+#include "process/serving/serving_metrics.h"
+#include "process/telemetry/decision_log.h"
 
 namespace carawayrelay {
 namespace {
@@ -39,7 +41,7 @@
       writer_(jobs_, store_.port(), clock_),
       operators_(store_.port(),
                  clock_,
-                 kWatchWait,
+                 options.operators_wait,
                  [this, on_change = std::move(on_change)](TimePoint now) {
                    runners_.SetEvacuated(operators_.evacuated());
                    on_change(now);
@@ -64,7 +66,44 @@
           clock_,
           [this](const std::vector<StoredRow>& rows, bool is_full, TimePoint) {
             jobs_.Apply(rows, is_full);
-          }) {}
+          }) {
+  store_.SetObserver(
+      [this](const char* kind, StoreStatus status, Duration took) {
+        metrics_.Count(serving_metrics::kStoreCalls,
+                       {{"call", kind}, {"status", ToString(status)}});
+        metrics_.ObserveDuration(serving_metrics::kStoreCallDuration,
+                                 {{"call", kind}}, took);
+      });
+}
+
+void ServingCore::UpdateMetrics(TimePoint now) {
+  namespace names = serving_metrics;
+  const RunnerDirectory::Counts runners = runners_.CountStates(now);
+  const auto set_runners = [&](const char* state, int count) {
+    metrics_.SetGauge(names::kRunners, {{"state", state}}, count);
+  };
+  set_runners("usable", runners.usable);
+  set_runners("draining", runners.draining);
+  set_runners("replaced", runners.replaced);
+  set_runners("lapsed", runners.lapsed);
+  set_runners("avoided", runners.avoided);
+  set_runners("cold", runners.cold);
+  const auto set = [&](const MetricName& metric, double value) {
+    metrics_.SetGauge(metric, {}, value);
+  };
+  set(names::kJobs, static_cast<double>(jobs_.jobs().size()));
+  set(names::kCallsRunning, static_cast<double>(calls_.size()));
+  if (operators_.config()) {
+    set(names::kConfigVersion,
+        static_cast<double>(operators_.config()->version()));
+  }
+  if (const auto age = operators_.Age(now)) {
+    set(names::kConfigAge, std::chrono::duration<double>(*age).count());
+  }
+  metrics_.SetGauge(names::kRingLength, {{"ring", "events"}},
+                    static_cast<double>(events_.size()));
+  metrics_.SetCounter(names::kLogLinesDropped, {}, DroppedLogLines());
+}
 
 bool ServingCore::AreJobsCurrent(milliseconds age, TimePoint now) const {
   return job_watch_.proven_at() && now - *job_watch_.proven_at() <= age;
--- a/src/process/serving/serving_core.h
+++ b/src/process/serving/serving_core.h
@@ -11,6 +11,7 @@
 #include "process/store/operator_watch.h"
 #include "process/store/store_client.h"
 #include "process/store/table_watch.h"
+#include "process/telemetry/metrics.h"
 #include "process/transport/http_caller.h"
 #include "process/transport/outbound_calls.h"
 #include "process/transport/ring.h"
@@ -24,6 +25,8 @@
   struct Options {
     std::string store_address;
     std::uint64_t seed = 1;
+    // How long the store holds a call for changes of operators' rows.
+    std::chrono::milliseconds operators_wait{1000};
     // Least time between two reads of changes to batch jobs.
     std::chrono::milliseconds jobs_interval{500};
   };
@@ -55,12 +58,16 @@
   void Tick(TimePoint now);
   // Stops the calling thread.
   void Stop();
+  Metrics& metrics() { return metrics_; }
+  // Brings the metrics of what both roles have up to date.
+  void UpdateMetrics(TimePoint now);
 
  private:
   ServingCore(const Options& options, OperatorWatch::OnChange on_change);
 
   static constexpr size_t kEventCapacity = 4096;
 
+  Metrics metrics_;
   Ring<ServingEvent> events_;
   StepClock clock_;
   std::unique_ptr<HttpCaller> caller_;
--- a/src/process/serving/serving_settings.cc
+++ b/src/process/serving/serving_settings.cc
@@ -33,6 +33,14 @@
   return address;
 }
 
+std::string ReadOptionalAddress(JsonReader& reader,
+                                const std::string& name,
+                                Findings& findings) {
+  std::string address = reader.OptionalString(name, "");
+  CheckAddress(address, reader.PathOf(name), findings);
+  return address;
+}
+
 milliseconds ReadTime(JsonReader& reader,
                       const std::string& name,
                       milliseconds fallback) {
@@ -52,6 +60,9 @@
   settings.listen_clients = ReadAddress(reader, "listen_clients", findings);
   settings.listen_ready = ReadAddress(reader, "listen_ready", findings);
   settings.store_address = ReadAddress(reader, "store_address", findings);
+  settings.listen_metrics =
+      ReadOptionalAddress(reader, "listen_metrics", findings);
+  settings.traces_url = reader.OptionalString("traces_url", "");
   settings.key_revocation =
       ReadTime(reader, "key_revocation_ms", settings.key_revocation);
   settings.stop_grace = ReadTime(reader, "stop_grace_ms", settings.stop_grace);
@@ -71,9 +82,8 @@
   settings.zone = reader.RequiredString("zone");
   settings.runner_address = ReadAddress(reader, "runner_address", findings);
   settings.store_address = ReadAddress(reader, "store_address", findings);
-  settings.listen_metrics = reader.OptionalString("listen_metrics", "");
-  CheckAddress(settings.listen_metrics, reader.PathOf("listen_metrics"),
-               findings);
+  settings.listen_metrics =
+      ReadOptionalAddress(reader, "listen_metrics", findings);
   settings.reserved_slots = static_cast<int>(reader.OptionalNumber(
       "reserved_slots", 0, kMaxSlots, settings.reserved_slots));
   settings.stop_grace = ReadTime(reader, "stop_grace_ms", settings.stop_grace);
--- a/src/process/serving/serving_settings.h
+++ b/src/process/serving/serving_settings.h
@@ -15,6 +15,10 @@
   std::string listen_clients;  // "IP:port"
   // Readiness and metrics; "IP:port".
   std::string listen_ready;
+  // Metrics alone; "IP:port", empty for none.
+  std::string listen_metrics;
+  // Collector of spans; "http://IP:port", empty for none.
+  std::string traces_url;
   std::string store_address;  // "IP:port"
   // A withdrawn key must be refused after this time everywhere.
   std::chrono::milliseconds key_revocation{5000};
--- a/src/process/serving/worker_process.cc
+++ b/src/process/serving/worker_process.cc
@@ -1,8 +1,8 @@
 #include "process/serving/worker_process.h"
 
-#include <sstream>
 #include <utility>
 
+#include "process/serving/serving_metrics.h"
 #include "process/telemetry/decision_log.h"
 #include "request/overloaded.h"
 
@@ -11,8 +11,16 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds kTickInterval{20};
+// While items run, so that they give way to online requests soon.
+constexpr milliseconds kRunningTickInterval{20};
+// While items of some job may be waiting.
+constexpr milliseconds kWaitingTickInterval{50};
+constexpr milliseconds kIdleTickInterval{200};
+constexpr milliseconds kMetricsInterval{1000};
 constexpr milliseconds kJobsInterval{400};
+// A worker needs the operators' rows for routes and zones only, which may take
+// seconds to be in effect.
+constexpr milliseconds kOperatorsWait{2500};
 // Before the end of the grace, for the threads to end.
 constexpr milliseconds kStopReserve{1000};
 constexpr const char* kMetricsType = "text/plain; version=0.0.4";
@@ -51,6 +59,7 @@
       core_,
       ServingCore::Make({.store_address = settings_.store_address,
                          .seed = seed_,
+                         .operators_wait = kOperatorsWait,
                          .jobs_interval = kJobsInterval},
                         [this](TimePoint) {
                           worker_->SetConfig(core_->operators().config());
@@ -68,8 +77,8 @@
         HttpServer::Make(
             {.listen_address = settings_.listen_metrics},
             [this](const HttpRequest&, const HttpExchangePtr& exchange) {
-              std::lock_guard lock(metrics_mutex_);
-              exchange->Reply(200, {{"Content-Type", kMetricsType}}, metrics_);
+              exchange->Reply(200, {{"Content-Type", kMetricsType}},
+                              core_->metrics().ToPrometheusText());
             }));
   }
   thread_ = std::thread([this] { Run(); });
@@ -85,12 +94,11 @@
     const TimePoint now = core_->BeginStep();
     core_->Tick(now);
     if (now >= next_tick) {
-      next_tick = now + kTickInterval;
       worker_->Tick(now);
       // The edits that the worker added.
       core_->Tick(now);
-      std::lock_guard lock(metrics_mutex_);
-      metrics_ = MetricsText();
+      next_tick = now + TickInterval();
+      UpdateMetrics(now);
     }
     if (IsDrained(now) || core_->events().IsClosed()) {
       return;
@@ -101,6 +109,13 @@
   }
 }
 
+milliseconds WorkerProcess::TickInterval() const {
+  if (!worker_->IsIdle()) {
+    return kRunningTickInterval;
+  }
+  return worker_->HasOpenJob() ? kWaitingTickInterval : kIdleTickInterval;
+}
+
 void WorkerProcess::Take(ServingEvent event, TimePoint now) {
   std::visit(Overloaded{
                  [](HttpArrived&) {},
@@ -124,17 +139,21 @@
           now - *draining_since_ >= settings_.stop_grace - kStopReserve);
 }
 
-std::string WorkerProcess::MetricsText() const {
+void WorkerProcess::UpdateMetrics(TimePoint now) {
+  if (now < next_metrics_) {
+    return;
+  }
+  next_metrics_ = now + kMetricsInterval;
   const ItemWorker::Counters& c = worker_->counters();
-  std::ostringstream text;
-  text << "carawayrelay_items_completed_total " << c.completed << '\n'
-       << "carawayrelay_items_given_up_total " << c.given_up << '\n'
-       << "carawayrelay_items_yielded_total " << c.yielded << '\n'
-       << "carawayrelay_items_released_total " << c.released << '\n'
-       << "carawayrelay_jobs_known " << core_->jobs().jobs().size() << '\n'
-       << "carawayrelay_calls_running " << core_->calls().size() << '\n'
-       << "carawayrelay_log_lines_dropped_total " << DroppedLogLines() << '\n';
-  return std::move(text).str();
+  const auto count = [&](const char* event, std::uint64_t value) {
+    core_->metrics().SetCounter(serving_metrics::kItemEvents,
+                                {{"event", event}}, value);
+  };
+  count("completed", c.completed);
+  count("given_up", c.given_up);
+  count("yielded", c.yielded);
+  count("released", c.released);
+  core_->UpdateMetrics(now);
 }
 
 void WorkerProcess::Drain() {
--- a/src/process/serving/worker_process.h
+++ b/src/process/serving/worker_process.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include <chrono>
 #include <memory>
-#include <mutex>
 #include <optional>
 #include <string>
 #include <thread>
@@ -32,7 +32,8 @@
   void Run();
   void Take(ServingEvent event, TimePoint now);
   bool IsDrained(TimePoint now) const;
-  std::string MetricsText() const;
+  std::chrono::milliseconds TickInterval() const;
+  void UpdateMetrics(TimePoint now);
 
   WorkerSettings settings_;
   std::uint64_t seed_;
@@ -40,10 +41,8 @@
   std::unique_ptr<ItemWorker> worker_;
   std::optional<TimePoint> draining_since_;
   std::unique_ptr<HttpServer> metrics_server_;
+  TimePoint next_metrics_{};
   std::thread thread_;
-
-  mutable std::mutex metrics_mutex_;
-  std::string metrics_;
 };
 
 }  // namespace carawayrelay
--- a/src/process/store/store_client.cc
+++ b/src/process/store/store_client.cc
@@ -8,25 +8,43 @@
 #include "request/overloaded.h"
 
 namespace carawayrelay {
+namespace {
+
+const char* KindOf(const StoreRequest& request) {
+  return std::visit(Overloaded{
+                        [](const RowsTransaction&) { return "transaction"; },
+                        [](const RowsRead&) { return "rows_read"; },
+                        [](const RowsWatch&) { return "rows_watch"; },
+                        [](const ObjectWrite&) { return "object_write"; },
+                        [](const ObjectRead&) { return "object_read"; },
+                    },
+                    request);
+}
+
+}  // namespace
 
 void StoreClient::Send(StoreRequest request, StoreDone done) {
   struct Progress {
     StoreRequest request;
     StoreDone done;
+    TimePoint started{};
     int status = 0;
     std::string body;
   };
   OutboundCall call = platform::EncodeStoreRequest(request);
   call.address = address_;
-  auto progress = std::make_shared<Progress>(
-      Progress{.request = std::move(request), .done = std::move(done)});
+  auto progress =
+      std::make_shared<Progress>(Progress{.request = std::move(request),
+                                          .done = std::move(done),
+                                          .started = clock_.now()});
   calls_.Start(std::move(call), [this, progress](CallEvent& event) {
     std::visit(Overloaded{
                    [&](CallHead& head) { progress->status = head.status; },
                    [&](CallData& data) { progress->body += data.bytes; },
                    [&](CallEnd& end) {
                      Finish(progress->request, progress->status,
-                            std::move(progress->body), end, progress->done);
+                            std::move(progress->body), end, progress->started,
+                            progress->done);
                    },
                },
                event);
@@ -37,6 +55,7 @@
                          int status,
                          std::string body,
                          const CallEnd& end,
+                         TimePoint started,
                          const StoreDone& done) {
   StoreReply reply;
   if (end.is_whole) {
@@ -46,6 +65,9 @@
     reply.reason = end.reason;
   }
   NoteContact(reply);
+  if (observe_) {
+    observe_(KindOf(request), reply.status, clock_.now() - started);
+  }
   done(std::move(reply));
 }
 
--- a/src/process/store/store_client.h
+++ b/src/process/store/store_client.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <string>
+#include <utility>
 
 #include "process/serving/step_clock.h"
 #include "process/store/store_call.h"
@@ -25,6 +26,11 @@
     };
   }
 
+  // Told of each finished call: its kind, how it ended and how long it took.
+  using Observe =
+      std::function<void(const char* kind, StoreStatus status, Duration took)>;
+  void SetObserver(Observe observe) { observe_ = std::move(observe); }
+
   // The store's clock now, from the newest reply; zero before the first.
   std::chrono::milliseconds StoreTime(TimePoint now) const;
 
@@ -33,12 +39,14 @@
               int status,
               std::string body,
               const CallEnd& end,
+              TimePoint started,
               const StoreDone& done);
   void NoteContact(const StoreReply& reply);
 
   std::string address_;
   OutboundCalls& calls_;
   const StepClock& clock_;
+  Observe observe_;
   std::chrono::milliseconds store_time_{0};
   TimePoint store_time_at_{};
   bool is_away_ = false;
--- a/src/process/telemetry/events.cc
+++ b/src/process/telemetry/events.cc
@@ -36,6 +36,8 @@
       return "runner_entry_unreadable";
     case LogEvent::kRunnerAvoided:
       return "runner_avoided";
+    case LogEvent::kRunnerReplaced:
+      return "runner_replaced";
     case LogEvent::kRequestRefused:
       return "request_refused";
     case LogEvent::kAttemptDeclined:
--- a/src/process/telemetry/events.h
+++ b/src/process/telemetry/events.h
@@ -61,6 +61,7 @@
   kRunnerGone = 1922,
   kRunnerEntryUnreadable = 1923,
   kRunnerAvoided = 1924,
+  kRunnerReplaced = 1925,
   kRequestRefused = 1931,
   kAttemptDeclined = 1932,
   kAttemptFailed = 1933,
--- a/src/process/telemetry/log_story.cc
+++ b/src/process/telemetry/log_story.cc
@@ -66,7 +66,9 @@
        "{cold_ms} ms"},
       {"runner_gone", "backend server {runner} is gone: {reason}"},
       {"runner_avoided",
-       "avoids backend server {runner} for {avoid_ms} ms: {reason}"}};
+       "avoids backend server {runner} for {avoid_ms} ms: {reason}"},
+      {"runner_replaced",
+       "no longer uses the entry {runner} at {address}: {reason}"}};
   return sentences;
 }
 
--- a/src/process/telemetry/metrics.cc
+++ b/src/process/telemetry/metrics.cc
@@ -2,6 +2,7 @@
 
 #include <spdlog/fmt/fmt.h>
 
+#include <chrono>
 #include <iterator>
 #include <string_view>
 
@@ -12,6 +13,14 @@
 constexpr std::chrono::duration<double> kShortest{0.0005};
 constexpr std::chrono::duration<double> kLongest{120.0};
 
+constexpr MetricName kRequests{"carawayrelay_requests_total",
+                               "Finished requests."};
+constexpr MetricName kRequestDuration{"carawayrelay_request_duration_seconds",
+                                      "Time until a request was finished."};
+constexpr MetricName kFirstPart{"carawayrelay_first_part_seconds",
+                                "Time until the first part of the answer."};
+constexpr const char* kGaugeHelp = "Current value.";
+
 std::string EscapeLabel(std::string_view value) {
   std::string escaped;
   for (const char c : value) {
@@ -27,6 +36,11 @@
   return escaped;
 }
 
+// "{labels}" or nothing.
+std::string Braced(const std::string& labels) {
+  return labels.empty() ? std::string() : "{" + labels + "}";
+}
+
 }  // namespace
 
 Metrics::Latency::Latency()
@@ -40,72 +54,116 @@
   sum += seconds;
 }
 
+std::string Metrics::ToText(const Labels& labels) {
+  std::string text;
+  for (const auto& [name, value] : labels) {
+    text +=
+        (text.empty() ? "" : ",") + name + "=\"" + EscapeLabel(value) + "\"";
+  }
+  return text;
+}
+
+template <class Value>
+Value& Metrics::SeriesOf(Families<Value>& families,
+                         const MetricName& metric,
+                         const Labels& labels) {
+  Family<Value>& family = families[metric.name];
+  if (family.help.empty()) {
+    family.help = metric.help;
+  }
+  return family.series[ToText(labels)];
+}
+
 void Metrics::Observe(const RequestObserved& observed) {
-  const std::string outcome =
-      observed.refused ? ToString(*observed.refused) : "ok";
-  std::lock_guard lock(mutex_);
-  ++requests_[{observed.workspace, observed.route, outcome}];
-  total_[observed.route].Add(observed.total);
+  Count(kRequests,
+        {{"workspace", observed.workspace},
+         {"route", observed.route},
+         {"outcome", observed.refused ? ToString(*observed.refused) : "ok"}});
+  ObserveDuration(kRequestDuration, {{"route", observed.route}},
+                  observed.total);
   if (observed.first_part) {
-    first_part_[observed.route].Add(*observed.first_part);
+    ObserveDuration(kFirstPart, {{"route", observed.route}},
+                    *observed.first_part);
   }
 }
 
-void Metrics::SetGauge(const std::string& name, double value) {
+void Metrics::ObserveDuration(const MetricName& metric,
+                              const Labels& labels,
+                              Duration value) {
+  std::lock_guard lock(mutex_);
+  SeriesOf(latencies_, metric, labels).Add(value);
+}
+
+void Metrics::Count(const MetricName& metric, const Labels& labels) {
   std::lock_guard lock(mutex_);
-  gauges_[name] = value;
+  ++SeriesOf(counters_, metric, labels);
+}
+
+void Metrics::SetCounter(const MetricName& metric,
+                         const Labels& labels,
+                         std::uint64_t value) {
+  std::lock_guard lock(mutex_);
+  SeriesOf(counters_, metric, labels) = value;
+}
+
+void Metrics::SetGauge(const MetricName& metric,
+                       const Labels& labels,
+                       double value) {
+  std::lock_guard lock(mutex_);
+  SeriesOf(gauges_, metric, labels) = value;
+}
+
+void Metrics::SetGauge(const std::string& name, double value) {
+  SetGauge({name.c_str(), kGaugeHelp}, {}, value);
 }
 
 std::string Metrics::ToPrometheusText() const {
   std::string text;
   std::lock_guard lock(mutex_);
-  text +=
-      "# HELP carawayrelay_requests_total Finished requests.\n"
-      "# TYPE carawayrelay_requests_total counter\n";
-  for (const auto& [key, count] : requests_) {
-    const auto& [workspace, route, outcome] = key;
-    fmt::format_to(std::back_inserter(text),
-                   "carawayrelay_requests_total{{workspace=\"{}\",route=\"{}\","
-                   "outcome=\"{}\"}} {}\n",
-                   EscapeLabel(workspace), EscapeLabel(route),
-                   EscapeLabel(outcome), count);
-  }
-  PrintLatencies("carawayrelay_request_duration_seconds",
-                 "Time until a request was finished.", total_, text);
-  PrintLatencies("carawayrelay_first_part_seconds",
-                 "Time until the first part of the answer.", first_part_, text);
-  for (const auto& [name, value] : gauges_) {
-    fmt::format_to(std::back_inserter(text),
-                   "# HELP {0} Current value.\n# TYPE {0} gauge\n{0} {1}\n",
-                   name, value);
-  }
+  Print("counter", counters_, text);
+  PrintLatencies(latencies_, text);
+  Print("gauge", gauges_, text);
   return text;
 }
 
-void Metrics::PrintLatencies(const std::string& name,
-                             const std::string& help,
-                             const Latencies& latencies,
+template <class Value>
+void Metrics::Print(const char* type,
+                    const Families<Value>& families,
+                    std::string& text) {
+  auto out = std::back_inserter(text);
+  for (const auto& [name, family] : families) {
+    fmt::format_to(out, "# HELP {0} {1}\n# TYPE {0} {2}\n", name, family.help,
+                   type);
+    for (const auto& [labels, value] : family.series) {
+      fmt::format_to(out, "{}{} {}\n", name, Braced(labels), value);
+    }
+  }
+}
+
+void Metrics::PrintLatencies(const Families<Latency>& families,
                              std::string& text) {
   auto out = std::back_inserter(text);
-  fmt::format_to(out, "# HELP {0} {1}\n# TYPE {0} histogram\n", name, help);
-  for (const auto& [route, latency] : latencies) {
-    const std::string label = EscapeLabel(route);
-    const Axis& axis = latency.counts.axis();
-    // Index -1 holds the values below the axis, index size() those above it.
-    std::uint64_t count = latency.counts.at(-1);
-    fmt::format_to(out, "{}_bucket{{route=\"{}\",le=\"{:.6g}\"}} {}\n", name,
-                   label, axis.value(0), count);
-    for (int i = 0; i < axis.size(); ++i) {
-      count += latency.counts.at(i);
-      fmt::format_to(out, "{}_bucket{{route=\"{}\",le=\"{:.6g}\"}} {}\n", name,
-                     label, axis.value(i + 1), count);
+  for (const auto& [name, family] : families) {
+    fmt::format_to(out, "# HELP {0} {1}\n# TYPE {0} histogram\n", name,
+                   family.help);
+    for (const auto& [labels, latency] : family.series) {
+      const std::string prefix = labels.empty() ? "" : labels + ",";
+      const Axis& axis = latency.counts.axis();
+      // Index -1 holds the values below the axis, index size() those above it.
+      std::uint64_t count = latency.counts.at(-1);
+      fmt::format_to(out, "{}_bucket{{{}le=\"{:.6g}\"}} {}\n", name, prefix,
+                     axis.value(0), count);
+      for (int i = 0; i < axis.size(); ++i) {
+        count += latency.counts.at(i);
+        fmt::format_to(out, "{}_bucket{{{}le=\"{:.6g}\"}} {}\n", name, prefix,
+                       axis.value(i + 1), count);
+      }
+      count += latency.counts.at(axis.size());
+      fmt::format_to(out,
+                     "{0}_bucket{{{1}le=\"+Inf\"}} {2}\n{0}_sum{3} {4}\n"
+                     "{0}_count{3} {2}\n",
+                     name, prefix, count, Braced(labels), latency.sum.count());
     }
-    count += latency.counts.at(axis.size());
-    fmt::format_to(out,
-                   "{0}_bucket{{route=\"{1}\",le=\"+Inf\"}} {2}\n"
-                   "{0}_sum{{route=\"{1}\"}} {3}\n"
-                   "{0}_count{{route=\"{1}\"}} {2}\n",
-                   name, label, count, latency.sum.count());
   }
 }
 
--- a/src/process/telemetry/metrics.h
+++ b/src/process/telemetry/metrics.h
@@ -1,26 +1,44 @@
 #pragma once
 
 #include <boost/histogram.hpp>
-#include <chrono>
 #include <cstdint>
 #include <map>
 #include <mutex>
 #include <string>
-#include <tuple>
 #include <utility>
+#include <vector>
 
-#include "process/dispatch/dispatch_event.h"
+#include "process/telemetry/request_observed.h"
+#include "request/boot_clock.h"
 
 namespace carawayrelay {
 
+// Name and help text of a metric in the Prometheus format.
+struct MetricName {
+  const char* name;
+  const char* help;
+};
+
 // Counters, latency distributions and gauges of one process. For any number of
 // threads.
 class Metrics {
  public:
+  // Names and values that tell the series of one metric apart.
+  using Labels = std::vector<std::pair<std::string, std::string>>;
+
   // Adds one finished request.
   void Observe(const RequestObserved& observed);
-
-  // `name` is a metric name of the Prometheus format, without labels.
+  // Adds one value to a latency distribution.
+  void ObserveDuration(const MetricName& metric,
+                       const Labels& labels,
+                       Duration value);
+  void Count(const MetricName& metric, const Labels& labels);
+  // Sets a counter that is kept elsewhere.
+  void SetCounter(const MetricName& metric,
+                  const Labels& labels,
+                  std::uint64_t value);
+  void SetGauge(const MetricName& metric, const Labels& labels, double value);
+  // `name` is a metric name of the Prometheus format.
   void SetGauge(const std::string& name, double value);
 
   // All metrics in the Prometheus text exposition format, version 0.0.4.
@@ -42,21 +60,31 @@
     Histogram counts;
     Seconds sum{0};
   };
-  // Keyed by route.
-  using Latencies = std::map<std::string, Latency>;
+  // Series by the text of their labels.
+  template <class Value>
+  struct Family {
+    std::string help;
+    std::map<std::string, Value> series;
+  };
+  template <class Value>
+  using Families = std::map<std::string, Family<Value>>;
 
-  static void PrintLatencies(const std::string& name,
-                             const std::string& help,
-                             const Latencies& latencies,
+  static std::string ToText(const Labels& labels);
+  template <class Value>
+  static Value& SeriesOf(Families<Value>& families,
+                         const MetricName& metric,
+                         const Labels& labels);
+  template <class Value>
+  static void Print(const char* type,
+                    const Families<Value>& families,
+                    std::string& text);
+  static void PrintLatencies(const Families<Latency>& families,
                              std::string& text);
 
   mutable std::mutex mutex_;
-  // Keyed by workspace, route and outcome.
-  std::map<std::tuple<std::string, std::string, std::string>, std::uint64_t>
-      requests_;
-  Latencies total_;
-  Latencies first_part_;
-  std::map<std::string, double> gauges_;
+  Families<std::uint64_t> counters_;
+  Families<Latency> latencies_;
+  Families<double> gauges_;
 };
 
 }  // namespace carawayrelay
--- a/src/process/transport/http_server.cc
+++ b/src/process/transport/http_server.cc
@@ -90,6 +90,8 @@
       return "Content Too Large";
     case 429:
       return "Too Many Requests";
+    case 431:
+      return "Request Header Fields Too Large";
     case 499:
       return "Client Closed Request";
     case 500:
--- a/src/request/refusal.cc
+++ b/src/request/refusal.cc
@@ -35,8 +35,9 @@
     CodeInfo{RefusalCode::kConnectionLost, "connection_lost", 502},
     CodeInfo{RefusalCode::kDeadline, "deadline", 504},
     CodeInfo{RefusalCode::kInternal, "internal", 500},
+    CodeInfo{RefusalCode::kHeadersTooLarge, "headers_too_large", 431},
 };
-static_assert(kCodes.size() == static_cast<size_t>(RefusalCode::kInternal) + 1);
+static_assert(kCodes.size() == static_cast<size_t>(kLastRefusalCode) + 1);
 
 const CodeInfo& Find(RefusalCode code) {
   const CodeInfo& info = kCodes.at(static_cast<size_t>(code));
--- a/src/request/refusal.h
+++ b/src/request/refusal.h
@@ -36,8 +36,11 @@
   kConnectionLost,  // the connection to the agent broke
   kDeadline,        // the time limit of the request passed
   kInternal,        // a defect of this program
+  kHeadersTooLarge,  // headers over the limit; last, as codes go over the wire
 };
 
+inline constexpr RefusalCode kLastRefusalCode = RefusalCode::kHeadersTooLarge;
+
 // Why a request was not answered. `retry_after` is set where waiting helps.
 struct Refusal {
   RefusalCode code = RefusalCode::kInternal;
--- a/src/request/retry_policy.cc
+++ b/src/request/retry_policy.cc
@@ -21,6 +21,7 @@
     case RefusalCode::kNotFound:
     case RefusalCode::kConflict:
     case RefusalCode::kTooLarge:
+    case RefusalCode::kHeadersTooLarge:
     case RefusalCode::kRateLimited:
     case RefusalCode::kFenced:
     case RefusalCode::kStoreDown:
--- a/src/version/serving_config.h
+++ b/src/version/serving_config.h
@@ -72,6 +72,12 @@
   double cold_requests_per_second = 0;
 };
 
+// What a client may send.
+struct ClientLimits {
+  size_t header_bytes = size_t{64} << 10;
+  size_t body_bytes = size_t{8} << 20;
+};
+
 // One version of the operators' configuration, indexed. Immutable.
 class ServingConfig {
  public:
@@ -80,6 +86,7 @@
     std::vector<ServingRoute> routes;
     std::vector<ServingWorkspace> workspaces;
     std::vector<ServingService> services;
+    ClientLimits limits;
   };
 
   explicit ServingConfig(Parts parts);
@@ -94,6 +101,7 @@
   // The workspace that holds the key, or nullptr.
   const ServingWorkspace* FindWorkspace(const std::string& key) const;
   const ServingService* FindService(const std::string& name) const;
+  const ClientLimits& limits() const { return parts_.limits; }
   const std::vector<ServingWorkspace>& workspaces() const {
     return parts_.workspaces;
   }
--- a/tests/serving/online_forwarder_test.cc
+++ b/tests/serving/online_forwarder_test.cc
@@ -116,6 +116,30 @@
   CHECK(LastRefusal().retry_after);
 }
 
+// Guards against a refusal because of entries whose backend servers crashed:
+// five of them answered as other starts before the sixth could be asked.
+TEST_CASE_FIXTURE(
+    OnlineForwarderFixture,
+    "OnlineForwarder, many entries of other starts, reaches the living one") {
+  std::vector<StoredRow> entries;
+  for (int i = 0; i < 6; ++i) {
+    entries.push_back(RunnerRow("old-" + std::to_string(i),
+                             "1.1.1.1" + std::to_string(i) + ":1"));
+  }
+  runners.Apply(entries, /*is_full=*/true, std::nullopt, now());
+  Arrive();
+  for (int i = 0; i < 5; ++i) {
+    const OutboundId id = RunnerCall().id;
+    Head(id, 421);
+    Forget(id);
+  }
+  const OutboundCall call = RunnerCall();
+  Head(call.id, 200, Signed());
+  Data(call.id, "id: 1\ndata: a\n\n");
+  End(call.id);
+  CHECK(Count<AnswerDone>() == 1);
+}
+
 // Guards against a refusal that says "not run" after a run may have begun.
 TEST_CASE_FIXTURE(OnlineForwarderFixture,
                   "OnlineForwarder, cut then declined, run stays unknown") {
--- a/tests/serving/runner_directory_test.cc
+++ b/tests/serving/runner_directory_test.cc
@@ -74,6 +74,42 @@
   CHECK(runners.size() == 0);
 }
 
+// Guards against requests to entries of backend servers that crashed: after a
+// loss of power every request met four of them and was refused (telar incident
+// 013a, 36.0 s).
+TEST_CASE_FIXTURE(
+    RunnerDirectoryFixture,
+    "RunnerDirectory, newer entry with the same address, replaces the older") {
+  StoredRow older = RunnerRow("a", "1.1.1.1:1");
+  older.version = 5;
+  StoredRow newer = RunnerRow("b", "1.1.1.1:1");
+  newer.version = 9;
+  Put({older});
+  Put({newer});
+  CHECK(Chosen() == std::set<std::string>{"b"});
+  REQUIRE(runners.FindByAddress("1.1.1.1:1") != nullptr);
+  CHECK(runners.FindByAddress("1.1.1.1:1")->entry.id == "b");
+  RunnerDirectory other{2};
+  other.Apply({newer, older}, /*is_full=*/true, std::nullopt, now());
+  CHECK(other.FindByAddress("1.1.1.1:1")->entry.id == "b");
+}
+
+// Guards against an entry that stays unused though its backend server lives.
+TEST_CASE_FIXTURE(
+    RunnerDirectoryFixture,
+    "RunnerDirectory, replaced entry that changes, is used again") {
+  StoredRow row = RunnerRow("a", "1.1.1.1:1");
+  row.version = 5;
+  Put({row});
+  runners.NoteReplaced(*runners.Find("a"), "test");
+  CHECK(Chosen().empty());
+  runners.Apply({row}, /*is_full=*/true, std::nullopt, now());
+  CHECK(Chosen().empty());
+  row.version = 6;
+  Put({row});
+  CHECK(Chosen() == std::set<std::string>{"a"});
+}
+
 // Guards against requests to a leaving backend server whose entry went 2.7 s
 // after an outage and was kept 2.3 s longer (telar trouble-3, 28.2 s).
 TEST_CASE_FIXTURE(
