One protocol for the platform's store

The roles entry and agent spoke a placeholder protocol to a store stand-in of their own, beside the protocol that the users' platform has. PlatformClient now sends the same requests as StoreClient, through one codec, and the stand-in serves RowStore, which the tests use without sockets. The list of VMs is a table.

The store's clock of RowStore is given by its user, so leases in tests run on the test's clock. A stand-in for a backend server of the platform is new.

--- a/src/process/store/platform_client.cc
+++ b/src/process/store/platform_client.cc
@@ -1,10 +1,11 @@
 #include "process/store/platform_client.h"
 
-#include <cstdint>
+#include <charconv>
 #include <nlohmann/json.hpp>
-#include <optional>
 #include <utility>
 
+#include "platform/store_codec.h"
+#include "process/store/store_call.h"
 #include "process/transport/http_client.h"
 
 namespace carawayrelay {
@@ -12,43 +13,44 @@
 
 using nlohmann::json;
 
-constexpr int kOk = 200;
-constexpr int kNotFoundStatus = 404;
-constexpr int kConflictStatus = 409;
-constexpr int kPreconditionFailed = 412;
+constexpr const char* kVmsTable = "vms";
 
-bool IsSuccess(int status) {
-  return status >= kOk && status < 300;
+Error Unavailable(const std::string& what, const std::string& reason) {
+  return {ErrorCode::kUnavailable, what + ": " + reason};
 }
 
-Error ToError(const HttpReply& reply, const std::string& target) {
-  const std::string message =
-      target + ": platform answered " + std::to_string(reply.status);
-  switch (reply.status) {
-    case kNotFoundStatus:
-      return {ErrorCode::kNotFound, message};
-    case kConflictStatus:
-    case kPreconditionFailed:
-      return {ErrorCode::kConflict, message};
-    case 429:
-      return {ErrorCode::kUnavailable, message};
-    default:
-      return {
-          reply.status >= 500 ? ErrorCode::kUnavailable : ErrorCode::kInvalid,
-          message};
-  }
+std::string ToEtag(std::uint64_t version) {
+  return std::to_string(version);
 }
 
-Error MalformedReply(const std::string& target) {
-  return {ErrorCode::kUnavailable, target + ": malformed platform response"};
+// Nothing when the text is no version.
+std::optional<std::uint64_t> ToVersion(const std::string& etag) {
+  std::uint64_t version = 0;
+  const char* end = etag.data() + etag.size();
+  const auto parsed = std::from_chars(etag.data(), end, version);
+  if (parsed.ec != std::errc() || parsed.ptr != end || version == 0) {
+    return std::nullopt;
+  }
+  return version;
 }
 
-std::string RowTarget(const std::string& table, const std::string& key) {
-  return "/v1/rows/" + PercentEncode(table) + "/" + PercentEncode(key);
+// The least text that is greater than all that begin with `prefix`; empty when
+// there is none.
+std::string AfterPrefix(std::string prefix) {
+  while (!prefix.empty() && prefix.back() == '\xff') {
+    prefix.pop_back();
+  }
+  if (!prefix.empty()) {
+    ++prefix.back();
+  }
+  return prefix;
 }
 
-std::string ObjectTarget(const std::string& name) {
-  return "/v1/objects/" + PercentEncode(name);
+RowsRead ReadOf(const RowKey& key) {
+  return {.table = key.table,
+          .part = key.part,
+          .from = key.key,
+          .to = key.key + '\0'};
 }
 
 }  // namespace
@@ -57,156 +59,170 @@
  public:
   explicit Impl(std::unique_ptr<HttpClient> http) : http_(std::move(http)) {}
 
-  // A read has no effect, so a lost response counts as unavailable.
-  Result<HttpReply> Read(const std::string& target) {
-    Result<HttpReply> reply = http_->Send({.method = "GET", .target = target});
-    if (!reply) {
-      return Error{ErrorCode::kUnavailable, reply.error().message};
+  struct Sent {
+    StoreReply reply;
+    // libcurl may have sent the call twice.
+    bool maybe_repeated = false;
+  };
+
+  // A call that did not reach the store is kRefused, one without an answer
+  // kUnknown.
+  Sent Send(const StoreRequest& request) {
+    const OutboundCall call = platform::EncodeStoreRequest(request);
+    HttpCall http{
+        .method = call.method, .target = call.target, .body = call.body};
+    for (const auto& [name, value] : call.headers) {
+      http.headers.push_back(name + ": " + value);
     }
-    if (!IsSuccess(reply.value().status)) {
-      return ToError(reply.value(), target);
+    Result<HttpReply> reply = http_->Send(http);
+    if (!reply) {
+      return {.reply = {.status = reply.error().code == ErrorCode::kUnknown
+                                      ? StoreStatus::kUnknown
+                                      : StoreStatus::kRefused,
+                        .reason = reply.error().message}};
     }
-    return reply;
+    return {.reply = platform::DecodeStoreReply(request, reply.value().status,
+                                                std::move(reply.value().body)),
+            .maybe_repeated = reply.value().maybe_repeated};
   }
 
-  Result<json> ReadJson(const std::string& target) {
-    BOOST_OUTCOME_TRY(const HttpReply reply, Read(target));
-    json parsed = json::parse(reply.body, nullptr, false);
-    if (!parsed.is_object()) {
-      return MalformedReply(target);
+  Result<std::vector<StoredRow>> ReadRows(const RowsRead& read) {
+    Sent sent = Send(read);
+    if (sent.reply.status != StoreStatus::kDone) {
+      return Unavailable(
+          read.table, ToString(sent.reply.status) + (" " + sent.reply.reason));
     }
-    return parsed;
+    return std::move(sent.reply.rows);
   }
 
-  Result<Row> ReadRow(const std::string& target) {
-    BOOST_OUTCOME_TRY(HttpReply reply, Read(target));
-    std::string etag = reply.Header("etag");
-    if (etag.empty()) {
-      return MalformedReply(target);
+  Result<StoredRow> ReadRow(const RowKey& key) {
+    BOOST_OUTCOME_TRY(std::vector<StoredRow> rows, ReadRows(ReadOf(key)));
+    if (rows.empty()) {
+      return Error{ErrorCode::kNotFound, key.table + "/" + key.key};
     }
-    return Row{.value = std::move(reply.body), .etag = std::move(etag)};
+    return std::move(rows.front());
   }
 
-  // Writes a row under a precondition. `etag` is empty for a row that must not
-  // exist yet.
-  Result<std::string> WriteRow(const std::string& target,
-                               const std::string& value,
-                               const std::string& etag) {
-    const HttpCall call{
-        .method = "PUT",
-        .target = target,
-        .headers = {etag.empty() ? "If-None-Match: *" : "If-Match: " + etag,
-                    "Content-Type: application/octet-stream"},
-        .body = value};
-    const Result<HttpReply> reply = http_->Send(call);
-    if (!reply) {
-      return reply.error().code == ErrorCode::kUnknown
-                 ? ReadBack(call, etag, CanRepeat::kYes)
-                 : reply.error();
-    }
-    return FinishWrite(reply.value(), call, etag);
+  // Writes a row that has `version`, or none when that is 0. Returns the new
+  // version.
+  Result<std::uint64_t> WriteRow(const RowKey& key,
+                                 const std::string& value,
+                                 std::uint64_t version) {
+    return WriteOnce(key, value, version, CanRepeat::kYes);
   }
 
-  Result<void> DeleteRow(const std::string& target, const std::string& etag) {
-    const Result<HttpReply> reply =
-        http_->Send({.method = "DELETE",
-                     .target = target,
-                     .headers = {"If-Match: " + etag}});
-    if (reply && IsSuccess(reply.value().status)) {
-      return Success();
+  Result<void> DeleteRow(const RowKey& key, std::uint64_t version) {
+    RowsTransaction transaction;
+    transaction.expected.push_back({.key = key, .version = version});
+    transaction.removals.push_back(key);
+    const Sent sent = Send(transaction);
+    switch (sent.reply.status) {
+      case StoreStatus::kDone:
+        return Success();
+      case StoreStatus::kRefused:
+        return Unavailable(key.key, sent.reply.reason);
+      case StoreStatus::kConditionFailed:
+        if (!sent.maybe_repeated) {
+          return Error{IsAbsent(sent.reply) ? ErrorCode::kNotFound
+                                            : ErrorCode::kConflict,
+                       key.key + ": row changed"};
+        }
+        break;
+      default:
+        break;
     }
-    const Error error = reply ? ToError(reply.value(), target) : reply.error();
-    // A repeat of a delete that took effect finds no row.
-    const bool lost = reply ? reply.value().maybe_repeated &&
-                                  (error.code == ErrorCode::kConflict ||
-                                   error.code == ErrorCode::kNotFound)
-                            : error.code == ErrorCode::kUnknown;
-    if (!lost) {
-      return error;
-    }
-    const Result<Row> row = ReadRow(target);
+    const Result<StoredRow> row = ReadRow(key);
     if (!row && row.error().code == ErrorCode::kNotFound) {
       return Success();
     }
-    if (row && row.value().etag != etag) {
-      return Error{ErrorCode::kConflict, target + ": row changed"};
+    if (row && row.value().version != version) {
+      return Error{ErrorCode::kConflict, key.key + ": row changed"};
     }
-    return Error{ErrorCode::kUnknown, error.message};
+    return Error{ErrorCode::kUnknown, key.key + ": " + sent.reply.reason};
   }
 
   Result<void> WriteObject(const std::string& name, const std::string& data) {
-    const std::string target = ObjectTarget(name);
-    const HttpCall call{.method = "PUT",
-                        .target = target,
-                        .headers = {"If-None-Match: *",
-                                    "Content-Type: application/octet-stream"},
-                        .body = data};
-    const Result<HttpReply> reply = http_->Send(call);
-    if (reply && IsSuccess(reply.value().status)) {
+    const Sent sent = Send(ObjectWrite{.name = name, .data = data});
+    if (sent.reply.status == StoreStatus::kDone) {
       return Success();
     }
-    const Error error = reply ? ToError(reply.value(), target) : reply.error();
-    if (error.code != ErrorCode::kConflict &&
-        error.code != ErrorCode::kUnknown) {
-      return error;
+    if (sent.reply.status == StoreStatus::kRefused) {
+      return Unavailable(name, sent.reply.reason);
     }
-    const Result<HttpReply> stored = Read(target);
+    const Result<std::string> stored = ReadObject(name);
     if (stored) {
-      return stored.value().body == data
+      return stored.value() == data
                  ? Result<void>(Success())
                  : Error{ErrorCode::kConflict, name + ": has other data"};
     }
-    return Error{ErrorCode::kUnknown, error.message};
+    return Error{ErrorCode::kUnknown, name + ": " + sent.reply.reason};
+  }
+
+  Result<std::string> ReadObject(const std::string& name) {
+    Sent sent = Send(ObjectRead{.name = name});
+    if (sent.reply.status == StoreStatus::kDone) {
+      return std::move(sent.reply.data);
+    }
+    if (sent.reply.status == StoreStatus::kNotFound) {
+      return Error{ErrorCode::kNotFound, name};
+    }
+    return Unavailable(name, sent.reply.reason);
   }
 
  private:
   enum class CanRepeat { kNo, kYes };
 
-  Result<std::string> FinishWrite(const HttpReply& reply,
-                                  const HttpCall& call,
-                                  const std::string& etag) {
-    if (IsSuccess(reply.status)) {
-      std::string new_etag = reply.Header("etag");
-      // Without the ETag the row has to be read to get it.
-      return new_etag.empty() ? ReadBack(call, etag, CanRepeat::kNo)
-                              : Result<std::string>(std::move(new_etag));
-    }
-    Error error = ToError(reply, call.target);
-    if (error.code == ErrorCode::kConflict && reply.maybe_repeated) {
-      // The conflict may be with the first copy of this same write.
-      return ReadBack(call, etag, CanRepeat::kNo);
+  static bool IsAbsent(const StoreReply& reply) {
+    return !reply.rows.empty() && reply.rows.front().version == 0;
+  }
+
+  Result<std::uint64_t> WriteOnce(const RowKey& key,
+                                  const std::string& value,
+                                  std::uint64_t version,
+                                  CanRepeat can_repeat) {
+    RowsTransaction transaction;
+    transaction.expected.push_back({.key = key, .version = version});
+    transaction.writes.push_back({.key = key, .value = value});
+    const Sent sent = Send(transaction);
+    switch (sent.reply.status) {
+      case StoreStatus::kDone:
+        return sent.reply.version;
+      case StoreStatus::kRefused:
+        return Unavailable(key.key, sent.reply.reason);
+      case StoreStatus::kConditionFailed:
+        // The conflict may be with the first copy of this same write.
+        return sent.maybe_repeated || can_repeat == CanRepeat::kNo
+                   ? ReadBack(key, value, version, CanRepeat::kNo)
+                   : Error{ErrorCode::kConflict, key.key + ": row changed"};
+      default:
+        return ReadBack(key, value, version, can_repeat);
     }
-    return error;
   }
 
   // Finds out whether a write took effect. When the row is as before, the
   // first write may still be on its way; repeating it under the same
   // precondition settles the outcome, as only one of the two can succeed.
-  Result<std::string> ReadBack(const HttpCall& call,
-                               const std::string& etag,
-                               CanRepeat can_repeat) {
-    const Result<Row> row = ReadRow(call.target);
-    if (row && row.value().value == call.body) {
-      return row.value().etag;
+  Result<std::uint64_t> ReadBack(const RowKey& key,
+                                 const std::string& value,
+                                 std::uint64_t version,
+                                 CanRepeat can_repeat) {
+    const Result<StoredRow> row = ReadRow(key);
+    if (row && row.value().value == value) {
+      return row.value().version;
     }
-    const bool unchanged =
-        row ? !etag.empty() && row.value().etag == etag
-            : row.error().code == ErrorCode::kNotFound && etag.empty();
-    if (unchanged && can_repeat == CanRepeat::kYes) {
-      const Result<HttpReply> reply = http_->Send(call);
-      if (reply && IsSuccess(reply.value().status)) {
-        return FinishWrite(reply.value(), call, etag);
-      }
-      return ReadBack(call, etag, CanRepeat::kNo);
+    const bool is_missing = !row && row.error().code == ErrorCode::kNotFound;
+    if (!row && !is_missing) {
+      return Error{ErrorCode::kUnknown, row.error().message};
     }
-    if (row && !unchanged) {
-      return Error{ErrorCode::kConflict, call.target + ": row changed"};
+    const std::uint64_t found = row ? row.value().version : 0;
+    if (found != version) {
+      return Error{ErrorCode::kConflict, key.key + ": row changed"};
     }
-    if (!row && row.error().code == ErrorCode::kNotFound && !etag.empty()) {
-      return Error{ErrorCode::kConflict, call.target + ": row was deleted"};
+    if (can_repeat == CanRepeat::kYes) {
+      return WriteOnce(key, value, version, CanRepeat::kNo);
     }
     return Error{ErrorCode::kUnknown,
-                 call.target + ": response to the write was lost"};
+                 key.key + ": response to the write was lost"};
   }
 
   std::unique_ptr<HttpClient> http_;
@@ -229,7 +245,9 @@
 
 Result<Row> PlatformClient::ReadRow(const std::string& table,
                                     const std::string& key) {
-  return impl_->ReadRow(RowTarget(table, key));
+  BOOST_OUTCOME_TRY(StoredRow row,
+                    impl_->ReadRow({.table = table, .key = key}));
+  return Row{.value = std::move(row.value), .etag = ToEtag(row.version)};
 }
 
 Result<std::vector<KeyedRow>> PlatformClient::ListRows(
@@ -237,19 +255,17 @@
     const std::string& prefix,
     const std::string& after,
     size_t limit) {
-  const std::string target =
-      "/v1/rows/" + PercentEncode(table) + "?prefix=" + PercentEncode(prefix) +
-      "&after=" + PercentEncode(after) + "&limit=" + std::to_string(limit);
-  BOOST_OUTCOME_TRY(const json reply, impl_->ReadJson(target));
+  BOOST_OUTCOME_TRY(
+      std::vector<StoredRow> stored,
+      impl_->ReadRows({.table = table,
+                       .from = after < prefix ? prefix : after + '\0',
+                       .to = AfterPrefix(prefix),
+                       .max_rows = limit}));
   std::vector<KeyedRow> rows;
-  try {
-    for (const json& item : reply.at("rows")) {
-      rows.push_back({.key = item.at("key").get<std::string>(),
-                      .row = {.value = item.at("value").get<std::string>(),
-                              .etag = item.at("etag").get<std::string>()}});
-    }
-  } catch (const json::exception&) {
-    return MalformedReply(target);
+  for (StoredRow& row : stored) {
+    rows.push_back(
+        {.key = std::move(row.key.key),
+         .row = {.value = std::move(row.value), .etag = ToEtag(row.version)}});
   }
   return rows;
 }
@@ -257,23 +273,33 @@
 Result<std::string> PlatformClient::CreateRow(const std::string& table,
                                               const std::string& key,
                                               const std::string& value) {
-  return impl_->WriteRow(RowTarget(table, key), value, "");
+  BOOST_OUTCOME_TRY(const std::uint64_t version,
+                    impl_->WriteRow({.table = table, .key = key}, value, 0));
+  return ToEtag(version);
 }
 
 Result<std::string> PlatformClient::UpdateRow(const std::string& table,
                                               const std::string& key,
                                               const std::string& value,
                                               const std::string& etag) {
-  if (etag.empty()) {
+  const std::optional<std::uint64_t> before = ToVersion(etag);
+  if (!before) {
     return Error{ErrorCode::kInvalid, "update of " + key + " without an ETag"};
   }
-  return impl_->WriteRow(RowTarget(table, key), value, etag);
+  BOOST_OUTCOME_TRY(
+      const std::uint64_t version,
+      impl_->WriteRow({.table = table, .key = key}, value, *before));
+  return ToEtag(version);
 }
 
 Result<void> PlatformClient::DeleteRow(const std::string& table,
                                        const std::string& key,
                                        const std::string& etag) {
-  return impl_->DeleteRow(RowTarget(table, key), etag);
+  const std::optional<std::uint64_t> before = ToVersion(etag);
+  if (!before) {
+    return Error{ErrorCode::kInvalid, "delete of " + key + " without an ETag"};
+  }
+  return impl_->DeleteRow({.table = table, .key = key}, *before);
 }
 
 Result<void> PlatformClient::WriteObject(const std::string& name,
@@ -282,24 +308,24 @@
 }
 
 Result<std::string> PlatformClient::ReadObject(const std::string& name) {
-  BOOST_OUTCOME_TRY(HttpReply reply, impl_->Read(ObjectTarget(name)));
-  return std::move(reply.body);
+  return impl_->ReadObject(name);
 }
 
 Result<std::vector<VmInfo>> PlatformClient::ListVms() {
-  const std::string target = "/v1/vms";
-  BOOST_OUTCOME_TRY(const json reply, impl_->ReadJson(target));
+  BOOST_OUTCOME_TRY(const std::vector<StoredRow> rows,
+                    impl_->ReadRows({.table = kVmsTable}));
   std::vector<VmInfo> vms;
   try {
-    for (const json& item : reply.at("vms")) {
+    for (const StoredRow& row : rows) {
+      const json item = json::parse(row.value);
       vms.push_back({.node = item.at("node").get<std::string>(),
                      .role = item.at("role").get<std::string>(),
                      .zone = item.at("zone").get<std::string>(),
                      .address = item.at("address").get<std::string>(),
                      .leaving = item.value("leaving", false)});
     }
-  } catch (const json::exception&) {
-    return MalformedReply(target);
+  } catch (const json::exception& e) {
+    return Unavailable(kVmsTable, std::string("malformed entry: ") + e.what());
   }
   return vms;
 }
--- a/src/process/store/platform_client.h
+++ b/src/process/store/platform_client.h
@@ -30,9 +30,10 @@
   friend bool operator==(const VmInfo&, const VmInfo&) = default;
 };
 
-// Client of the platform's table service, object store and VM list. Blocking;
-// each thread that needs the platform owns a client. The only place that knows
-// the platform's protocol.
+// Blocking client of the platform's store for threads that wait for it; each
+// owns one. It speaks the same protocol as StoreClient, through one codec. The
+// ETag of a row is the version that the store gave it; the list of VMs is a
+// table.
 //
 // Errors: kNotFound, kConflict (the precondition failed), kUnavailable (nothing
 // was written), kUnknown (a write may or may not have taken effect). When the
--- a/src/process/store/store_call.h
+++ b/src/process/store/store_call.h
@@ -47,6 +47,7 @@
   std::string part;
   std::string from;
   std::string to;
+  size_t max_rows = 0;  // 0 is the most that the store returns
   // Until the call counts as lost; 0 is the usual limit.
   std::chrono::milliseconds limit{0};
 };
--- a/tests/process/batch_thread_test.cc
+++ b/tests/process/batch_thread_test.cc
@@ -112,8 +112,7 @@
                       "/content");
   CHECK(std::count(output.begin(), output.end(), '\n') == 35);
   CHECK(output.find(R"("body":{"answer":1})") != std::string::npos);
-  CHECK(platform.Get("/v1/rows/active_jobs/" +
-                     created["id"].get<std::string>()) == "");
+  CHECK(platform.Get("active_jobs", created["id"].get<std::string>()) == "");
 }
 
 }  // namespace
--- a/tests/process/config_store_test.cc
+++ b/tests/process/config_store_test.cc
@@ -14,7 +14,8 @@
 
 using Fault = FakePlatform::Fault;
 
-constexpr const char* kPointer = "/v1/rows/config/current";
+constexpr const char* kTable = "config";
+constexpr const char* kPointer = "current";
 
 std::string DocumentWithZone(const std::string& zone) {
   ConfigDocument document;
@@ -117,7 +118,7 @@
       store.Publish(kNoConfig, DocumentWithZone("a"));
   REQUIRE(std::holds_alternative<ConfigFailed>(outcome));
   CHECK(std::get<ConfigFailed>(outcome).error.code == ErrorCode::kUnknown);
-  CHECK_FALSE(platform.Get(kPointer).empty());
+  CHECK_FALSE(platform.Get(kTable, kPointer).empty());
 }
 
 TEST_CASE_FIXTURE(ConfigStoreFixture,
@@ -133,11 +134,11 @@
 TEST_CASE_FIXTURE(ConfigStoreFixture,
                   "ConfigStore, damaged row or object, is refused") {
   store.Publish(kNoConfig, DocumentWithZone("a"));
-  const auto pointer = nlohmann::json::parse(platform.Get(kPointer));
-  platform.Put("/v1/objects/" + pointer["object"].get<std::string>(),
-               DocumentWithZone("b"));
+  const auto pointer = nlohmann::json::parse(platform.Get(kTable, kPointer));
+  platform.PutObject(pointer["object"].get<std::string>(),
+                     DocumentWithZone("b"));
   CHECK(store.ReadNewer(kNoConfig).error().code == ErrorCode::kInvalid);
-  platform.Put(kPointer, "{}");
+  platform.Put(kTable, kPointer, "{}");
   CHECK(store.ReadNewer(kNoConfig).error().code == ErrorCode::kInvalid);
 }
 
--- a/tests/process/config_watch_test.cc
+++ b/tests/process/config_watch_test.cc
@@ -109,10 +109,10 @@
 // Guards against closing all connections because the list cannot be read.
 TEST_CASE_FIXTURE(ConfigWatchFixture,
                   "ConfigWatch, platform away, keeps the last VM list") {
-  platform.vms = {{{"node", "n1"},
-                   {"role", "agent"},
-                   {"zone", "z1"},
-                   {"address", "127.0.0.1:9"}}};
+  platform.PutVm("n1", {{"node", "n1"},
+                        {"role", "agent"},
+                        {"zone", "z1"},
+                        {"address", "127.0.0.1:9"}});
   Start();
   CHECK(Next<VmsChanged>().vms.size() == 1);
   platform.reads_fail = true;
--- a/tests/process/fake_platform.h
+++ b/tests/process/fake_platform.h
@@ -2,9 +2,9 @@
 
 #include <unistd.h>
 
+#include <atomic>
 #include <cstdlib>
 #include <functional>
-#include <map>
 #include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
@@ -12,6 +12,7 @@
 #include <utility>
 
 #include "carawayrelay/process.h"
+#include "standins/row_store.h"
 
 namespace carawayrelay {
 
@@ -29,7 +30,7 @@
   std::abort();
 }
 
-// The platform's tables and objects in two maps, with faults.
+// The platform's store behind an HTTP server, with faults.
 class FakePlatform {
  public:
   enum class Fault {
@@ -53,49 +54,33 @@
   std::function<Fault()> on_write;
   std::atomic<bool> reads_fail = false;
   std::atomic<int> reads = 0;
-  nlohmann::json vms = nlohmann::json::array();
 
-  void Put(const std::string& path, const std::string& value) {
+  void Put(const std::string& table,
+           const std::string& key,
+           const std::string& value) {
     std::lock_guard lock(mutex_);
-    Store(path, value);
+    store_.Put(table, "", key, value);
   }
-
-  std::string Get(const std::string& path) {
+  void PutObject(const std::string& name, const std::string& data) {
     std::lock_guard lock(mutex_);
-    return rows_.contains(path) ? rows_.at(path).value : std::string();
+    store_.PutObject(name, data);
   }
-
- private:
-  static std::string Decode(const std::string& text) {
-    std::string decoded;
-    for (size_t i = 0; i < text.size(); ++i) {
-      if (text[i] == '%') {
-        decoded +=
-            static_cast<char>(std::stoi(text.substr(i + 1, 2), nullptr, 16));
-        i += 2;
-      } else {
-        decoded += text[i];
-      }
-    }
-    return decoded;
+  std::string Get(const std::string& table, const std::string& key) {
+    std::lock_guard lock(mutex_);
+    return store_.Get(table, "", key);
   }
-
-  void Store(const std::string& path, const std::string& value) {
-    rows_[path] = {.value = value,
-                   .etag = "\"" + std::to_string(++etag_) + "\""};
+  // Sets the entry of one VM.
+  void PutVm(const std::string& key, const nlohmann::json& vm) {
+    Put("vms", key, vm.dump());
   }
 
+ private:
   void Handle(const HttpRequest& request, HttpExchange& exchange) {
-    if (request.method == "GET") {
-      ++reads;
-      if (reads_fail) {
-        exchange.Reply(503, {}, "");
-        return;
-      }
-      HandleRead(request, exchange);
-      return;
-    }
-    const Fault fault = on_write ? on_write() : Fault::kNone;
+    const bool is_read = request.method == "GET";
+    reads += is_read ? 1 : 0;
+    const Fault fault = is_read    ? reads_fail ? Fault::kRefuse : Fault::kNone
+                        : on_write ? on_write()
+                                   : Fault::kNone;
     if (fault == Fault::kDropRequest) {
       exchange.Abort();
       return;
@@ -104,62 +89,24 @@
       exchange.Reply(503, {}, "");
       return;
     }
-    const auto [status, etag] = Write(request);
+    RowStore::Answer answer;
+    {
+      std::lock_guard lock(mutex_);
+      answer = store_.Handle(request.method,
+                             request.query.empty()
+                                 ? request.path
+                                 : request.path + "?" + request.query,
+                             request.body);
+    }
     if (fault == Fault::kLoseResponse) {
       exchange.Abort();
       return;
     }
-    exchange.Reply(status, {{"ETag", etag}}, "");
-  }
-
-  void HandleRead(const HttpRequest& request, HttpExchange& exchange) {
-    std::lock_guard lock(mutex_);
-    if (request.path == "/v1/vms") {
-      exchange.Reply(200, {}, nlohmann::json{{"vms", vms}}.dump());
-      return;
-    }
-    const std::string path = Decode(request.path);
-    if (rows_.contains(path)) {
-      exchange.Reply(200, {{"ETag", rows_[path].etag}}, rows_[path].value);
-      return;
-    }
-    if (request.query.empty()) {
-      exchange.Reply(404, {}, "");
-      return;
-    }
-    nlohmann::json list = nlohmann::json::array();
-    for (const auto& [key, row] : rows_) {
-      if (key.starts_with(path + "/")) {
-        list.push_back({{"key", key.substr(path.size() + 1)},
-                        {"etag", row.etag},
-                        {"value", row.value}});
-      }
-    }
-    exchange.Reply(200, {}, nlohmann::json{{"rows", list}}.dump());
-  }
-
-  std::pair<int, std::string> Write(const HttpRequest& request) {
-    std::lock_guard lock(mutex_);
-    const std::string path = Decode(request.path);
-    const auto match = request.headers.find("if-match");
-    const bool exists = rows_.contains(path);
-    const bool allowed = match == request.headers.end()
-                             ? !exists
-                             : exists && rows_[path].etag == match->second;
-    if (!allowed) {
-      return {412, ""};
-    }
-    if (request.method == "DELETE") {
-      rows_.erase(path);
-      return {204, ""};
-    }
-    Store(path, request.body);
-    return {200, rows_[path].etag};
+    exchange.Reply(answer.status, {}, answer.body);
   }
 
   std::mutex mutex_;
-  std::map<std::string, Row> rows_;
-  int etag_ = 0;
+  RowStore store_;
   std::string url_;
   std::unique_ptr<HttpServer> server_;
 };
--- a/tests/process/intent_thread_test.cc
+++ b/tests/process/intent_thread_test.cc
@@ -15,7 +15,7 @@
 using Fault = FakePlatform::Fault;
 
 struct IntentThreadFixture {
-  static constexpr const char* kPath = "/v1/rows/intents/ws/order-1";
+  static constexpr const char* kKey = "ws/order-1";
   static constexpr std::chrono::seconds kPatience{10};
 
   FakePlatform platform;
@@ -54,7 +54,7 @@
   bool AwaitState(IntentState state) {
     const TimePoint end = BootClock::now() + kPatience;
     while (BootClock::now() < end) {
-      const auto row = ParseIntentRecord(platform.Get(kPath));
+      const auto row = ParseIntentRecord(platform.Get("intents", kKey));
       if (row && row.value().state == state) {
         return true;
       }
--- a/tests/process/platform_client_test.cc
+++ b/tests/process/platform_client_test.cc
@@ -37,7 +37,7 @@
   const std::string key = "a/b c?%&\xC3\xA9";
   const auto etag = client->CreateRow("t", key, "v1");
   REQUIRE(etag);
-  CHECK(platform.Get("/v1/rows/t/" + key) == "v1");
+  CHECK(platform.Get("t", key) == "v1");
   REQUIRE(client->UpdateRow("t", key, "v2", etag.value()));
   const auto rows = client->ListRows("t", "", "", 10);
   REQUIRE(rows);
@@ -58,7 +58,7 @@
         ErrorCode::kConflict);
   CHECK(client->DeleteRow("t", "k", etag.value()).error().code ==
         ErrorCode::kConflict);
-  CHECK(platform.Get("/v1/rows/t/k") == "third");
+  CHECK(platform.Get("t", "k") == "third");
 }
 
 // Guards against reporting a write as failed that took effect. The second
@@ -84,7 +84,7 @@
     "PlatformClient, lost response to a losing write, conflicts") {
   const auto etag = client->CreateRow("t", "k", "v1");
   REQUIRE(etag);
-  platform.Put("/v1/rows/t/k", "other");
+  platform.Put("t", "k", "other");
   faults = {Fault::kLoseResponse, Fault::kLoseResponse};
   CHECK(client->UpdateRow("t", "k", "v2", etag.value()).error().code ==
         ErrorCode::kConflict);
@@ -94,7 +94,7 @@
                   "PlatformClient, request lost once, writes once") {
   faults = {Fault::kDropRequest};
   REQUIRE(client->CreateRow("t", "k", "v1"));
-  CHECK(platform.Get("/v1/rows/t/k") == "v1");
+  CHECK(platform.Get("t", "k") == "v1");
 }
 
 // Guards against telling a caller "not written" of a write that may land.
@@ -134,16 +134,16 @@
 
 TEST_CASE_FIXTURE(PlatformClientFixture,
                   "PlatformClient, VM list, is read or reported as malformed") {
-  platform.vms = {{{"node", "n1"},
-                   {"role", "agent"},
-                   {"zone", "z1"},
-                   {"address", "127.0.0.1:9"},
-                   {"leaving", true}}};
+  platform.PutVm("n1", {{"node", "n1"},
+                        {"role", "agent"},
+                        {"zone", "z1"},
+                        {"address", "127.0.0.1:9"},
+                        {"leaving", true}});
   const auto vms = client->ListVms();
   REQUIRE(vms);
   REQUIRE(vms.value().size() == 1);
   CHECK(vms.value()[0].leaving);
-  platform.vms = {{{"node", 1}}};
+  platform.PutVm("n1", {{"node", 1}});
   CHECK(client->ListVms().error().code == ErrorCode::kUnavailable);
 }
 
--- a/tests/serving/serving_fixture.h
+++ b/tests/serving/serving_fixture.h
@@ -151,7 +151,10 @@
   StepClock clock;
   std::vector<OutboundCall> started;
   std::vector<OutboundId> cancelled;
-  RowStore rows;
+  RowStore rows{[this] {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+        clock.now().time_since_epoch());
+  }};
   std::function<StoreFault(const OutboundCall&)> store_fault;
   // Whether calls for changes are answered without any.
   bool ends_watches = false;
--- a/tools/harness/fleet.cc
+++ b/tools/harness/fleet.cc
@@ -216,15 +216,15 @@
 
 Result<void> Fleet::PublishVms(const std::vector<std::string>& gone,
                                const std::vector<std::string>& leaving) {
-  json vms = json::array();
+  json vms = json::object();
   const auto add = [&](const std::string& node, const std::string& zone,
                        const char* role, std::uint16_t port) {
     if (!Contains(gone, node)) {
-      vms.push_back({{"node", node},
-                     {"role", role},
-                     {"zone", zone},
-                     {"address", LoopbackAddress(port)},
-                     {"leaving", Contains(leaving, node)}});
+      vms[node] = {{"node", node},
+                   {"role", role},
+                   {"zone", zone},
+                   {"address", LoopbackAddress(port)},
+                   {"leaving", Contains(leaving, node)}};
     }
   };
   for (size_t i = 0; i < plan_.entries.size(); ++i) {
@@ -235,15 +235,7 @@
     add(plan_.backends[i].node, plan_.backends[i].zone, "agent",
         backend_ports_[i].link);
   }
-  CallSpec spec;
-  spec.method = "PUT";
-  spec.url = PlatformUrl() + "/v1/vms";
-  spec.body = json{{"vms", vms}}.dump();
-  const CallResult result = http_.Run(spec);
-  if (result.http_status != 200) {
-    return Error{ErrorCode::kUnavailable,
-                 spec.url + ": " + result.transport_error + result.body};
-  }
+  BOOST_OUTCOME_TRY(Control(kPlatform, {{"tables", {{"vms", vms}}}}));
   return Success();
 }
 
--- a/tools/standins/main.cc
+++ b/tools/standins/main.cc
@@ -7,6 +7,7 @@
 
 #include "standins/engine_standin.h"
 #include "standins/platform_standin.h"
+#include "standins/runner_standin.h"
 #include "standins/service_standin.h"
 
 DEFINE_string(listen, "", "IP:port to serve HTTP on");
@@ -14,7 +15,7 @@
 
 DEFINE_int32(writes_per_second, 400, "platform: writes allowed a second");
 DEFINE_int32(reads_per_second, 2000, "platform: reads allowed a second");
-DEFINE_int32(vms_lag_ms, 500, "platform: lag of the list of VMs");
+DEFINE_int32(entries_lag_ms, 500, "platform: lag of tables set by control");
 
 DEFINE_int32(step_base_us, 5000, "engine: time of a step without sequences");
 DEFINE_int32(step_per_sequence_us, 200, "engine: more time for each sequence");
@@ -30,6 +31,10 @@
 
 DEFINE_int32(work_ms, 2, "service: time that each request takes");
 
+DEFINE_string(runner_id, "", "runner: id of this start");
+DEFINE_int32(slots, 8, "runner: requests that run at once");
+DEFINE_int32(step_ms, 20, "runner: time between two events");
+
 namespace carawayrelay::tools {
 namespace {
 
@@ -38,7 +43,8 @@
 
 using Subject = std::variant<PlatformStandin::Options,
                              EngineStandin::Options,
-                             ServiceStandin::Options>;
+                             ServiceStandin::Options,
+                             RunnerStandin::Options>;
 
 EngineStandin::Options EngineOptions() {
   EngineStandin::Options options;
@@ -60,7 +66,7 @@
   if (subcommand == "platform") {
     return PlatformStandin::Options{
         {FLAGS_writes_per_second, FLAGS_reads_per_second},
-        milliseconds(FLAGS_vms_lag_ms)};
+        milliseconds(FLAGS_entries_lag_ms)};
   }
   if (subcommand == "engine") {
     return EngineOptions();
@@ -68,6 +74,11 @@
   if (subcommand == "service") {
     return ServiceStandin::Options{milliseconds(FLAGS_work_ms)};
   }
+  if (subcommand == "runner") {
+    return RunnerStandin::Options{.id = FLAGS_runner_id,
+                                  .slots = FLAGS_slots,
+                                  .step = milliseconds(FLAGS_step_ms)};
+  }
   return std::nullopt;
 }
 
@@ -80,7 +91,8 @@
 }
 
 int Main(int argc, char** argv) {
-  gflags::SetUsageMessage("platform|engine|service --listen IP:port [flags]");
+  gflags::SetUsageMessage(
+      "platform|engine|service|runner --listen IP:port [flags]");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   const std::string subcommand = argc == 2 ? argv[1] : "";
   const std::optional<Subject> subject = SubjectOf(subcommand);
@@ -106,6 +118,9 @@
                  [&](const ServiceStandin::Options& options) {
                    Serve<ServiceStandin>(options, log, *server.value());
                  },
+                 [&](const RunnerStandin::Options& options) {
+                   Serve<RunnerStandin>(options, log, *server.value());
+                 },
              },
              *subject);
   return 0;
--- a/tools/standins/row_store.cc
+++ b/tools/standins/row_store.cc
@@ -61,12 +61,6 @@
   return value;
 }
 
-std::int64_t NowMs() {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-             std::chrono::steady_clock::now().time_since_epoch())
-      .count();
-}
-
 std::tuple<std::string, std::string, std::string> KeyOf(const json& row) {
   return {row.value("table", ""), row.value("part", ""), row.value("key", "")};
 }
@@ -127,19 +121,22 @@
   if (!holds) {
     return {412, json{{"rows", std::move(current)},
                       {"ver", version_},
-                      {"nowMs", NowMs()}}
+                      {"nowMs", clock_().count()}}
                      .dump()};
   }
   ++version_;
+  changes_.clear();
   for (const json& write : root.value("writes", json::array())) {
     rows_[KeyOf(write)] = {
         .value = platform::FromBase64(write.value("value", "")).value_or(""),
         .version = version_};
+    changes_.push_back(KeyOf(write));
   }
   for (const json& removal : root.value("remove", json::array())) {
     rows_[KeyOf(removal)] = {.version = version_, .is_removed = true};
+    changes_.push_back(KeyOf(removal));
   }
-  return {200, json{{"ver", version_}, {"nowMs", NowMs()}}.dump()};
+  return {200, json{{"ver", version_}, {"nowMs", clock_().count()}}.dump()};
 }
 
 RowStore::Answer RowStore::Read(const std::string& target) const {
@@ -147,6 +144,8 @@
   const std::string part = Parameter(target, "part").value_or("");
   const std::string from = Parameter(target, "from").value_or("");
   const std::optional<std::string> to = Parameter(target, "to");
+  const std::uint64_t limit = NumberParameter(target, "limit");
+  const size_t most = limit == 0 ? kMaxRows : std::min<size_t>(limit, kMaxRows);
   json rows = json::array();
   bool has_more = false;
   for (const auto& [key, row] : rows_) {
@@ -155,7 +154,7 @@
         row_key < from || (to && row_key >= *to)) {
       continue;
     }
-    if (rows.size() == kMaxRows) {
+    if (rows.size() == most) {
       has_more = true;
       break;
     }
@@ -168,7 +167,7 @@
   return {200, json{{"rows", std::move(rows)},
                     {"hasMore", has_more},
                     {"ver", version_},
-                    {"nowMs", NowMs()}}
+                    {"nowMs", clock_().count()}}
                    .dump()};
 }
 
@@ -217,9 +216,10 @@
   for (auto& [version, row] : changed) {
     rows.push_back(std::move(row));
   }
-  return {200,
-          json{{"rows", std::move(rows)}, {"ver", version_}, {"nowMs", NowMs()}}
-              .dump()};
+  return {200, json{{"rows", std::move(rows)},
+                    {"ver", version_},
+                    {"nowMs", clock_().count()}}
+                   .dump()};
 }
 
 void RowStore::Put(const std::string& table,
@@ -235,6 +235,31 @@
   rows_[{table, part, key}] = {.version = ++version_, .is_removed = true};
 }
 
+std::vector<RowStore::Change> RowStore::TakeChanges() {
+  std::vector<Change> taken;
+  for (const Key& key : std::exchange(changes_, {})) {
+    const Row& row = rows_.at(key);
+    taken.push_back({.table = std::get<0>(key),
+                     .key = std::get<2>(key),
+                     .value = row.value,
+                     .version = row.version,
+                     .is_removed = row.is_removed});
+  }
+  return taken;
+}
+
+std::vector<std::string> RowStore::Keys(const std::string& table,
+                                        const std::string& part) const {
+  std::vector<std::string> keys;
+  for (const auto& [key, row] : rows_) {
+    if (!row.is_removed && std::get<0>(key) == table &&
+        std::get<1>(key) == part) {
+      keys.push_back(std::get<2>(key));
+    }
+  }
+  return keys;
+}
+
 std::string RowStore::Get(const std::string& table,
                           const std::string& part,
                           const std::string& key) const {
--- a/tools/standins/row_store.h
+++ b/tools/standins/row_store.h
@@ -2,9 +2,12 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <tuple>
+#include <utility>
+#include <vector>
 
 namespace carawayrelay {
 
@@ -17,6 +20,19 @@
     int status = 0;
     std::string body;
   };
+  // A row that a transaction wrote or removed.
+  struct Change {
+    std::string table;
+    std::string key;
+    std::string value;
+    std::uint64_t version = 0;
+    bool is_removed = false;
+  };
+  // The store's clock.
+  using Clock = std::function<std::chrono::milliseconds()>;
+
+  RowStore() : RowStore(&SteadyTime) {}
+  explicit RowStore(Clock clock) : clock_(std::move(clock)) {}
 
   // Serves one call. A call for changes is answered at once, without rows when
   // there are none; HasChanges() tells whether to wait.
@@ -37,6 +53,14 @@
   void Remove(const std::string& table,
               const std::string& part,
               const std::string& key);
+  void PutObject(const std::string& name, const std::string& data) {
+    objects_[name] = data;
+  }
+  // Keys of the rows of a table and part, in order.
+  std::vector<std::string> Keys(const std::string& table,
+                                const std::string& part) const;
+  // What the newest transaction changed, once.
+  std::vector<Change> TakeChanges();
   // The value of a row, or an empty string.
   std::string Get(const std::string& table,
                   const std::string& part,
@@ -54,11 +78,18 @@
     bool is_removed = false;
   };
 
+  static std::chrono::milliseconds SteadyTime() {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::steady_clock::now().time_since_epoch());
+  }
+
   Answer Transact(const std::string& body);
   Answer Read(const std::string& target) const;
   Answer Changes(const std::string& target) const;
   std::uint64_t VersionOf(const Key& key) const;
 
+  Clock clock_;
+  std::vector<Key> changes_;
   std::map<Key, Row> rows_;  // removed rows stay, for the changes
   std::map<std::string, std::string> objects_;
   std::uint64_t version_ = 0;
