Fault soak with the real programs on loopback

Frontends and workers run as processes; all connections to the store and to backend servers go through a proxy that delays, drops or resets. Faults follow from the seed, overlap, and are checked against what clients and backend servers see: whole streams, at most one run of an order, refusals that did not run, results of batch jobs at fixed positions, withdrawn keys, rates, graceful stops, memory.

--- a/tools/harness/main.cc
+++ b/tools/harness/main.cc
@@ -5,10 +5,14 @@
 #include <string>
 
 #include "harness/demo.h"
+#include "harness/soak.h"
 
 DEFINE_int32(online, 240, "demo: number of online requests");
 DEFINE_int32(concurrency, 12, "demo: online requests at the same time");
 DEFINE_int32(items, 120, "demo: items of the batch job");
+DEFINE_uint64(first_seed, 1, "soak: seed of the first run");
+DEFINE_int32(seeds, 10, "soak: number of runs, each with the next seed");
+DEFINE_int32(lanes, 4, "soak: runs beside each other");
 DEFINE_bool(keep, false, "demo: leave the fleet running until Ctrl-C");
 
 namespace carawayrelay::tools {
@@ -26,7 +30,7 @@
 
 int Main(int argc, char** argv) {
   StopSignal stop;
-  gflags::SetUsageMessage("demo [flags]");
+  gflags::SetUsageMessage("demo|soak [flags]");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   const std::string subcommand = argc == 2 ? argv[1] : "";
   const std::string programs =
@@ -34,6 +38,13 @@
   if (subcommand == "demo") {
     return RunDemo(programs, stop);
   }
+  if (subcommand == "soak") {
+    return RunSoak({.programs = programs,
+                    .first_seed = FLAGS_first_seed,
+                    .seeds = FLAGS_seeds,
+                    .lanes = FLAGS_lanes},
+                   stop);
+  }
   std::fprintf(stderr, "usage: %s %s\n", argv[0], gflags::ProgramUsage());
   return 2;
 }
--- a/tools/harness/process_group.cc
+++ b/tools/harness/process_group.cc
@@ -11,6 +11,8 @@
 #include <cstdlib>
 #include <cstring>
 #include <filesystem>
+#include <fstream>
+#include <string_view>
 #include <utility>
 
 // The header of glibc 2.36 does not declare C linkage.
@@ -144,6 +146,22 @@
   return running_.contains(name);
 }
 
+std::uint64_t ProcessGroup::PeakBytes(const std::string& name) {
+  constexpr std::string_view kPeak = "VmHWM:";
+  constexpr std::uint64_t kKilobyte = 1024;
+  if (!IsRunning(name)) {
+    return 0;
+  }
+  std::ifstream status("/proc/" + std::to_string(running_.at(name)) +
+                       "/status");
+  for (std::string line; std::getline(status, line);) {
+    if (line.starts_with(kPeak)) {
+      return std::stoull(line.substr(kPeak.size())) * kKilobyte;
+    }
+  }
+  return 0;
+}
+
 std::vector<std::string> ProcessGroup::Running() const {
   std::vector<std::string> names;
   for (const auto& [name, pid] : running_) {
--- a/tools/harness/process_group.h
+++ b/tools/harness/process_group.h
@@ -3,6 +3,7 @@
 #include <sys/types.h>
 
 #include <chrono>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
@@ -34,6 +35,8 @@
                           std::chrono::milliseconds limit);
   // True while the process has not ended.
   bool IsRunning(const std::string& name);
+  // The most memory that a running process has used; 0 when it is not running.
+  std::uint64_t PeakBytes(const std::string& name);
   // Names of the running processes.
   std::vector<std::string> Running() const;
 
--- /dev/null
+++ b/tools/harness/soak.cc
@@ -0,0 +1,222 @@
+#include "harness/soak.h"
+
+#include <spdlog/fmt/fmt.h>
+
+#include <atomic>
+#include <filesystem>
+#include <mutex>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "harness/soak_fleet.h"
+#include "harness/soak_history.h"
+#include "harness/soak_load.h"
+
+namespace carawayrelay::tools {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kStep{5};
+constexpr milliseconds kReadyLimit{15000};
+constexpr milliseconds kJobsLimit{30000};
+constexpr milliseconds kProbeLimit{6000};
+// Most memory that a frontend or worker may use.
+constexpr std::uint64_t kMaxBytes = std::uint64_t{60} << 20;
+// Below the ports that the system gives to outgoing connections.
+constexpr std::uint16_t kFirstPort = 21000;
+constexpr std::uint16_t kPortsOfLane = 100;
+
+struct SeedReport {
+  SoakPlan plan;
+  SoakLoad::Counts counts;
+  size_t runs = 0;
+  std::string directory;
+  std::vector<std::string> problems;
+};
+
+class SeedRun {
+ public:
+  SeedRun(const std::string& programs, SoakPlan plan, std::uint16_t first_port)
+      : programs_(programs), first_port_(first_port) {
+    report_.plan = std::move(plan);
+  }
+
+  SeedReport Run() {
+    Result<std::unique_ptr<ProcessGroup>> processes = ProcessGroup::Make();
+    Result<std::unique_ptr<HttpRunner>> http = HttpRunner::Make();
+    if (!processes || !http) {
+      report_.problems.emplace_back("the harness cannot start");
+      return std::move(report_);
+    }
+    report_.directory = processes.value()->directory();
+    SoakFleet fleet(programs_, report_.plan, first_port_, *processes.value(),
+                    *http.value(), stop_);
+    if (const Result<void> started = fleet.Start(); !started) {
+      report_.problems.push_back(started.error().message);
+      return std::move(report_);
+    }
+    SoakLoad load(fleet, *http.value(), report_.plan.seed,
+                  report_.plan.is_planned_work);
+    RunLoad(fleet, load);
+    Recover(fleet, load);
+    fleet.Stop(report_.problems);
+    report_.counts = load.counts();
+    Append(load.problems());
+    CheckHistory(fleet, load, *processes.value());
+    return std::move(report_);
+  }
+
+ private:
+  void Append(const std::vector<std::string>& problems) {
+    report_.problems.insert(report_.problems.end(), problems.begin(),
+                            problems.end());
+  }
+
+  void RunLoad(SoakFleet& fleet, SoakLoad& load) {
+    const TimePoint start = BootClock::now();
+    size_t next = 0;
+    while (BootClock::now() < start + report_.plan.load_time) {
+      const TimePoint now = BootClock::now();
+      const auto& faults = report_.plan.faults;
+      while (next < faults.size() && now >= start + faults[next].at) {
+        fleet.Inject(faults[next++].fault, now);
+      }
+      fleet.Tick(now);
+      load.Tick(now, /*may_start=*/true);
+      Append(Describe(fleet.Crashed()));
+      std::this_thread::sleep_for(kStep);
+    }
+  }
+
+  // A process that ends by itself is told once.
+  std::vector<std::string> Describe(const std::vector<std::string>& crashed) {
+    std::vector<std::string> problems;
+    for (const std::string& name : crashed) {
+      if (told_.insert(name).second) {
+        problems.push_back(name + " ended by itself");
+      }
+    }
+    return problems;
+  }
+
+  // After the faults: everything is ready again, serves, and finishes jobs.
+  void Recover(SoakFleet& fleet, SoakLoad& load) {
+    fleet.Heal();
+    const auto wait = [&](milliseconds limit, auto done) {
+      const TimePoint end = BootClock::now() + limit;
+      while (BootClock::now() < end) {
+        load.Tick(BootClock::now(), /*may_start=*/false);
+        if (done()) {
+          return true;
+        }
+        std::this_thread::sleep_for(kStep);
+      }
+      return false;
+    };
+    if (!wait(kReadyLimit, [&] { return fleet.IsReady(); })) {
+      report_.problems.emplace_back("not all frontends became ready again");
+    }
+    const int served = load.counts().served;
+    load.Probe(BootClock::now());
+    if (!wait(kProbeLimit, [&] {
+          return load.counts().served >= served + fleet.frontends();
+        })) {
+      report_.problems.emplace_back("requests are not served after the faults");
+    }
+    if (!wait(kJobsLimit, [&] { return load.IsDone(); })) {
+      report_.problems.push_back("jobs are not done:" +
+                                 load.DescribeOpenJobs());
+    }
+    if (const std::uint64_t bytes = fleet.PeakBytes(); bytes > kMaxBytes) {
+      report_.problems.push_back("a process used " +
+                                 std::to_string(bytes >> 20) + " MB");
+    }
+  }
+
+  void CheckHistory(const SoakFleet& fleet,
+                    const SoakLoad& load,
+                    const ProcessGroup& processes) {
+    std::vector<std::string> files;
+    for (int i = 0; i < report_.plan.runners; ++i) {
+      files.push_back(processes.OutputPath(RunnerName(i)));
+    }
+    const SoakHistory history(files);
+    report_.runs = history.runs();
+    history.CheckRuns(load.not_run(), report_.problems);
+    history.CheckRate(soak_names::kLimitedWorkspace, soak_names::kLimitedRate,
+                      soak_names::kLimitedBurst, report_.problems);
+    if (fleet.key_withdrawn_at()) {
+      history.CheckWithdrawn(soak_names::kGoneWorkspace,
+                             *fleet.key_withdrawn_at(), report_.problems);
+    }
+  }
+
+  const std::string& programs_;
+  const std::uint16_t first_port_;
+  // Its signals are those of the whole harness.
+  StopSignal stop_;
+  SeedReport report_;
+  std::set<std::string> told_;
+};
+
+void Print(const SeedReport& report) {
+  const SoakLoad::Counts& c = report.counts;
+  fmt::print(
+      "seed {}: {}; {} frontends, {} runners; {} asked, {} served, {} over the "
+      "rate, {} refused, {} failed; {} jobs, {} items; {} runs{}\n",
+      report.plan.seed, report.problems.empty() ? "passed" : "FAILED",
+      report.plan.frontends, report.plan.runners, c.asked, c.served,
+      c.over_rate, c.refused, c.failed, c.jobs, c.items, report.runs,
+      report.plan.is_planned_work ? "; planned work" : "");
+  if (report.problems.empty()) {
+    return;
+  }
+  for (const TimedFault& fault : report.plan.faults) {
+    fmt::print("  fault at {}\n", ToText(fault));
+  }
+  for (const std::string& problem : report.problems) {
+    fmt::print("  {}\n", problem);
+  }
+  fmt::print("  output of the processes: {}\n", report.directory);
+}
+
+}  // namespace
+
+int RunSoak(const SoakOptions& options, StopSignal& stop) {
+  std::mutex mutex;
+  int passed = 0;
+  int failed = 0;
+  std::atomic<int> next{0};
+  const auto lane = [&](int index) {
+    const auto first_port =
+        static_cast<std::uint16_t>(kFirstPort + index * kPortsOfLane);
+    for (int i = next++; i < options.seeds && !stop.HasArrived(); i = next++) {
+      SeedRun run(
+          options.programs,
+          MakeSoakPlan(options.first_seed + static_cast<std::uint64_t>(i)),
+          first_port);
+      const SeedReport report = run.Run();
+      std::lock_guard lock(mutex);
+      Print(report);
+      std::fflush(stdout);
+      ++(report.problems.empty() ? passed : failed);
+      if (report.problems.empty()) {
+        std::error_code ignored;
+        std::filesystem::remove_all(report.directory, ignored);
+      }
+    }
+  };
+  std::vector<std::thread> threads;
+  for (int i = 0; i < options.lanes; ++i) {
+    threads.emplace_back(lane, i);
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  fmt::print("{} passed, {} failed\n", passed, failed);
+  return failed == 0 && passed == options.seeds ? 0 : 1;
+}
+
+}  // namespace carawayrelay::tools
