--- a/tools/harness/process_group.cc
+++ b/tools/harness/process_group.cc
@@ -57,6 +57,8 @@
                                      kFlags, kMode);
     posix_spawn_file_actions_addopen(&actions_, STDERR_FILENO, error.c_str(),
                                      kFlags, kMode);
+    // Sockets of the harness would stay open in the child.
+    posix_spawn_file_actions_addclosefrom_np(&actions_, STDERR_FILENO + 1);
   }
   ~SpawnFiles() { posix_spawn_file_actions_destroy(&actions_); }
   SpawnFiles(const SpawnFiles&) = delete;
