--- a/src/process/serving/frontend_process.cc
+++ b/src/process/serving/frontend_process.cc
@@ -18,10 +18,6 @@
 // Without requests; events end the wait.
 constexpr milliseconds kIdleTickInterval{200};
 constexpr milliseconds kMetricsInterval{1000};
-constexpr const char* kDemandTable = "frontend_demand";
-constexpr milliseconds kDemandRetry{200};
-// Reports of frontends that are long gone are removed.
-constexpr milliseconds kAbandonedReport{60000};
 // The configuration may be this part of the revocation time old.
 constexpr double kConfigAgePart = 0.8;
 // Clients are sent elsewhere when this entry cannot answer yet.
@@ -104,6 +100,8 @@
           .seed = seed_,
           .observe = [this](const RequestObserved& o) { Observe(o); }},
       core_->runners(), allowances_, core_->calls(), core_->clock(), answer);
+  demand_reports_ = std::make_unique<DemandReports>(
+      settings_.node, allowances_, core_->store(), core_->clock());
   job_api_ = std::make_unique<JobApi>(core_->jobs(), core_->writer(),
                                       core_->store(), core_->clock(), answer);
   if (!settings_.traces_url.empty()) {
@@ -380,56 +378,11 @@
     exchanges_.erase(client);
   }
   forwarder_->Tick(now);
-  ReportDemand(now);
+  demand_reports_->Tick(now);
   UpdateReadiness(now);
   UpdateMetrics(now);
 }
 
-void FrontendProcess::ReportDemand(TimePoint now) {
-  if (is_reporting_ || now < next_demand_) {
-    return;
-  }
-  is_reporting_ = true;
-  next_demand_ = now + Allowances::kReportInterval;
-  RowsTransaction transaction;
-  transaction.writes.push_back(
-      {.key = {.table = kDemandTable, .key = settings_.node},
-       .value = allowances_.MakeReport(now)});
-  core_->store().Send(std::move(transaction),
-                      [this, now](const StoreReply& reply) {
-                        if (reply.status != StoreStatus::kDone) {
-                          is_reporting_ = false;
-                          next_demand_ = core_->clock().now() + kDemandRetry;
-                          return;
-                        }
-                        allowances_.ReportStored(now);
-                        ReadDemand(core_->clock().now());
-                      });
-}
-
-void FrontendProcess::ReadDemand(TimePoint now) {
-  core_->store().Send(RowsRead{.table = kDemandTable},
-                      [this](const StoreReply& reply) {
-                        is_reporting_ = false;
-                        const TimePoint at = core_->clock().now();
-                        if (reply.status == StoreStatus::kDone) {
-                          allowances_.ApplyReports(reply.rows, at);
-                          RemoveAbandonedReports(at);
-                        }
-                      });
-}
-
-void FrontendProcess::RemoveAbandonedReports(TimePoint now) {
-  for (const StoredRow& row : allowances_.Abandoned(kAbandonedReport, now)) {
-    const RowKey key{.table = kDemandTable, .key = row.key.key};
-    RowsTransaction transaction;
-    transaction.expected.push_back({.key = key, .version = row.version});
-    transaction.removals.push_back(key);
-    // Any frontend may remove it; a lost race needs no answer.
-    core_->store().Send(std::move(transaction), [](const StoreReply&) {});
-  }
-}
-
 void FrontendProcess::UpdateReadiness(TimePoint now) {
   const bool is_ready = !draining_since_ && !RefusalForAll(now) &&
                         allowances_.HasShare(now) &&
--- a/src/process/serving/frontend_process.h
+++ b/src/process/serving/frontend_process.h
@@ -10,6 +10,7 @@
 #include "process/forward/online_forwarder.h"
 #include "process/jobs/job_api.h"
 #include "process/limits/allowances.h"
+#include "process/limits/demand_reports.h"
 #include "process/serving/serving_core.h"
 #include "process/serving/serving_settings.h"
 #include "process/telemetry/request_observed.h"
@@ -52,9 +53,6 @@
   void Answer(ClientId client, ClientAnswer answer);
   void Refuse(ClientId client, const std::string& request_id, Refusal refusal);
   void Tick(TimePoint now);
-  void ReportDemand(TimePoint now);
-  void ReadDemand(TimePoint now);
-  void RemoveAbandonedReports(TimePoint now);
   void UpdateReadiness(TimePoint now);
   bool IsDrained(TimePoint now) const;
   void UpdateMetrics(TimePoint now);
@@ -68,6 +66,7 @@
   std::unique_ptr<ServingCore> core_;
   Allowances allowances_;
   std::unique_ptr<OnlineForwarder> forwarder_;
+  std::unique_ptr<DemandReports> demand_reports_;
   std::unique_ptr<JobApi> job_api_;
   std::map<ClientId, HttpExchangePtr> exchanges_;
   std::uint64_t next_client_ = 1;
@@ -76,9 +75,7 @@
   // The newest arrival of a request or end of an answer.
   TimePoint last_active_{};
   TimePoint next_tick_{};
-  TimePoint next_demand_{};
   TimePoint next_metrics_{};
-  bool is_reporting_ = false;
   std::unique_ptr<HttpServer> clients_server_;
   std::unique_ptr<HttpServer> ready_server_;
   std::unique_ptr<HttpServer> metrics_server_;
--- a/tools/harness/soak_plan.cc
+++ b/tools/harness/soak_plan.cc
@@ -170,6 +170,15 @@
         {.at = draw.Time(500, end),
          .fault = plan.is_planned_work ? draw.Planned() : draw.Any()});
   }
+  if (!plan.is_planned_work && draw.Number(0, 2) == 0) {
+    // A frontend that loses the store before the key is withdrawn and for
+    // longer than the key may be used.
+    plan.faults.push_back(
+        {.at = milliseconds(200),
+         .fault = DisturbLink{
+             StoreLink(FrontendName(draw.Number(0, plan.frontends - 1))),
+             DropBytes{}, plan.load_time}});
+  }
   // Early, so that the load goes on for long enough after it.
   plan.faults.push_back({.at = draw.Time(300, 1500), .fault = WithdrawKey{}});
   std::stable_sort(plan.faults.begin(), plan.faults.end(),
--- a/tools/harness/soak_plan.h
+++ b/tools/harness/soak_plan.h
@@ -81,7 +81,7 @@
   int frontends = 2;
   int runners = 3;
   int slots = 6;
-  std::chrono::milliseconds load_time{8000};
+  std::chrono::milliseconds load_time{9000};
   // Only stops, reloads and changes of operators: no request may fail.
   bool is_planned_work = false;
   std::vector<TimedFault> faults;
--- a/tools/standins/runner_standin.cc
+++ b/tools/standins/runner_standin.cc
@@ -138,7 +138,7 @@
     server_.After(options_.step, [this, run] { Step(run); });
     return;
   }
-  server_.After(options_.step, [this, run, kind] {
+  server_.After(options_.step * run->events, [this, run] {
     ReplyJson(*run->exchange, 200,
               {{"id", run->id}, {"text", EventText(run->id, 1)}},
               AnswerHeaders(run->id));
