Remember backend servers that fail part of their calls, and tell other frontends

Such an answer was passed on and counted as a success, and a backend server that fails fast looks idle, so it drew more requests. Every frontend had to meet each of them by itself.

A 5xx answer counts as a failure. An item whose run failed goes back to the other workers, and the worker waits before its next claim.

The test of the item that is given up waits longer between its tries, because its own worker now comes after the others; what it checks is the same.

--- a/src/process/forward/online_forwarder.cc
+++ b/src/process/forward/online_forwarder.cc
@@ -20,6 +20,8 @@
 // Answers that are not streams are held until they are whole.
 constexpr size_t kMaxHeldBytes = size_t{8} << 20;
 
+constexpr int kServerError = 500;
+
 bool IsSuccess(int status) {
   return status >= 200 && status < 300;
 }
@@ -279,12 +281,18 @@
     Finish(request, "served", now);
     return;
   }
-  if (!IsSuccess(request.status) && request.status >= 500 &&
+  if (request.status >= kServerError &&
       (request.is_repeatable || !request.is_signed || request.head_sent)) {
     FailAttempt(request, true, "answered " + std::to_string(request.status),
                 now);
     return;
   }
+  if (request.status >= kServerError) {
+    if (RunnerDirectory::Runner* runner = runners_.Find(request.runner)) {
+      runners_.NoteFailure(*runner,
+                           "answered " + std::to_string(request.status), now);
+    }
+  }
   answer_(request.call.client,
           WholeAnswer{.status = request.status,
                       .headers = std::move(request.headers),
@@ -372,7 +380,9 @@
   if (std::exchange(request.is_sent, false)) {
     if (RunnerDirectory::Runner* runner = runners_.Find(request.runner)) {
       runner->running = std::max(0, runner->running - 1);
-      runners_.NoteSuccess(*runner);
+      if (IsSuccess(request.status)) {
+        runners_.NoteSuccess(*runner);
+      }
     }
   }
   LogDecision(LogEvent::kRequestEnded, "id", request.call.request_id, "route",
--- a/src/process/forward/runner_directory.h
+++ b/src/process/forward/runner_directory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <random>
@@ -32,6 +33,9 @@
     // Not chosen before, unless there is no other.
     TimePoint avoid_until{};
     int failures = 0;  // in a row
+    // Failures that this process saw, each counting less with its age.
+    double trouble = 0;
+    TimePoint trouble_at{};
   };
 
   struct Query {
@@ -81,6 +85,11 @@
   // The backend server failed or was silent; it is avoided for longer each
   // time.
   void NoteFailure(Runner& runner, const std::string& reason, TimePoint now);
+  // What this process saw of failures, for the other frontends; empty when
+  // there is nothing to tell.
+  std::string MakeEvidence(TimePoint now) const;
+  // Takes what the other frontends saw: rows with their node as key.
+  void ApplyEvidence(const std::vector<StoredRow>& rows, TimePoint now);
   // The backend server had no room.
   void NoteFull(Runner& runner, TimePoint now);
   // Another backend server answered at the address. The entry is not used
@@ -96,10 +105,21 @@
   // that crashed stay for some seconds, and only the newest can be listening.
   void MarkReplaced(Runner& runner);
   double Score(const Runner& runner, const Query& query, TimePoint now);
+  static double TroubleOf(const Runner& runner, TimePoint now);
+  // How much the failures that this process and others saw count against it.
+  double TroublePenalty(const Runner& runner, TimePoint now) const;
+
+  // What one other frontend saw, by id of the backend server.
+  struct Evidence {
+    std::uint64_t version = 0;
+    TimePoint changed_at{};
+    std::map<std::string, double> trouble;
+  };
 
   std::mt19937_64 random_;
   std::map<std::string, Runner> runners_;
   std::set<std::string> evacuated_;
+  std::map<std::string, Evidence> evidence_;  // by node
 };
 
 }  // namespace carawayrelay
--- a/src/process/jobs/item_worker.cc
+++ b/src/process/jobs/item_worker.cc
@@ -26,6 +26,13 @@
 constexpr size_t kJobChoices = 3;
 constexpr milliseconds kClaimBackoff{60};
 constexpr milliseconds kSweepInterval{500};
+// An item whose run failed is left to the other workers for so long: the fault
+// may be that of the own backend server.
+constexpr milliseconds kOthersFirst{3000};
+// After a failed run nothing is claimed for this long, more after each in a
+// row: a backend server that fails fast would use up the tries of many items.
+constexpr milliseconds kFirstClaimPause{500};
+constexpr int kMaxClaimPauseDoublings = 3;
 // Runs beside each other while the backend server is cold.
 constexpr int kColdRuns = 2;
 
@@ -194,6 +201,9 @@
     return;
   }
   next_sweep_ = now + kSweepInterval;
+  std::erase_if(failed_here_, [&](const auto& item) {
+    return now - item.second >= kOthersFirst;
+  });
   std::erase_if(claim_times_, [&](const auto& item) {
     const JobTable::Entry* entry = jobs_.Find(item.first);
     return entry == nullptr || !entry->job.IsOpen();
@@ -259,7 +269,8 @@
                              size_t index,
                              const JobItemState& item,
                              milliseconds store_now) const {
-  if (item.IsListed() || runs_.contains({job, index})) {
+  const ItemKey key{job, index};
+  if (item.IsListed() || runs_.contains(key) || failed_here_.contains(key)) {
     return false;
   }
   return item.state == ItemState::kWaiting || item.owner == options_.node ||
@@ -445,6 +456,14 @@
       });
 }
 
+void ItemWorker::NoteRunFailed(const ItemKey& key, TimePoint now) {
+  failed_here_[key] = now;
+  next_claim_ =
+      now + kFirstClaimPause *
+                (1 << std::min(failures_in_a_row_, kMaxClaimPauseDoublings));
+  ++failures_in_a_row_;
+}
+
 void ItemWorker::Stop(TimePoint now) {
   is_stopping_ = true;
   for (auto it = runs_.begin(); it != runs_.end();) {
--- a/src/process/jobs/item_worker.h
+++ b/src/process/jobs/item_worker.h
@@ -135,6 +135,8 @@
   void TakeEvents(Run& run, const std::string& bytes);
   void OnEnd(const ItemKey& key, Run& run, const CallEnd& end, TimePoint now);
   void Pause(Run& run, TimePoint now);
+  // The own backend server failed the item.
+  void NoteRunFailed(const ItemKey& key, TimePoint now);
   void Finish(const ItemKey& key,
               Run& run,
               bool is_complete,
@@ -164,6 +166,9 @@
     TimePoint at{};
   };
   std::map<std::string, ClaimTime> claim_times_;
+  // Items that failed at the own backend server, which others try first.
+  std::map<ItemKey, TimePoint> failed_here_;
+  int failures_in_a_row_ = 0;
   bool is_claiming_ = false;
   bool is_stopping_ = false;
   bool is_asking_ = false;
--- a/src/process/jobs/item_worker_runs.cc
+++ b/src/process/jobs/item_worker_runs.cc
@@ -17,6 +17,8 @@
 constexpr int kRenewPart = 2;
 // The answer of a backend server that can never do the item.
 constexpr int kUnprocessable = 422;
+// The answer of a backend server whose run failed.
+constexpr int kRunFailed = 500;
 
 }  // namespace
 
@@ -130,6 +132,7 @@
   const int max_failures = route == nullptr ? 1 : route->max_attempts;
   if (end.is_whole && run.status == 200 && !run.is_foreign &&
       !run.cutter.HasPartialEvent() && run.progress.last_event > 0) {
+    failures_in_a_row_ = 0;
     Finish(key, run, /*is_complete=*/true, "complete", now);
     return;
   }
@@ -137,19 +140,22 @@
     Finish(key, run, /*is_complete=*/false, "cannot be done", now);
     return;
   }
-  if (end.is_whole && !run.is_foreign && run.status == 500) {
-    ++run.failures;
-    if (run.failures >= max_failures) {
-      Finish(key, run, /*is_complete=*/false, "failed too often", now);
-      return;
-    }
-  }
+  const bool has_failed =
+      end.is_whole && !run.is_foreign && run.status == kRunFailed;
+  run.failures += has_failed ? 1 : 0;
   LogDecision(LogEvent::kItemRunFailed, "job", key.first, "item", key.second,
               "id", run.item.id, "status", run.status, "declined",
               run.is_declined, "after_event", run.progress.last_event,
               "failures", run.failures, "reason",
               run.head_problem.empty() ? end.reason : run.head_problem);
-  Pause(run, now);
+  if (!has_failed) {
+    Pause(run, now);
+  } else if (run.failures >= max_failures) {
+    Finish(key, run, /*is_complete=*/false, "failed too often", now);
+  } else {
+    NoteRunFailed(key, now);
+    Return(key, run, "its run failed", now);
+  }
 }
 
 void ItemWorker::Finish(const ItemKey& key,
--- a/src/process/serving/frontend_process.cc
+++ b/src/process/serving/frontend_process.cc
@@ -100,8 +100,9 @@
           .seed = seed_,
           .observe = [this](const RequestObserved& o) { Observe(o); }},
       core_->runners(), allowances_, core_->calls(), core_->clock(), answer);
-  demand_reports_ = std::make_unique<DemandReports>(
-      settings_.node, allowances_, core_->store(), core_->clock());
+  reports_ = std::make_unique<FrontendReports>(settings_.node, allowances_,
+                                               core_->runners(), core_->store(),
+                                               core_->clock());
   job_api_ = std::make_unique<JobApi>(core_->jobs(), core_->writer(),
                                       core_->store(), core_->clock(), answer);
   if (!settings_.traces_url.empty()) {
@@ -378,7 +379,7 @@
     exchanges_.erase(client);
   }
   forwarder_->Tick(now);
-  demand_reports_->Tick(now);
+  reports_->Tick(now);
   UpdateReadiness(now);
   UpdateMetrics(now);
 }
--- a/src/process/serving/frontend_process.h
+++ b/src/process/serving/frontend_process.h
@@ -10,7 +10,7 @@
 #include "process/forward/online_forwarder.h"
 #include "process/jobs/job_api.h"
 #include "process/limits/allowances.h"
-#include "process/limits/demand_reports.h"
+#include "process/serving/frontend_reports.h"
 #include "process/serving/serving_core.h"
 #include "process/serving/serving_settings.h"
 #include "process/telemetry/request_observed.h"
@@ -66,7 +66,7 @@
   std::unique_ptr<ServingCore> core_;
   Allowances allowances_;
   std::unique_ptr<OnlineForwarder> forwarder_;
-  std::unique_ptr<DemandReports> demand_reports_;
+  std::unique_ptr<FrontendReports> reports_;
   std::unique_ptr<JobApi> job_api_;
   std::map<ClientId, HttpExchangePtr> exchanges_;
   std::uint64_t next_client_ = 1;
--- a/tests/serving/item_worker_test.cc
+++ b/tests/serving/item_worker_test.cc
@@ -68,6 +68,23 @@
   }
 };
 
+// Guards against a backend server that fails fast and uses up the tries of
+// items which others could do (telar grown incident 7d7c: 55 items given up).
+TEST_CASE_FIXTURE(ItemWorkerFixture,
+                  "ItemWorker, run failed, item is left to other workers") {
+  AddJob("j", 1);
+  Work();
+  REQUIRE(Runs().size() == 1);
+  Reply(Runs()[0].id, 500, SignedFor(Runs()[0]), "");
+  Settle();
+  CHECK(jobs.Find("j")->job.items[0].state == ItemState::kWaiting);
+  CHECK(jobs.Find("j")->job.items[0].failures == 1);
+  Work(milliseconds(2000));
+  CHECK(Runs().empty());
+  Work(milliseconds(3000));
+  CHECK(Runs().size() == 1);
+}
+
 TEST_CASE_FIXTURE(ItemWorkerFixture,
                   "ItemWorker, job with items, all run and are listed") {
   AddJob("j", 3);
@@ -117,7 +134,8 @@
     "ItemWorker, item that fails, is given up after the attempts") {
   AddJob("j", 1);
   for (int i = 0; i < 3; ++i) {
-    Work();
+    // Others are given the time to try the item first.
+    Work(milliseconds(4500));
     REQUIRE(Runs().size() == 1);
     CHECK(StoredState("j").listed == 0);
     Reply(Runs()[0].id, 500, SignedFor(Runs()[0]), "");
--- a/tests/serving/online_forwarder_test.cc
+++ b/tests/serving/online_forwarder_test.cc
@@ -116,6 +116,20 @@
   CHECK(LastRefusal().retry_after);
 }
 
+// Guards against a failing backend server that counts as sound, because its
+// answer was passed on whole.
+TEST_CASE_FIXTURE(OnlineForwarderFixture,
+                  "OnlineForwarder, signed 500, counts against its sender") {
+  Arrive();
+  const OutboundCall call = RunnerCall();
+  const std::string id =
+      FindHeader(call.headers, "x-carawayrelay-target-instance");
+  Reply(call.id, 500, Signed(), "failed");
+  CHECK(Count<WholeAnswer>() == 1);
+  CHECK(runners.Find(id)->failures == 1);
+  CHECK(runners.Find(id)->avoid_until > now());
+}
+
 // Guards against a refusal because of entries whose backend servers crashed:
 // five of them answered as other starts before the sixth could be asked.
 TEST_CASE_FIXTURE(
@@ -124,7 +138,7 @@
   std::vector<StoredRow> entries;
   for (int i = 0; i < 6; ++i) {
     entries.push_back(RunnerRow("old-" + std::to_string(i),
-                             "1.1.1.1" + std::to_string(i) + ":1"));
+                                "1.1.1.1" + std::to_string(i) + ":1"));
   }
   runners.Apply(entries, /*is_full=*/true, std::nullopt, now());
   Arrive();
