--- a/src/process/store/platform_client.cc
+++ b/src/process/store/platform_client.cc
@@ -1,5 +1,7 @@
 #include "process/store/platform_client.h"
 
+#include <spdlog/fmt/fmt.h>
+
 #include <charconv>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -72,7 +74,7 @@
     HttpCall http{
         .method = call.method, .target = call.target, .body = call.body};
     for (const auto& [name, value] : call.headers) {
-      http.headers.push_back(name + ": " + value);
+      http.headers.push_back(fmt::format("{}: {}", name, value));
     }
     Result<HttpReply> reply = http_->Send(http);
     if (!reply) {
@@ -262,6 +264,7 @@
                        .to = AfterPrefix(prefix),
                        .max_rows = limit}));
   std::vector<KeyedRow> rows;
+  rows.reserve(stored.size());
   for (StoredRow& row : stored) {
     rows.push_back(
         {.key = std::move(row.key.key),
--- a/tools/harness/loopback_proxy.cc
+++ b/tools/harness/loopback_proxy.cc
@@ -214,7 +214,7 @@
 }
 
 void LoopbackProxy::SetMode(const std::string& name, LinkMode mode) {
-  impl_->SetMode(name, std::move(mode));
+  impl_->SetMode(name, mode);
 }
 
 }  // namespace carawayrelay::tools
--- a/tools/harness/soak.cc
+++ b/tools/harness/soak.cc
@@ -139,6 +139,7 @@
                     const SoakLoad& load,
                     const ProcessGroup& processes) {
     std::vector<std::string> files;
+    files.reserve(static_cast<size_t>(report_.plan.runners));
     for (int i = 0; i < report_.plan.runners; ++i) {
       files.push_back(processes.OutputPath(RunnerName(i)));
     }
@@ -209,6 +210,7 @@
     }
   };
   std::vector<std::thread> threads;
+  threads.reserve(static_cast<size_t>(options.lanes));
   for (int i = 0; i < options.lanes; ++i) {
     threads.emplace_back(lane, i);
   }
--- a/tools/harness/soak_load.cc
+++ b/tools/harness/soak_load.cc
@@ -110,7 +110,7 @@
 }
 
 void SoakLoad::Start(const std::string& name,
-                     std::string attempt,
+                     const std::string& attempt,
                      CallSpec spec) {
   ++running_;
   http_.Start(
--- a/tools/harness/soak_load.h
+++ b/tools/harness/soak_load.h
@@ -88,7 +88,9 @@
   void CheckServed(const Request& request,
                    const std::string& attempt,
                    const CallResult& result);
-  void Start(const std::string& name, std::string attempt, CallSpec spec);
+  void Start(const std::string& name,
+             const std::string& attempt,
+             CallSpec spec);
   std::string Frontend();
   void AddProblem(const std::string& text);
 
--- a/tools/standins/runner_standin.cc
+++ b/tools/standins/runner_standin.cc
@@ -29,7 +29,7 @@
   return AnswerToken(AnswerSeed(kModel, id), number);
 }
 
-void RunnerStandin::Handle(HttpCall call) {
+void RunnerStandin::Handle(const HttpCall& call) {
   const std::string& path = call.request.path;
   if (path == "/control") {
     HandleControl(call);
--- a/tools/standins/runner_standin.h
+++ b/tools/standins/runner_standin.h
@@ -28,7 +28,7 @@
                 const EventLog& log,
                 StandinServer& server);
 
-  void Handle(HttpCall call);
+  void Handle(const HttpCall& call);
   // Text of event `number` (from 1) of the run with the request id `id`.
   static std::string EventText(const std::string& id, int number);
 
