--- a/include/carawayrelay/connection.h
+++ b/include/carawayrelay/connection.h
@@ -8,5 +8,6 @@
 #include "connection/ended_attempts.h"
 #include "connection/fence_tracker.h"
 #include "connection/message.h"
+#include "connection/rate_message.h"
 #include "connection/stream_assembler.h"
 #include "connection/wire_codec.h"
--- a/src/connection/gen/wire_types.cpp
+++ b/src/connection/gen/wire_types.cpp
@@ -2837,4 +2837,384 @@
   out << ")";
 }
 
+
+RateRequest::~RateRequest() noexcept {
+}
+
+
+void RateRequest::__set_id(const int64_t val) {
+  this->id = val;
+}
+
+void RateRequest::__set_workspace(const std::string& val) {
+  this->workspace = val;
+}
+std::ostream& operator<<(std::ostream& out, const RateRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RateRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->workspace);
+          this->__isset.workspace = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RateRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RateRequest");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("workspace", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->workspace);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RateRequest &a, RateRequest &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.workspace, b.workspace);
+  swap(a.__isset, b.__isset);
+}
+
+RateRequest::RateRequest(const RateRequest& other54) {
+  id = other54.id;
+  workspace = other54.workspace;
+  __isset = other54.__isset;
+}
+RateRequest& RateRequest::operator=(const RateRequest& other55) {
+  id = other55.id;
+  workspace = other55.workspace;
+  __isset = other55.__isset;
+  return *this;
+}
+void RateRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RateRequest(";
+  out << "id=" << to_string(id);
+  out << ", " << "workspace=" << to_string(workspace);
+  out << ")";
+}
+
+
+RateDecision::~RateDecision() noexcept {
+}
+
+
+void RateDecision::__set_id(const int64_t val) {
+  this->id = val;
+}
+
+void RateDecision::__set_outcome(const int32_t val) {
+  this->outcome = val;
+}
+
+void RateDecision::__set_retry_after_ms(const int64_t val) {
+  this->retry_after_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const RateDecision& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RateDecision::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->outcome);
+          this->__isset.outcome = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->retry_after_ms);
+          this->__isset.retry_after_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RateDecision::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RateDecision");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("outcome", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->outcome);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("retry_after_ms", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->retry_after_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RateDecision &a, RateDecision &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.outcome, b.outcome);
+  swap(a.retry_after_ms, b.retry_after_ms);
+  swap(a.__isset, b.__isset);
+}
+
+RateDecision::RateDecision(const RateDecision& other56) noexcept {
+  id = other56.id;
+  outcome = other56.outcome;
+  retry_after_ms = other56.retry_after_ms;
+  __isset = other56.__isset;
+}
+RateDecision& RateDecision::operator=(const RateDecision& other57) noexcept {
+  id = other57.id;
+  outcome = other57.outcome;
+  retry_after_ms = other57.retry_after_ms;
+  __isset = other57.__isset;
+  return *this;
+}
+void RateDecision::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RateDecision(";
+  out << "id=" << to_string(id);
+  out << ", " << "outcome=" << to_string(outcome);
+  out << ", " << "retry_after_ms=" << to_string(retry_after_ms);
+  out << ")";
+}
+
+
+RateEnvelope::~RateEnvelope() noexcept {
+}
+
+
+void RateEnvelope::__set_protocol_version(const int32_t val) {
+  this->protocol_version = val;
+}
+
+void RateEnvelope::__set_request(const RateRequest& val) {
+  this->request = val;
+__isset.request = true;
+}
+
+void RateEnvelope::__set_decision(const RateDecision& val) {
+  this->decision = val;
+__isset.decision = true;
+}
+std::ostream& operator<<(std::ostream& out, const RateEnvelope& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RateEnvelope::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->protocol_version);
+          this->__isset.protocol_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->request.read(iprot);
+          this->__isset.request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->decision.read(iprot);
+          this->__isset.decision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RateEnvelope::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RateEnvelope");
+
+  xfer += oprot->writeFieldBegin("protocol_version", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->protocol_version);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.request) {
+    xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_STRUCT, 2);
+    xfer += this->request.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.decision) {
+    xfer += oprot->writeFieldBegin("decision", ::apache::thrift::protocol::T_STRUCT, 3);
+    xfer += this->decision.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RateEnvelope &a, RateEnvelope &b) {
+  using ::std::swap;
+  swap(a.protocol_version, b.protocol_version);
+  swap(a.request, b.request);
+  swap(a.decision, b.decision);
+  swap(a.__isset, b.__isset);
+}
+
+RateEnvelope::RateEnvelope(const RateEnvelope& other58) {
+  protocol_version = other58.protocol_version;
+  request = other58.request;
+  decision = other58.decision;
+  __isset = other58.__isset;
+}
+RateEnvelope& RateEnvelope::operator=(const RateEnvelope& other59) {
+  protocol_version = other59.protocol_version;
+  request = other59.request;
+  decision = other59.decision;
+  __isset = other59.__isset;
+  return *this;
+}
+void RateEnvelope::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RateEnvelope(";
+  out << "protocol_version=" << to_string(protocol_version);
+  out << ", " << "request="; (__isset.request ? (out << to_string(request)) : (out << "<null>"));
+  out << ", " << "decision="; (__isset.decision ? (out << to_string(decision)) : (out << "<null>"));
+  out << ")";
+}
+
 }} // namespace
--- a/src/connection/gen/wire_types.h
+++ b/src/connection/gen/wire_types.h
@@ -51,6 +51,12 @@
 
 class Envelope;
 
+class RateRequest;
+
+class RateDecision;
+
+class RateEnvelope;
+
 typedef struct _Hello__isset {
   _Hello__isset() : protocol_version(false), node(false), role(false), zone(false), link_class(false), config_version(false), routes(false) {}
   bool protocol_version :1;
@@ -1174,6 +1180,172 @@
 
 std::ostream& operator<<(std::ostream& out, const Envelope& obj);
 
+typedef struct _RateRequest__isset {
+  _RateRequest__isset() : id(false), workspace(false) {}
+  bool id :1;
+  bool workspace :1;
+} _RateRequest__isset;
+
+class RateRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  RateRequest(const RateRequest&);
+  RateRequest& operator=(const RateRequest&);
+  RateRequest() noexcept
+              : id(0),
+                workspace() {
+  }
+
+  virtual ~RateRequest() noexcept;
+  int64_t id;
+  std::string workspace;
+
+  _RateRequest__isset __isset;
+
+  void __set_id(const int64_t val);
+
+  void __set_workspace(const std::string& val);
+
+  bool operator == (const RateRequest & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(workspace == rhs.workspace))
+      return false;
+    return true;
+  }
+  bool operator != (const RateRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RateRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RateRequest &a, RateRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const RateRequest& obj);
+
+typedef struct _RateDecision__isset {
+  _RateDecision__isset() : id(false), outcome(false), retry_after_ms(false) {}
+  bool id :1;
+  bool outcome :1;
+  bool retry_after_ms :1;
+} _RateDecision__isset;
+
+class RateDecision : public virtual ::apache::thrift::TBase {
+ public:
+
+  RateDecision(const RateDecision&) noexcept;
+  RateDecision& operator=(const RateDecision&) noexcept;
+  RateDecision() noexcept
+               : id(0),
+                 outcome(0),
+                 retry_after_ms(0) {
+  }
+
+  virtual ~RateDecision() noexcept;
+  int64_t id;
+  int32_t outcome;
+  int64_t retry_after_ms;
+
+  _RateDecision__isset __isset;
+
+  void __set_id(const int64_t val);
+
+  void __set_outcome(const int32_t val);
+
+  void __set_retry_after_ms(const int64_t val);
+
+  bool operator == (const RateDecision & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(outcome == rhs.outcome))
+      return false;
+    if (!(retry_after_ms == rhs.retry_after_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const RateDecision &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RateDecision & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RateDecision &a, RateDecision &b);
+
+std::ostream& operator<<(std::ostream& out, const RateDecision& obj);
+
+typedef struct _RateEnvelope__isset {
+  _RateEnvelope__isset() : protocol_version(false), request(false), decision(false) {}
+  bool protocol_version :1;
+  bool request :1;
+  bool decision :1;
+} _RateEnvelope__isset;
+
+class RateEnvelope : public virtual ::apache::thrift::TBase {
+ public:
+
+  RateEnvelope(const RateEnvelope&);
+  RateEnvelope& operator=(const RateEnvelope&);
+  RateEnvelope() noexcept
+               : protocol_version(0) {
+  }
+
+  virtual ~RateEnvelope() noexcept;
+  int32_t protocol_version;
+  RateRequest request;
+  RateDecision decision;
+
+  _RateEnvelope__isset __isset;
+
+  void __set_protocol_version(const int32_t val);
+
+  void __set_request(const RateRequest& val);
+
+  void __set_decision(const RateDecision& val);
+
+  bool operator == (const RateEnvelope & rhs) const
+  {
+    if (!(protocol_version == rhs.protocol_version))
+      return false;
+    if (__isset.request != rhs.__isset.request)
+      return false;
+    else if (__isset.request && !(request == rhs.request))
+      return false;
+    if (__isset.decision != rhs.__isset.decision)
+      return false;
+    else if (__isset.decision && !(decision == rhs.decision))
+      return false;
+    return true;
+  }
+  bool operator != (const RateEnvelope &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RateEnvelope & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RateEnvelope &a, RateEnvelope &b);
+
+std::ostream& operator<<(std::ostream& out, const RateEnvelope& obj);
+
 }} // namespace
 
 #endif
--- a/src/connection/wire.thrift
+++ b/src/connection/wire.thrift
@@ -126,3 +126,22 @@
   11: optional LimitAsk limit_ask
   12: optional LimitGrant limit_grant
 }
+
+// Datagrams between frontends.
+
+struct RateRequest {
+  1: i64 id
+  2: string workspace
+}
+
+struct RateDecision {
+  1: i64 id
+  2: i32 outcome
+  3: i64 retry_after_ms
+}
+
+struct RateEnvelope {
+  1: i32 protocol_version
+  2: optional RateRequest request
+  3: optional RateDecision decision
+}
--- a/src/connection/wire_codec.cc
+++ b/src/connection/wire_codec.cc
@@ -1,21 +1,15 @@
 #include "connection/wire_codec.h"
 
-#include <thrift/protocol/TCompactProtocol.h>
-#include <thrift/transport/TBufferTransports.h>
-
 #include <algorithm>
-#include <memory>
 #include <utility>
 
 #include "carawayrelay/request.h"
+#include "connection/compact_struct.h"
 #include "wire_types.h"
 
 namespace carawayrelay {
 namespace {
 
-using apache::thrift::protocol::TCompactProtocol;
-using apache::thrift::transport::TMemoryBuffer;
-
 std::int64_t ToWire(std::uint64_t value) {
   return static_cast<std::int64_t>(value);
 }
@@ -348,26 +342,12 @@
   wire::Envelope envelope;
   envelope.protocol_version = kProtocolVersion;
   std::visit([&](const auto& m) { SetPayload(envelope, m); }, message);
-  auto buffer = std::make_shared<TMemoryBuffer>();
-  TCompactProtocol protocol(buffer);
-  envelope.write(&protocol);
-  return buffer->getBufferAsString();
+  return WriteCompactStruct(envelope);
 }
 
 Result<Message> Decode(std::string_view payload) {
   wire::Envelope envelope;
-  // Thrift reads directly from `payload` and does not modify it.
-  auto* data = reinterpret_cast<std::uint8_t*>(
-      const_cast<char*>(payload.data()));  // NOLINT
-  try {
-    auto buffer = std::make_shared<TMemoryBuffer>(
-        data, static_cast<std::uint32_t>(payload.size()));
-    TCompactProtocol protocol(buffer);
-    envelope.read(&protocol);
-  } catch (const apache::thrift::TException& e) {
-    return Error{ErrorCode::kInvalid,
-                 std::string("malformed frame: ") + e.what()};
-  }
+  BOOST_OUTCOME_TRY(ReadCompactStruct(payload, envelope));
   if (envelope.protocol_version != kProtocolVersion) {
     return Error{ErrorCode::kInvalid,
                  "protocol version " +
--- a/src/process/forward/online_forwarder.cc
+++ b/src/process/forward/online_forwarder.cc
@@ -14,7 +14,7 @@
 using std::chrono::milliseconds;
 
 // When a client should retry if no backend server had capacity, or this
-// frontend has no share of the workspace's rate.
+// frontend has just started.
 constexpr milliseconds kRetryAfter{100};
 // Header with the trace context of a request (W3C Trace Context).
 constexpr const char* kTraceHeader = "traceparent";
@@ -32,13 +32,13 @@
 
 OnlineForwarder::OnlineForwarder(Options options,
                                  BackendDirectory& backends,
-                                 Allowances& allowances,
+                                 RateAdmission& rates,
                                  OutboundCalls& calls,
                                  const EventLoopClock& clock,
                                  ResponseCallback send_response)
     : options_(std::move(options)),
       backends_(backends),
-      allowances_(allowances),
+      rates_(rates),
       calls_(calls),
       clock_(clock),
       send_response_(std::move(send_response)),
@@ -62,30 +62,45 @@
   }
   request.deadline =
       request.call.arrived + (limit.count() > 0 ? limit : milliseconds(60000));
-  if (workspace != nullptr) {
-    request.workspace = workspace->name;
-    switch (allowances_.Admit(*workspace, now)) {
-      case Allowances::AdmitResult::kAdmitted:
-        break;
-      case Allowances::AdmitResult::kOverRate:
-        Refuse(request,
-               {.code = RefusalCode::kRateLimited,
-                .reason = "the workspace is over its rate",
-                .retry_after = allowances_.RetryAfter(*workspace, now)},
-               now);
-        return;
-      case Allowances::AdmitResult::kNoShare:
-        Refuse(request,
-               {.code = RefusalCode::kNotReady,
-                .reason = "this entry has no share of the workspace's rate",
-                .retry_after = kRetryAfter},
-               now);
-        return;
-    }
-  }
-  ContinueTrace(request);
   request.service = ChooseService(route);
-  ChooseAndSend(request, now);
+  ContinueTrace(request);
+  if (workspace == nullptr) {
+    ChooseAndSend(request, now);
+    return;
+  }
+  request.workspace = workspace->name;
+  rates_.Admit(*workspace, now, [this, client](const RateVerdict& verdict) {
+    OnRateVerdict(client, verdict);
+  });
+}
+
+void OnlineForwarder::OnRateVerdict(ClientCallId client,
+                                    const RateVerdict& verdict) {
+  const auto it = requests_.find(client);
+  if (it == requests_.end()) {
+    return;  // the client disconnected
+  }
+  Request& request = it->second;
+  const TimePoint now = clock_.now();
+  std::visit(
+      Overloaded{
+          [&](const RateAdmitted&) { ChooseAndSend(request, now); },
+          [&](const RateExceeded& exceeded) {
+            Refuse(request,
+                   {.code = RefusalCode::kRateLimited,
+                    .reason = "the workspace is over its rate",
+                    .retry_after = exceeded.retry_after},
+                   now);
+          },
+          [&](const RateUnavailable&) {
+            Refuse(request,
+                   {.code = RefusalCode::kNotReady,
+                    .reason = "this entry does not know the other entries yet",
+                    .retry_after = kRetryAfter},
+                   now);
+          },
+      },
+      verdict);
 }
 
 void OnlineForwarder::ContinueTrace(Request& request) {
@@ -171,7 +186,7 @@
   request.headers.clear();
   request.body.clear();
   request.event_splitter.Reset();
-  request.last_received_at = now;
+  request.last_progress_at = now;
   request.is_silence_recorded = false;
   request.is_attempt_running = true;
   backends_.NoteSent(*backend, now);
@@ -194,7 +209,6 @@
     return;
   }
   const TimePoint now = clock_.now();
-  it->second.last_received_at = now;
   std::visit([&](auto& e) { HandleEvent(it->second, e, now); }, event);
 }
 
@@ -228,6 +242,7 @@
     return;
   }
   request.may_have_run = true;
+  request.last_progress_at = now;
   request.status = response.status;
   request.is_signed = response.is_signed;
   request.headers = std::move(response.headers);
@@ -243,9 +258,13 @@
                                   CallData& data,
                                   TimePoint now) {
   if (request.is_forwarding) {
-    ForwardEvents(request, data.bytes);
+    ForwardEvents(request, data.bytes, now);
+    if (request.event_splitter.IsEventTooLong()) {
+      FailAttempt(request, true, "an event is over the limit", now);
+    }
     return;
   }
+  request.last_progress_at = now;
   request.body += data.bytes;
   if (request.body.size() > kMaxBufferedBytes) {
     FailAttempt(request, true, "answer over the limit", now);
@@ -253,9 +272,13 @@
 }
 
 void OnlineForwarder::ForwardEvents(Request& request,
-                                    const std::string& bytes) {
+                                    const std::string& bytes,
+                                    TimePoint now) {
   std::string complete_events;
   for (RawSseEvent& event : request.event_splitter.Feed(bytes)) {
+    if (event.has_data) {
+      request.last_progress_at = now;
+    }
     // A resumed stream may repeat events that the client already has.
     if (event.id && *event.id <= request.last_event_number &&
         request.last_event_number > 0) {
@@ -269,7 +292,7 @@
   }
   if (!complete_events.empty()) {
     if (!request.first_part) {
-      request.first_part = clock_.now() - request.call.arrived;
+      request.first_part = now - request.call.arrived;
     }
     send_response_(request.call.client,
                    ResponseBodyPart{std::move(complete_events)});
@@ -453,7 +476,7 @@
     if (!request.is_attempt_running) {
       continue;
     }
-    const Duration silence = now - request.last_received_at;
+    const Duration silence = now - request.last_progress_at;
     if (silence >= options_.silence_limit &&
         !std::exchange(request.is_silence_recorded, true)) {
       if (BackendDirectory::Backend* backend =
--- a/src/process/forward/online_forwarder.h
+++ b/src/process/forward/online_forwarder.h
@@ -10,7 +10,7 @@
 #include <string>
 
 #include "process/forward/backend_directory.h"
-#include "process/limits/allowances.h"
+#include "process/limits/rate_admission.h"
 #include "process/serving/event_loop_clock.h"
 #include "process/telemetry/request_observed.h"
 #include "process/transport/outbound_calls.h"
@@ -38,9 +38,9 @@
     // How long the backend server keeps a reserved slot free for the request.
     std::chrono::milliseconds reservation_time{400};
     // A repeatable request is moved to another backend server after this long
-    // without receiving anything, if it has attempts left.
+    // without progress, if it has attempts left.
     std::chrono::milliseconds resume_after_silence{700};
-    // A backend server is avoided when a call receives nothing for this long.
+    // A backend server is avoided when a call makes no progress for this long.
     std::chrono::milliseconds silence_limit{500};
     // Called for each request that ended; may be empty.
     std::function<void(const RequestObserved&)> observe;
@@ -61,7 +61,7 @@
 
   OnlineForwarder(Options options,
                   BackendDirectory& backends,
-                  Allowances& allowances,
+                  RateAdmission& rates,
                   OutboundCalls& calls,
                   const EventLoopClock& clock,
                   ResponseCallback send_response);
@@ -108,7 +108,10 @@
     HeaderList headers;
     std::string body;
     SseEventSplitter event_splitter;
-    TimePoint last_received_at{};
+    // When the head or the latest complete event arrived. Single bytes and
+    // comments do not count, so that a stalled server that sends some now and
+    // then is noticed.
+    TimePoint last_progress_at{};
     // Whether the silence of this attempt was recorded as a failure.
     bool is_silence_recorded = false;
     // State over all attempts.
@@ -128,6 +131,7 @@
     std::uint64_t parent_span = 0;
   };
 
+  void OnRateVerdict(ClientCallId client, const RateVerdict& verdict);
   // Chooses a backend server and sends the request to it. For a stream with a
   // known number of tokens, a slot is reserved first, unless reservations are
   // paused or failed at max_reservation_attempts backend servers. Refuses the
@@ -148,7 +152,7 @@
   void HandleEvent(Request& request, const CallHead& head, TimePoint now);
   void HandleEvent(Request& request, CallData& data, TimePoint now);
   void HandleEvent(Request& request, const CallEnd& end, TimePoint now);
-  void ForwardEvents(Request& request, const std::string& bytes);
+  void ForwardEvents(Request& request, const std::string& bytes, TimePoint now);
   void HandleDecline(Request& request,
                      const std::string& reason,
                      TimePoint now);
@@ -166,7 +170,7 @@
 
   Options options_;
   BackendDirectory& backends_;
-  Allowances& allowances_;
+  RateAdmission& rates_;
   OutboundCalls& calls_;
   const EventLoopClock& clock_;
   ResponseCallback send_response_;
--- a/src/process/forward/online_forwarder_reservations.cc
+++ b/src/process/forward/online_forwarder_reservations.cc
@@ -25,7 +25,7 @@
   const ClientCallId client = request.call.client;
   request.is_reserving = true;
   request.backend_id = backend.registration.id;
-  request.last_received_at = now;
+  request.last_progress_at = now;
   request.outbound_id = calls_.Start(
       platform::EncodeReservationCall(backend.registration.address,
                                       request.call.tokens,
--- a/src/process/jobs/item_worker.cc
+++ b/src/process/jobs/item_worker.cc
@@ -103,7 +103,7 @@
   }
   for (auto& [key, run] : runs_) {
     if (run.state == RunState::kRunning &&
-        now - run.last_received_at >= options_.silence_limit) {
+        now - run.last_progress_at >= options_.silence_limit) {
       Pause(run, now);
     } else if (run.state == RunState::kPaused &&
                now - run.state_since >= options_.pause_limit) {
--- a/src/process/jobs/item_worker.h
+++ b/src/process/jobs/item_worker.h
@@ -45,7 +45,10 @@
     // The claim of an item that gets no free slot for this long is released, so
     // that other workers can run the item.
     std::chrono::milliseconds pause_limit{3000};
-    // A run that receives nothing for this long is stopped and resumed.
+    // No run starts while the job table is older than this, because its job may
+    // have ended. More than two waits of a watch call of the store.
+    std::chrono::milliseconds max_jobs_age{2500};
+    // A run without progress for this long is stopped and resumed.
     std::chrono::milliseconds silence_limit{2500};
   };
 
@@ -105,7 +108,7 @@
     bool is_response_invalid = false;
     std::string response_problem;
     SseEventSplitter event_splitter;
-    TimePoint last_received_at{};
+    TimePoint last_progress_at{};  // of the head or a complete event
     TimePoint started_at{};
   };
 
@@ -141,7 +144,7 @@
   void StartPausedRuns(int count, TimePoint now);
   void StartRun(const ItemKey& key, Run& run, TimePoint now);
   void OnEvent(const ItemKey& key, CallEvent& event);
-  void AppendEvents(Run& run, const std::string& bytes);
+  void AppendEvents(Run& run, const std::string& bytes, TimePoint now);
   void OnEnd(const ItemKey& key, Run& run, const CallEnd& end, TimePoint now);
   void Pause(Run& run, TimePoint now);
   // Records that the local backend server failed to run the item.
--- a/src/process/jobs/item_worker_runs.cc
+++ b/src/process/jobs/item_worker_runs.cc
@@ -23,6 +23,9 @@
 }  // namespace
 
 void ItemWorker::StartPausedRuns(int count, TimePoint now) {
+  if (!jobs_.IsCurrent(options_.max_jobs_age, now)) {
+    return;
+  }
   for (auto& [key, run] : runs_) {
     if (count <= 0) {
       return;
@@ -51,7 +54,7 @@
   run.is_response_invalid = false;
   run.response_problem.clear();
   run.event_splitter.Reset();
-  run.last_received_at = now;
+  run.last_progress_at = now;
   run.started_at = now;
   run.backend_id = backend->registration.id;
   const ClientCall call{.request_id = run.item.id,
@@ -78,9 +81,9 @@
   }
   Run& run = it->second;
   const TimePoint now = clock_.now();
-  run.last_received_at = now;
   std::visit(Overloaded{
                  [&](const CallHead& head) {
+                   run.last_progress_at = now;
                    const platform::BackendResponseHead response =
                        platform::DecodeBackendResponseHead(head);
                    run.status = response.status;
@@ -99,15 +102,24 @@
                  },
                  [&](const CallData& data) {
                    if (run.status == 200 && !run.is_response_invalid) {
-                     AppendEvents(run, data.bytes);
+                     AppendEvents(run, data.bytes, now);
                    }
                  },
-                 [&](const CallEnd& end) { OnEnd(key, run, end, now); },
+                 [](const CallEnd&) {},
              },
              event);
+  if (const auto* end = std::get_if<CallEnd>(&event)) {
+    OnEnd(key, run, *end, now);
+  } else if (run.is_response_invalid) {
+    // The rest of the response may have no end.
+    calls_.Cancel(run.outbound_id);
+    OnEnd(key, run, {.was_sent = true, .reason = "invalid response"}, now);
+  }
 }
 
-void ItemWorker::AppendEvents(Run& run, const std::string& bytes) {
+void ItemWorker::AppendEvents(Run& run,
+                              const std::string& bytes,
+                              TimePoint now) {
   PartialRun& progress = run.progress;
   for (const RawSseEvent& event : run.event_splitter.Feed(bytes)) {
     if (!event.has_data || (event.id && *event.id <= progress.last_event)) {
@@ -123,6 +135,11 @@
     }
     progress.text += event.data;
     progress.last_event = *event.id;
+    run.last_progress_at = now;
+  }
+  if (run.event_splitter.IsEventTooLong()) {
+    run.response_problem = "an event is over the limit";
+    run.is_response_invalid = true;
   }
 }
 
--- a/src/process/jobs/job_table.h
+++ b/src/process/jobs/job_table.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -52,6 +54,12 @@
   // Applies the row even if the table has a newer version, because the rows
   // that a failed transaction returns are authoritative.
   const Entry* Replace(const StoredRow& row);
+  // Records that all changes before `at` have been applied.
+  void SetUpToDateAt(std::optional<TimePoint> at) { up_to_date_at_ = at; }
+  // Returns whether the table reflects the store as of at most `age` ago.
+  bool IsCurrent(std::chrono::milliseconds age, TimePoint now) const {
+    return up_to_date_at_ && now - *up_to_date_at_ <= age;
+  }
   const Entry* Find(const std::string& job) const;
   const std::map<std::string, Entry>& jobs() const { return jobs_; }
   // Number of tokens of the workspace's items that are waiting or running on
@@ -61,6 +69,7 @@
 
  private:
   std::map<std::string, Entry> jobs_;
+  std::optional<TimePoint> up_to_date_at_;
 };
 
 }  // namespace carawayrelay
--- a/src/process/serving/frontend_process.cc
+++ b/src/process/serving/frontend_process.cc
@@ -5,7 +5,7 @@
 #include <vector>
 
 #include "platform/client_codec.h"
-#include "process/serving/serving_metrics.h"
+#include "process/serving/run_step.h"
 #include "process/telemetry/decision_log.h"
 #include "request/overloaded.h"
 
@@ -17,7 +17,6 @@
 constexpr milliseconds kTickInterval{50};
 // Tick interval without active requests. Events end the wait early.
 constexpr milliseconds kIdleTickInterval{200};
-constexpr milliseconds kMetricsInterval{1000};
 // Maximum age of the configuration as a fraction of the key revocation time.
 constexpr double kMaxConfigAgeFraction = 0.8;
 // Retry-After of refusals while this frontend cannot serve requests.
@@ -36,8 +35,6 @@
 // If the job table is older than this, job requests read from the store.
 constexpr milliseconds kMaxJobsAge{1200};
 constexpr size_t kMaxBodyBytes = size_t{8} << 20;
-constexpr const char* kMetricsPath = "/metrics";
-constexpr const char* kMetricsType = "text/plain; version=0.0.4";
 
 std::string HostOf(const HttpRequest& request) {
   const auto it = request.headers.find("host");
@@ -60,7 +57,11 @@
 FrontendProcess::FrontendProcess(FrontendSettings settings, std::uint64_t seed)
     : settings_(std::move(settings)),
       seed_(seed),
-      allowances_(settings_.node) {}
+      rates_(settings_.node,
+             seed,
+             [this](const std::string& address, const RateMessage& message) {
+               SendRateMessage(address, message);
+             }) {}
 
 FrontendProcess::~FrontendProcess() {
   if (core_) {
@@ -78,6 +79,9 @@
   if (metrics_server_) {
     metrics_server_->Stop();
   }
+  if (peers_socket_) {
+    peers_socket_->Stop();
+  }
   if (core_) {
     core_->Stop();
   }
@@ -87,9 +91,9 @@
   BOOST_OUTCOME_TRY(
       core_, ServingCore::Make(
                  {.store_address = settings_.store_address, .seed = seed_},
-                 [this](TimePoint now) {
+                 [this](TimePoint) {
                    if (core_->operators().config()) {
-                     allowances_.SetConfig(core_->operators().config(), now);
+                     rates_.SetConfig(core_->operators().config());
                    }
                  }));
   const auto send_response = [this](ClientCallId client,
@@ -101,10 +105,12 @@
           .zone = settings_.zone,
           .seed = seed_,
           .observe = [this](const RequestObserved& o) { Observe(o); }},
-      core_->backends(), allowances_, core_->calls(), core_->clock(),
-      send_response);
-  demand_reporter_ = std::make_unique<DemandReporter>(
-      settings_.node, allowances_, core_->store(), core_->clock());
+      core_->backends(), rates_, core_->calls(), core_->clock(), send_response);
+  rate_member_reporter_ = std::make_unique<RateMemberReporter>(
+      RateMemberReporter::Options{.node = settings_.node,
+                                  .address = settings_.listen_peers,
+                                  .weight = settings_.cpu_cores},
+      rates_, core_->store(), core_->clock());
   job_api_ =
       std::make_unique<JobApi>(core_->jobs(), core_->writer(), core_->store(),
                                core_->clock(), send_response);
@@ -125,6 +131,13 @@
                            HandleMonitoringRequest(request, exchange);
                          }));
   }
+  BOOST_OUTCOME_TRY(
+      peers_socket_,
+      DatagramSocket::Make(settings_.listen_peers, [this](Datagram datagram) {
+        // When the ring is full, the datagram is lost and its sender asks
+        // again.
+        core_->events().TryPush(ServingEvent(std::move(datagram)));
+      }));
   BOOST_OUTCOME_TRY(
       ready_server_,
       HttpServer::Make(
@@ -162,15 +175,21 @@
     if (now >= next_tick_) {
       next_tick_ =
           now + (exchanges_.empty() ? kIdleTickInterval : kTickInterval);
-      Tick(now);
+      RunStep([&] { Tick(now); });
     }
-    core_->Tick(now);
-    job_api_->Tick(now);
+    RunStep([&] {
+      core_->Tick(now);
+      job_api_->Tick(now);
+      rates_.Tick(now);
+    });
     if (IsDrained(now) || core_->events().IsClosed()) {
       break;
     }
-    if (auto event = core_->events().PopUntil(next_tick_)) {
-      HandleEvent(*std::move(event), core_->BeginIteration());
+    const TimePoint wake_at =
+        std::min(next_tick_, rates_.NextTimeout().value_or(next_tick_));
+    if (auto event = core_->events().PopUntil(wake_at)) {
+      const TimePoint event_time = core_->BeginIteration();
+      RunStep([&] { HandleEvent(*std::move(event), event_time); });
     }
   }
   is_ready_ = false;
@@ -189,6 +208,7 @@
                    LogDecision(LogEvent::kServingStopping, "active",
                                exchanges_.size());
                  },
+                 [&](Datagram& datagram) { HandleDatagram(datagram, now); },
                  [](ReloadRequested&) {
                    LogDecision(LogEvent::kServingReloaded, "changed", false);
                  },
@@ -291,7 +311,7 @@
     return;
   }
   job_api_->Handle(client, std::move(call), workspace->name,
-                   core_->AreJobsCurrent(kMaxJobsAge, now));
+                   core_->jobs().IsCurrent(kMaxJobsAge, now));
 }
 
 void FrontendProcess::HandleClientCall(ClientCall call, TimePoint now) {
@@ -390,7 +410,7 @@
     exchanges_.erase(client);
   }
   forwarder_->Tick(now);
-  demand_reporter_->Tick(now);
+  rate_member_reporter_->Tick(now);
   UpdateColdLimits();
   UpdateReadiness(now);
   UpdateMetrics(now);
@@ -399,11 +419,11 @@
 void FrontendProcess::UpdateColdLimits() {
   const ServingConfigPtr& config = core_->operators().config();
   if (!config || (config->version() == cold_limits_version_ &&
-                  allowances_.member_count() == cold_limits_members_)) {
+                  rates_.members().size() == cold_limits_members_)) {
     return;
   }
   cold_limits_version_ = config->version();
-  cold_limits_members_ = allowances_.member_count();
+  cold_limits_members_ = rates_.members().size();
   std::map<std::string, double> per_second;
   for (const ServingService& service : config->services()) {
     per_second[service.name] = service.cold_start_requests_per_second;
@@ -411,18 +431,6 @@
   core_->backends().SetColdLimits(std::move(per_second), cold_limits_members_);
 }
 
-void FrontendProcess::UpdateReadiness(TimePoint now) {
-  const bool is_ready = !draining_since_ && !RefusalForAnyRequest(now) &&
-                        allowances_.HasShare(now) &&
-                        core_->backends().size() > 0;
-  if (is_ready_.exchange(is_ready) != is_ready) {
-    const std::optional<Duration> age = core_->operators().Age(now);
-    LogDecision(LogEvent::kServingReadiness, "ready", is_ready, "config_age_ms",
-                age ? ToMilliseconds(*age) : -1, "has_share",
-                allowances_.HasShare(now), "runners", core_->backends().size());
-  }
-}
-
 bool FrontendProcess::IsDrained(TimePoint now) const {
   if (!draining_since_) {
     return false;
@@ -434,48 +442,23 @@
          now - last_active_ >= kMinIdleBeforeStop;
 }
 
-void FrontendProcess::UpdateMetrics(TimePoint now) {
-  if (now < next_metrics_) {
+void FrontendProcess::HandleDatagram(const Datagram& datagram, TimePoint now) {
+  const Result<RateMessage> message = DecodeRateMessage(datagram.bytes);
+  if (!message) {
+    LogDecision(LogEvent::kDatagramFailed, "from", datagram.from, "reason",
+                message.error().message);
     return;
   }
-  next_metrics_ = now + kMetricsInterval;
-  namespace names = serving_metrics;
-  Metrics& metrics = core_->metrics();
-  const OnlineForwarder::Counters& c = forwarder_->counters();
-  const auto count = [&](const char* event, std::uint64_t value) {
-    metrics.SetCounter(names::kRequestEvents, {{"event", event}}, value);
-  };
-  count("served", c.served);
-  count("refused", c.refused);
-  count("broken", c.broken);
-  count("abandoned", c.abandoned);
-  count("resent", c.resent);
-  count("held", c.with_reservation);
-  count("unheld", c.without_reservation);
-  metrics.SetGauge(names::kRequestsActive, {},
-                   static_cast<double>(forwarder_->active()));
-  metrics.SetGauge(names::kRateMembers, {},
-                   static_cast<double>(allowances_.member_count()));
-  metrics.SetGauge(names::kRateBorrowed, {}, allowances_.BorrowedRequests(now));
-  core_->UpdateMetrics(now);
-}
-
-void FrontendProcess::Observe(const RequestObserved& observed) {
-  core_->metrics().Observe(observed);
-  if (auto span = ToSpan(observed); span && telemetry_) {
-    telemetry_->TryPush(*std::move(span));
-  }
+  rates_.HandleMessage(datagram.from, message.value(), now);
 }
 
-void FrontendProcess::HandleMonitoringRequest(const HttpRequest& request,
-                                              const HttpExchangePtr& exchange) {
-  if (request.path == kMetricsPath) {
-    exchange->Respond(200, {{"Content-Type", kMetricsType}},
-                      core_->metrics().ToPrometheusText());
-  } else if (request.path == platform::kReadyPath) {
-    exchange->Respond(is_ready_ ? 200 : 503, {}, is_ready_ ? "ready\n" : "\n");
-  } else {
-    exchange->Respond(404, {}, "");
+void FrontendProcess::SendRateMessage(const std::string& address,
+                                      const RateMessage& message) {
+  const Result<void> sent =
+      peers_socket_->Send(address, EncodeRateMessage(message));
+  if (!sent) {
+    LogDecision(LogEvent::kDatagramFailed, "to", address, "reason",
+                sent.error().message);
   }
 }
 
--- a/src/process/serving/frontend_process.h
+++ b/src/process/serving/frontend_process.h
@@ -9,8 +9,8 @@
 
 #include "process/forward/online_forwarder.h"
 #include "process/jobs/job_api.h"
-#include "process/limits/allowances.h"
-#include "process/limits/demand_reporter.h"
+#include "process/limits/rate_admission.h"
+#include "process/limits/rate_member_reporter.h"
 #include "process/serving/serving_core.h"
 #include "process/serving/serving_settings.h"
 #include "process/telemetry/request_observed.h"
@@ -19,7 +19,8 @@
 namespace carawayrelay {
 
 // The frontend role: HTTP servers for clients, for readiness and for metrics,
-// the HTTP client thread, and the event loop thread, which makes all decisions.
+// the socket for datagrams of other frontends, the HTTP client thread, and the
+// event loop thread, which makes all decisions.
 class FrontendProcess {
  public:
   // Binds the addresses and starts the threads. Fails with kInvalid,
@@ -63,6 +64,8 @@
   void UpdateReadiness(TimePoint now);
   bool IsDrained(TimePoint now) const;
   void UpdateMetrics(TimePoint now);
+  void HandleDatagram(const Datagram& datagram, TimePoint now);
+  void SendRateMessage(const std::string& address, const RateMessage& message);
   // Returns the refusal of a request whose body or headers exceed the
   // configured limits.
   std::optional<Refusal> RefusalForSize(const HttpRequest& request) const;
@@ -74,9 +77,9 @@
   FrontendSettings settings_;
   std::uint64_t seed_;
   std::unique_ptr<ServingCore> core_;
-  Allowances allowances_;
+  RateAdmission rates_;
   std::unique_ptr<OnlineForwarder> forwarder_;
-  std::unique_ptr<DemandReporter> demand_reporter_;
+  std::unique_ptr<RateMemberReporter> rate_member_reporter_;
   std::unique_ptr<JobApi> job_api_;
   std::map<ClientCallId, HttpExchangePtr> exchanges_;
   std::uint64_t next_client_ = 1;
@@ -88,6 +91,7 @@
   TimePoint next_metrics_{};
   ConfigVersion cold_limits_version_ = kNoConfig;
   size_t cold_limits_members_ = 0;
+  std::unique_ptr<DatagramSocket> peers_socket_;
   std::unique_ptr<HttpServer> clients_server_;
   std::unique_ptr<HttpServer> ready_server_;
   std::unique_ptr<HttpServer> metrics_server_;
--- a/src/process/serving/serving_core.cc
+++ b/src/process/serving/serving_core.cc
@@ -108,10 +108,6 @@
   metrics_.SetCounter(names::kLogLinesDropped, {}, DroppedLogLines());
 }
 
-bool ServingCore::AreJobsCurrent(milliseconds age, TimePoint now) const {
-  return job_watch_.up_to_date_at() && now - *job_watch_.up_to_date_at() <= age;
-}
-
 void ServingCore::Deliver(CallEvent event) {
   calls_.Deliver(event);
 }
@@ -122,6 +118,7 @@
   backend_watch_.Tick(now);
   backends_.Tick(now);
   job_watch_.Tick(now);
+  jobs_.SetUpToDateAt(job_watch_.up_to_date_at());
   writer_.Tick(now);
 }
 
--- a/src/process/serving/serving_core.h
+++ b/src/process/serving/serving_core.h
@@ -52,9 +52,6 @@
   BackendDirectory& backends() { return backends_; }
   JobTable& jobs() { return jobs_; }
   JobWriter& writer() { return writer_; }
-  // Returns whether the job table reflects the store as of at most `age` ago.
-  bool AreJobsCurrent(std::chrono::milliseconds age, TimePoint now) const;
-
   // Passes an event of an outbound call to the handler of that call.
   void Deliver(CallEvent event);
   // Continues the watches of the store and runs periodic work that is due.
--- a/src/process/serving/serving_event.h
+++ b/src/process/serving/serving_event.h
@@ -3,6 +3,7 @@
 #include <variant>
 
 #include "connection/outbound_call.h"
+#include "process/transport/datagram_socket.h"
 #include "process/transport/http_server.h"
 
 namespace carawayrelay {
@@ -22,6 +23,7 @@
                                   CallHead,
                                   CallData,
                                   CallEnd,
+                                  Datagram,
                                   ShutdownRequested,
                                   ReloadRequested>;
 
--- a/src/process/serving/serving_metrics.h
+++ b/src/process/serving/serving_metrics.h
@@ -28,11 +28,13 @@
     "carawayrelay_store_call_duration_seconds",
     "Time until a call to the store was finished."};
 inline constexpr MetricDescriptor kRateMembers{
-    "carawayrelay_rate_members", "Frontends that share the rates."};
-inline constexpr MetricDescriptor kRateBorrowed{
-    "carawayrelay_rate_borrowed_requests",
-    "Requests that this frontend admitted beyond its shares and has to make "
-    "up for."};
+    "carawayrelay_rate_members", "Frontends that hold the rates together."};
+// Labels: event (asked, repeated, alone).
+inline constexpr MetricDescriptor kRateQuestions{
+    "carawayrelay_rate_questions_total",
+    "Requests that another frontend decided, questions sent again, and "
+    "requests "
+    "that no frontend answered about."};
 inline constexpr MetricDescriptor kConfigVersion{
     "carawayrelay_config_version", "Version of the configuration in effect."};
 inline constexpr MetricDescriptor kConfigAge{
--- a/src/process/serving/serving_settings.cc
+++ b/src/process/serving/serving_settings.cc
@@ -13,6 +13,8 @@
 
 constexpr double kMaxMilliseconds = 86400000;
 constexpr double kMaxSlots = 10000;
+constexpr double kMinCpuCores = 0.001;
+constexpr double kMaxCpuCores = 10000;
 
 void CheckAddress(const std::string& address,
                   const std::string& path,
@@ -59,6 +61,9 @@
   settings.zone = reader.RequiredString("zone");
   settings.listen_clients = ReadAddress(reader, "listen_clients", findings);
   settings.listen_ready = ReadAddress(reader, "listen_ready", findings);
+  settings.listen_peers = ReadAddress(reader, "listen_peers", findings);
+  settings.cpu_cores = reader.OptionalNumber("cpu_cores", kMinCpuCores,
+                                             kMaxCpuCores, settings.cpu_cores);
   settings.store_address = ReadAddress(reader, "store_address", findings);
   settings.listen_metrics =
       ReadOptionalAddress(reader, "listen_metrics", findings);
--- a/src/process/serving/serving_settings.h
+++ b/src/process/serving/serving_settings.h
@@ -20,7 +20,11 @@
   std::string listen_metrics;
   // Collector of spans; "http://IP:port", empty for none.
   std::string traces_url;
+  // Datagrams of other frontends; "IP:port", reachable from them.
+  std::string listen_peers;
   std::string store_address;  // "IP:port"
+  // Processor cores of this VM. Frontends hold rates in proportion to them.
+  double cpu_cores = 1;
   // Time after which every frontend must refuse a revoked API key.
   std::chrono::milliseconds key_revocation{5000};
   // Time between the stop signal and the kill of the process.
--- a/src/process/serving/worker_process.cc
+++ b/src/process/serving/worker_process.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "process/serving/run_step.h"
 #include "process/serving/serving_metrics.h"
 #include "process/telemetry/decision_log.h"
 #include "request/overloaded.h"
@@ -93,19 +94,22 @@
   TimePoint next_tick{};
   while (true) {
     const TimePoint now = core_->BeginIteration();
-    core_->Tick(now);
+    RunStep([&] { core_->Tick(now); });
     if (now >= next_tick) {
-      worker_->Tick(now);
-      // Sends the job changes that the worker added.
-      core_->Tick(now);
       next_tick = now + TickInterval();
-      UpdateMetrics(now);
+      RunStep([&] {
+        worker_->Tick(now);
+        // Sends the job changes that the worker added.
+        core_->Tick(now);
+        UpdateMetrics(now);
+      });
     }
     if (IsDrained(now) || core_->events().IsClosed()) {
       return;
     }
     if (auto event = core_->events().PopUntil(next_tick)) {
-      HandleEvent(*std::move(event), core_->BeginIteration());
+      const TimePoint event_time = core_->BeginIteration();
+      RunStep([&] { HandleEvent(*std::move(event), event_time); });
     }
   }
 }
@@ -120,6 +124,7 @@
 void WorkerProcess::HandleEvent(ServingEvent event, TimePoint now) {
   std::visit(Overloaded{
                  [](HttpRequestArrived&) {},
+                 [](Datagram&) {},
                  [&](ShutdownRequested&) {
                    draining_since_ = now;
                    LogDecision(LogEvent::kServingStopping, "active",
--- a/src/process/telemetry/events.cc
+++ b/src/process/telemetry/events.cc
@@ -26,8 +26,14 @@
       return "store_lost";
     case LogEvent::kStoreRegained:
       return "store_regained";
-    case LogEvent::kDemandReportUnreadable:
-      return "demand_report_unreadable";
+    case LogEvent::kEventFailed:
+      return "event_failed";
+    case LogEvent::kRateReportUnreadable:
+      return "rate_report_unreadable";
+    case LogEvent::kRateHolderSilent:
+      return "rate_holder_silent";
+    case LogEvent::kDatagramFailed:
+      return "datagram_failed";
     case LogEvent::kBackendChanged:
       return "runner_changed";
     case LogEvent::kBackendRemoved:
--- a/src/process/telemetry/log_timeline.cc
+++ b/src/process/telemetry/log_timeline.cc
@@ -62,8 +62,11 @@
        "process is stopping, requests or calls in progress: {active}"},
       {"serving_stopped", "process stopped"},
       {"serving_readiness",
-       "ready: {ready} (configuration confirmed {config_age_ms} ms ago, has a "
-       "share of the rate limits: {has_share}, backend servers: {runners})"},
+       "ready: {ready} (configuration confirmed {config_age_ms} ms ago, knows "
+       "the other entries: {knows_members}, backend servers: {runners})"},
+      {"event_failed", "one step of the event loop failed: {reason}"},
+      {"rate_holder_silent",
+       "{holder} did not answer about the rate of workspace {workspace}"},
       {"serving_config_adopted",
        "adopted configuration version {version}, previous version {before}"},
       {"zones_out_changed", "availability zones out of service: {zones}"},
--- a/src/request/sse_event_splitter.cc
+++ b/src/request/sse_event_splitter.cc
@@ -49,6 +49,9 @@
 
 std::vector<RawSseEvent> SseEventSplitter::Feed(std::string_view bytes) {
   std::vector<RawSseEvent> events;
+  if (is_event_too_long_) {
+    return events;
+  }
   buffer_ += bytes;
   size_t begin = 0;
   for (; scanned_ < buffer_.size(); ++scanned_) {
@@ -66,6 +69,11 @@
   buffer_.erase(0, begin);
   line_start_ -= begin;
   scanned_ -= begin;
+  if (buffer_.size() > kMaxEventBytes) {
+    is_event_too_long_ = true;
+    buffer_.clear();
+    buffer_.shrink_to_fit();
+  }
   return events;
 }
 
--- a/src/version/serving_config.cc
+++ b/src/version/serving_config.cc
@@ -6,6 +6,7 @@
 
 ServingConfig::ServingConfig(Parts parts) : parts_(std::move(parts)) {
   for (size_t i = 0; i < parts_.workspaces.size(); ++i) {
+    workspace_of_name_[parts_.workspaces[i].name] = i;
     for (const std::string& key : parts_.workspaces[i].keys) {
       workspace_of_key_[key] = i;
     }
@@ -50,6 +51,13 @@
                                        : &parts_.workspaces[it->second];
 }
 
+const ServingWorkspace* ServingConfig::FindWorkspace(
+    const std::string& name) const {
+  const auto it = workspace_of_name_.find(name);
+  return it == workspace_of_name_.end() ? nullptr
+                                        : &parts_.workspaces[it->second];
+}
+
 const ServingService* ServingConfig::FindService(
     const std::string& name) const {
   for (const ServingService& service : parts_.services) {
--- a/src/version/serving_config.h
+++ b/src/version/serving_config.h
@@ -105,6 +105,7 @@
   const ServingRoute* FindRouteByName(const std::string& name) const;
   // Returns the workspace that the key belongs to, or nullptr.
   const ServingWorkspace* FindWorkspaceByKey(const std::string& key) const;
+  const ServingWorkspace* FindWorkspace(const std::string& name) const;
   const ServingService* FindService(const std::string& name) const;
   const std::vector<ServingService>& services() const {
     return parts_.services;
@@ -117,6 +118,7 @@
  private:
   Parts parts_;
   std::map<std::string, size_t> workspace_of_key_;
+  std::map<std::string, size_t> workspace_of_name_;
 };
 
 using ServingConfigPtr = std::shared_ptr<const ServingConfig>;
--- a/tests/serving/item_worker_test.cc
+++ b/tests/serving/item_worker_test.cc
@@ -21,6 +21,8 @@
       clock};
   int running = 0;
   int waiting = 0;
+  // Whether the worker receives the changes of jobs.
+  bool is_watching = true;
 
   ItemWorkerFixture() {
     backends.Apply({BackendRow("own", kLocalAddress)}, true, std::nullopt,
@@ -34,6 +36,9 @@
   void RunFor(milliseconds time = milliseconds(600)) {
     for (milliseconds passed{0}; passed < time; passed += milliseconds(20)) {
       Advance(milliseconds(20));
+      if (is_watching) {
+        jobs.SetUpToDateAt(now());
+      }
       worker.Tick(now());
       RespondToLoadReports();
       RunUntilIdle();
@@ -132,6 +137,81 @@
   CHECK(LastBody()["results"][0]["text"] == "one\ntwo");
 }
 
+// Guards against a worker that starts an item of a job that ended: it lost
+// sight of the job rows while the run was stopped. Once an item ran 5.4 s after
+// the end of its job was acknowledged.
+TEST_CASE_FIXTURE(ItemWorkerFixture,
+                  "ItemWorker, job rows not read for long, starts no run") {
+  AddJob("j", 1);
+  RunFor();
+  REQUIRE(Runs().size() == 1);
+  running = 8;
+  waiting = 1;
+  is_watching = false;
+  RunFor(milliseconds(2600));
+  CHECK(Runs().empty());
+  running = 0;
+  waiting = 0;
+  RunFor(milliseconds(200));
+  CHECK(Runs().empty());
+  is_watching = true;
+  RunFor();
+  CHECK(Runs().size() == 1);
+}
+
+// Guards against a stalled server that sends a byte now and then and holds an
+// item for ever.
+TEST_CASE_FIXTURE(ItemWorkerFixture,
+                  "ItemWorker, bytes but no event for long, run is stopped") {
+  AddJob("j", 1);
+  RunFor();
+  REQUIRE(Runs().size() == 1);
+  const OutboundCall first = Runs()[0];
+  Head(first.id, 200, SignedFor(first));
+  Data(first.id, "id: 1\ndata: one\n\n");
+  for (int i = 0; i < 8; ++i) {
+    RunFor(milliseconds(400));
+    if (IsPending(first.id)) {
+      Data(first.id, ":");
+    }
+  }
+  REQUIRE(Runs().size() == 1);
+  CHECK(Runs()[0].id != first.id);
+  CHECK(FindHeader(Runs()[0].headers, "last-event-id") == "1");
+}
+
+// Guards against a slow but sound stream that is cut.
+TEST_CASE_FIXTURE(ItemWorkerFixture,
+                  "ItemWorker, events far apart, run goes on") {
+  AddJob("j", 1);
+  RunFor();
+  REQUIRE(Runs().size() == 1);
+  const OutboundCall first = Runs()[0];
+  Head(first.id, 200, SignedFor(first));
+  for (int i = 1; i <= 4; ++i) {
+    Data(first.id, "id: " + std::to_string(i) + "\ndata: x\n\n");
+    RunFor(milliseconds(2400));
+  }
+  REQUIRE(Runs().size() == 1);
+  CHECK(Runs()[0].id == first.id);
+}
+
+// Guards against an answer without end that is read although it is not valid.
+TEST_CASE_FIXTURE(ItemWorkerFixture,
+                  "ItemWorker, event without end, call is cancelled") {
+  AddJob("j", 1);
+  RunFor();
+  REQUIRE(Runs().size() == 1);
+  const OutboundCall first = Runs()[0];
+  Head(first.id, 200, SignedFor(first));
+  const std::string piece(size_t{256} << 10, 'x');
+  for (int i = 0; i < 5 && IsPending(first.id); ++i) {
+    Data(first.id, piece);
+  }
+  CHECK_FALSE(IsPending(first.id));
+  CHECK(cancelled == std::vector<OutboundCallId>{first.id});
+}
+
 // Guards against an item that is given up too early or retried forever.
 TEST_CASE_FIXTURE(
     ItemWorkerFixture,
--- a/tests/serving/online_forwarder_test.cc
+++ b/tests/serving/online_forwarder_test.cc
@@ -11,11 +11,12 @@
 
 struct OnlineForwarderFixture : ServingFixture {
   BackendDirectory backends{1};
-  Allowances allowances{"node-0"};
+  RateAdmission rates{"node-0", 1,
+                      [](const std::string&, const RateMessage&) {}};
   std::vector<ClientResponseEvent> responses;
   OnlineForwarder forwarder{{.zone = "zone-1", .max_reservation_attempts = 0},
                             backends,
-                            allowances,
+                            rates,
                             calls,
                             clock,
                             [this](ClientCallId, ClientResponseEvent response) {
@@ -295,11 +296,62 @@
   CHECK(BackendCall().address != first.address);
 }
 
+// Guards against a stalled server that sends a byte now and then and is never
+// left.
+TEST_CASE_FIXTURE(OnlineForwarderFixture,
+                  "OnlineForwarder, bytes but no event for long, is moved") {
+  route.can_resume = true;
+  SendRequest();
+  const OutboundCall first = BackendCall();
+  Head(first.id, 200, Signed());
+  Data(first.id, "id: 1\ndata: a\n\n");
+  for (int i = 0; i < 8 && IsPending(first.id); ++i) {
+    Advance(milliseconds(100));
+    Data(first.id, ": still here\n\n");
+    forwarder.Tick(now());
+  }
+  CHECK_FALSE(IsPending(first.id));
+  CHECK(BackendCall().address != first.address);
+  CHECK(FindHeader(BackendCall().headers, "last-event-id") == "1");
+}
+
+// Guards against a slow but sound stream that is cut.
+TEST_CASE_FIXTURE(OnlineForwarderFixture,
+                  "OnlineForwarder, events far apart, stream goes on") {
+  route.can_resume = true;
+  SendRequest();
+  const OutboundCall call = BackendCall();
+  Head(call.id, 200, Signed());
+  for (int i = 1; i <= 6; ++i) {
+    Advance(milliseconds(600));
+    forwarder.Tick(now());
+    REQUIRE(IsPending(call.id));
+    Data(call.id, "id: " + std::to_string(i) + "\ndata: a\n\n");
+  }
+  End(call.id);
+  CHECK(Count<ResponseEnd>() == 1);
+}
+
+// Guards against a stream without line ends that fills the memory.
+TEST_CASE_FIXTURE(OnlineForwarderFixture,
+                  "OnlineForwarder, event without end, call is cancelled") {
+  SendRequest();
+  const OutboundCall call = BackendCall();
+  Head(call.id, 200, Signed());
+  const std::string piece(size_t{256} << 10, 'x');
+  for (int i = 0; i < 5 && IsPending(call.id); ++i) {
+    Data(call.id, piece);
+  }
+  CHECK(cancelled == std::vector<OutboundCallId>{call.id});
+  CHECK(Count<ResponseAborted>() == 1);
+  CHECK(Parts().empty());
+}
+
 struct ReservationFixture : OnlineForwarderFixture {
   OnlineForwarder reserving_forwarder{
       {.zone = "zone-1"},
       backends,
-      allowances,
+      rates,
       calls,
       clock,
       [this](ClientCallId, ClientResponseEvent response) {
--- a/tests/serving/serving_fixture.h
+++ b/tests/serving/serving_fixture.h
@@ -107,6 +107,11 @@
     return found[0];
   }
 
+  bool IsPending(OutboundCallId id) const {
+    return std::ranges::any_of(
+        started, [id](const OutboundCall& call) { return call.id == id; });
+  }
+
   void Deliver(CallEvent event) { calls.Deliver(event); }
   void RemovePendingCall(OutboundCallId id) {
     std::erase_if(started, [&](const auto& c) { return c.id == id; });
--- a/tests/serving/serving_settings_test.cc
+++ b/tests/serving/serving_settings_test.cc
@@ -25,7 +25,8 @@
                   "FrontendSettings, complete file, is accepted") {
   const auto settings = ParseFrontendSettings(
       R"({"node":"n","zone":"z","listen_clients":"10.0.0.1:80",
-          "listen_ready":"10.0.0.1:81","store_address":"10.0.0.2:82",
+          "listen_ready":"10.0.0.1:81","listen_peers":"10.0.0.1:83",
+          "cpu_cores":0.5,"store_address":"10.0.0.2:82",
           "key_revocation_ms":5000,"stop_grace_ms":8000})",
       findings);
   REQUIRE_MESSAGE(settings, findings.ToText());
@@ -38,8 +39,9 @@
   CHECK_FALSE(ParseFrontendSettings(
       R"({"zone":1,"listen_clients":"host:80","stop_grace_ms":"x","odd":1})",
       findings));
-  for (const char* path : {"/node", "/zone", "/listen_clients", "/listen_ready",
-                           "/store_address", "/stop_grace_ms", "/odd"}) {
+  for (const char* path :
+       {"/node", "/zone", "/listen_clients", "/listen_ready", "/listen_peers",
+        "/store_address", "/stop_grace_ms", "/odd"}) {
     CHECK_MESSAGE(Reports(path), path);
   }
 }
--- a/tests/serving/sse_event_splitter_test.cc
+++ b/tests/serving/sse_event_splitter_test.cc
@@ -55,5 +55,20 @@
   CHECK(splitter.HasPartialEvent());
 }
 
+// Guards against a stream without line ends that fills the memory.
+TEST_CASE_FIXTURE(SseEventSplitterFixture,
+                  "SseEventSplitter, event without end, is given up") {
+  const std::string piece(size_t{64} << 10, 'x');
+  for (size_t fed = 0; fed <= SseEventSplitter::kMaxEventBytes;
+       fed += piece.size()) {
+    CHECK_FALSE(splitter.IsEventTooLong());
+    CHECK(splitter.Feed(piece).empty());
+  }
+  CHECK(splitter.IsEventTooLong());
+  CHECK(splitter.Feed("\n\nid: 1\ndata: a\n\n").empty());
+  splitter.Reset();
+  CHECK(splitter.Feed("id: 1\ndata: a\n\n").size() == 1);
+}
+
 }  // namespace
 }  // namespace carawayrelay
--- a/tools/harness/soak_fleet.cc
+++ b/tools/harness/soak_fleet.cc
@@ -145,6 +145,7 @@
     const std::string name = FrontendName(i);
     client_ports_.push_back(next_port_++);
     ready_ports_.push_back(next_port_++);
+    const std::uint16_t peers_port = next_port_++;
     BOOST_OUTCOME_TRY(const std::uint16_t store,
                       link(StoreLink(name), store_port_));
     settings_[name] = {
@@ -152,6 +153,7 @@
         {"zone", ZoneName(i)},
         {"listen_clients", LoopbackAddress(client_ports_.back())},
         {"listen_ready", LoopbackAddress(ready_ports_.back())},
+        {"listen_peers", LoopbackAddress(peers_port)},
         {"store_address", LoopbackAddress(store)},
         {"key_revocation_ms", kMaxRevocationDelay.count()},
         {"stop_grace_ms", kStopGrace.count()}};
