Bound every answer of the store and of backend servers

Cause: heads and bodies without end were collected until the time limit of the call; a store stand-in with an endless body made a frontend grow to 858 MB.

--- a/src/connection/outbound_call.h
+++ b/src/connection/outbound_call.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <utility>
@@ -24,6 +25,9 @@
   std::chrono::milliseconds connect_timeout{500};
   // Timeout of the entire call; 0 means no timeout.
   std::chrono::milliseconds total_timeout{0};
+  // A longer response body fails the call; 0 means no limit. Streams have none,
+  // because their events are limited as they are split.
+  size_t max_body_bytes = 0;
   // True when the connection may be reused for further calls.
   bool keeps_connection = false;
 };
--- a/src/process/transport/async_http_client.cc
+++ b/src/process/transport/async_http_client.cc
@@ -23,6 +23,9 @@
 // wait earlier.
 constexpr std::chrono::milliseconds kMaxPollInterval{1000};
 constexpr long kMaxCachedConnections = 64;
+// Limit of the status line and headers of one response, interim responses
+// included.
+constexpr size_t kMaxHeadBytes = size_t{64} << 10;
 
 struct EasyDeleter {
   void operator()(CURL* easy) const { curl_easy_cleanup(easy); }
@@ -99,6 +102,10 @@
     EasyPtr easy;
     ListPtr headers;
     bool was_sent = false;
+    size_t head_bytes = 0;
+    size_t body_bytes = 0;
+    // Why this client ended the call itself; empty if it did not.
+    std::string abort_reason;
   };
 
   void Run() {
@@ -240,6 +247,12 @@
   static size_t OnHeader(char* data, size_t size, size_t count, void* user) {
     auto& transfer = *static_cast<Transfer*>(user);
     const std::string_view line(data, size * count);
+    transfer.head_bytes += line.size();
+    if (transfer.head_bytes > kMaxHeadBytes) {
+      transfer.abort_reason = "the response head is over the limit of " +
+                              std::to_string(kMaxHeadBytes) + " bytes";
+      return 0;  // makes libcurl end the call
+    }
     if (line.starts_with("HTTP/")) {
       transfer.head.headers.clear();
       return line.size();
@@ -270,6 +283,13 @@
 
   static size_t OnWrite(char* data, size_t size, size_t count, void* user) {
     auto& transfer = *static_cast<Transfer*>(user);
+    const size_t limit = transfer.call.max_body_bytes;
+    transfer.body_bytes += size * count;
+    if (limit > 0 && transfer.body_bytes > limit) {
+      transfer.abort_reason = "the response body is over the limit of " +
+                              std::to_string(limit) + " bytes";
+      return 0;  // makes libcurl end the call
+    }
     transfer.client->deliver_(CallData{
         .id = transfer.call.id, .bytes = std::string(data, size * count)});
     return size * count;
@@ -287,12 +307,18 @@
       // Closes a connection that is not reused before CallEnd is delivered.
       const auto transfer =
           RemoveTransfer(static_cast<Transfer*>(user)->call.id);
-      deliver_(
-          CallEnd{.id = transfer->call.id,
-                  .is_complete = code == CURLE_OK,
-                  .was_sent = transfer->was_sent,
-                  .reason = code == CURLE_OK ? "" : curl_easy_strerror(code)});
+      deliver_(CallEnd{.id = transfer->call.id,
+                       .is_complete = code == CURLE_OK,
+                       .was_sent = transfer->was_sent,
+                       .reason = EndReason(*transfer, code)});
+    }
+  }
+
+  static std::string EndReason(const Transfer& transfer, CURLcode code) {
+    if (!transfer.abort_reason.empty()) {
+      return transfer.abort_reason;
     }
+    return code == CURLE_OK ? std::string() : curl_easy_strerror(code);
   }
 
   // Removes and returns a transfer, or nullptr if the id is unknown. libcurl
