Cold backend servers: frontends do not begin with a whole token each

Change: the token begins with a random part, so that the first requests of all frontends are spread at the divided rate.

--- a/src/process/forward/backend_directory.cc
+++ b/src/process/forward/backend_directory.cc
@@ -232,7 +232,12 @@
   if (backend.cold_tokens) {
     backend.cold_tokens->SetRate(limit->second, kColdBurst, now);
   } else {
+    // Begins with a random part of a token, because all frontends learn of a
+    // cold server at the same time: a whole token each would be a burst of as
+    // many requests as there are frontends.
     backend.cold_tokens.emplace(limit->second, kColdBurst, now);
+    std::uniform_real_distribution<double> missing(0, kColdBurst);
+    backend.cold_tokens->Spend(missing(random_), now);
   }
   return backend.cold_tokens->TokensAt(now) >= 1;
 }
--- a/tests/serving/backend_directory_test.cc
+++ b/tests/serving/backend_directory_test.cc
@@ -1,6 +1,8 @@
 #include "process/forward/backend_directory.h"
 
+#include <memory>
 #include <set>
+#include <vector>
 
 #include "serving/serving_fixture.h"
 
@@ -139,6 +141,38 @@
   CHECK(Chosen() == std::set<std::string>{"a"});
 }
 
+// Guards against one request of each of many frontends to a backend server that
+// has just become cold: together they are many times what it bears.
+TEST_CASE_FIXTURE(
+    BackendDirectoryFixture,
+    "BackendDirectory, server turns cold at 133 frontends, no burst") {
+  constexpr int kFrontends = 133;
+  constexpr double kColdRate = 19;
+  StoredRow row = BackendRow("a", "1.1.1.1:1");
+  row.value.replace(row.value.find("\"coldLeftMs\":0"), 14,
+                    "\"coldLeftMs\":9000");
+  std::vector<std::unique_ptr<BackendDirectory>> frontends;
+  for (int i = 0; i < kFrontends; ++i) {
+    frontends.push_back(
+        std::make_unique<BackendDirectory>(static_cast<std::uint64_t>(i)));
+    frontends.back()->Apply({row}, true, std::nullopt, now());
+    frontends.back()->SetColdLimits({{"llm", kColdRate}}, kFrontends);
+  }
+  int sent = 0;
+  for (int i = 0; i < 10; ++i) {
+    Advance(milliseconds(100));
+    for (const auto& frontend : frontends) {
+      if (auto* backend =
+              frontend->Choose({.service = "llm", .zone = "zone-1"}, now())) {
+        frontend->NoteSent(*backend, now());
+        ++sent;
+      }
+    }
+  }
+  CHECK(sent > 0);
+  CHECK(sent <= kColdRate * 1.5 + 5);
+}
+
 // Guards against requests to a stopping backend server: its registration was
 // removed 2.7 s after an outage but kept for another 2.3 s.
 TEST_CASE_FIXTURE(
