--- a/src/process/limits/rate_holder.cc
+++ b/src/process/limits/rate_holder.cc
@@ -86,7 +86,7 @@
       kFirstTokensFraction * AllowedInWindow(workspace), kMinFirstTokens);
   Usage usage{.bucket = TokenBucket(workspace.rate_per_second, depth, now)};
   usage.bucket.Spend(std::max(depth - first, 0.0), now);
-  return usage_.emplace(workspace.name, std::move(usage)).first->second;
+  return usage_.emplace(workspace.name, usage).first->second;
 }
 
 std::map<std::string, double> RateHolder::Granted(TimePoint now) {
