--- a/src/process/forward/backend_directory.cc
+++ b/src/process/forward/backend_directory.cc
@@ -22,6 +22,9 @@
 // of slots in use.
 constexpr double kRemoteZonePenalty = 0.03;
 constexpr double kColdPenalty = 0.5;
+// Part of what a cold backend server bears that online requests may use. The
+// rest is for batch items, which its own worker sends.
+constexpr double kColdOnlineFraction = 0.8;
 // Burst of requests that a frontend may send to a cold backend server.
 constexpr double kColdBurst = 1;
 constexpr double kAvoidPenalty = 100;
@@ -218,7 +221,8 @@
                                      size_t members) {
   cold_per_second_ = std::move(per_second);
   for (auto& [service, limit] : cold_per_second_) {
-    limit /= static_cast<double>(std::max<size_t>(members, 1));
+    limit *=
+        kColdOnlineFraction / static_cast<double>(std::max<size_t>(members, 1));
   }
 }
 
