Bound the answers that the roles entry and agent read from the platform

Cause: the blocking client collected a head or body without end until its time limit. Change: a limit of 64 MiB for both together; the call then fails as unknown. Seen: the test with an endless body passes and the connection is closed by the client; it was not run against the code before.

--- a/src/process/transport/http_client.cc
+++ b/src/process/transport/http_client.cc
@@ -22,8 +22,28 @@
   (void)initialised;
 }
 
-size_t AppendBody(char* data, size_t size, size_t count, void* response) {
-  static_cast<HttpResponse*>(response)->body.append(data, size * count);
+// A response while it arrives.
+struct Reception {
+  HttpResponse& response;
+  size_t bytes_left;  // until the limit
+
+  // Counts `size` more bytes. Returns false when they exceed the limit.
+  bool Take(size_t size) {
+    if (size > bytes_left) {
+      return false;
+    }
+    bytes_left -= size;
+    return true;
+  }
+};
+
+// Both callbacks return 0 to make libcurl end the call.
+size_t AppendBody(char* data, size_t size, size_t count, void* user) {
+  auto& reception = *static_cast<Reception*>(user);
+  if (!reception.Take(size * count)) {
+    return 0;
+  }
+  reception.response.body.append(data, size * count);
   return size * count;
 }
 
@@ -36,15 +56,18 @@
   return text.substr(begin, text.find_last_not_of(kSpace) - begin + 1);
 }
 
-size_t AppendHeader(char* data, size_t size, size_t count, void* response) {
+size_t AppendHeader(char* data, size_t size, size_t count, void* user) {
+  auto& reception = *static_cast<Reception*>(user);
   const std::string_view line(data, size * count);
+  if (!reception.Take(line.size())) {
+    return 0;
+  }
   const size_t colon = line.find(':');
   if (colon != std::string_view::npos) {
     std::string name(line.substr(0, colon));
     std::transform(name.begin(), name.end(), name.begin(),
                    [](unsigned char c) { return std::tolower(c); });
-    static_cast<HttpResponse*>(response)->headers[std::move(name)] =
-        Trim(line.substr(colon + 1));
+    reception.response.headers[std::move(name)] = Trim(line.substr(colon + 1));
   }
   return line.size();
 }
@@ -88,7 +111,9 @@
     for (const std::string& header : call.headers) {
       AddHeader(headers, header);
     }
-    Prepare(call, headers.get(), response);
+    Reception reception{.response = response,
+                        .bytes_left = options_.max_response_bytes};
+    Prepare(call, headers.get(), reception);
     const CURLcode code = curl_easy_perform(curl_.get());
     if (code != CURLE_OK) {
       return Error{WasSent() ? ErrorCode::kUnknown : ErrorCode::kUnavailable,
@@ -111,7 +136,7 @@
 
   void Prepare(const HttpCall& call,
                curl_slist* headers,
-               HttpResponse& response) {
+               Reception& reception) {
     CURL* curl = curl_.get();
     // Resets the options only; open connections are kept.
     curl_easy_reset(curl);
@@ -129,9 +154,9 @@
     curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS,
                      static_cast<long>(options_.request_timeout.count()));
     curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, &AppendBody);
-    curl_easy_setopt(curl, CURLOPT_WRITEDATA, &response);
+    curl_easy_setopt(curl, CURLOPT_WRITEDATA, &reception);
     curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, &AppendHeader);
-    curl_easy_setopt(curl, CURLOPT_HEADERDATA, &response);
+    curl_easy_setopt(curl, CURLOPT_HEADERDATA, &reception);
     if (call.method == "PUT" || call.method == "POST") {
       curl_easy_setopt(curl, CURLOPT_POSTFIELDSIZE_LARGE,
                        static_cast<curl_off_t>(call.body.size()));
--- a/src/process/transport/http_client.h
+++ b/src/process/transport/http_client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <map>
 #include <memory>
 #include <string>
@@ -44,6 +45,9 @@
     std::string base_url;  // "http://IP:port"
     std::chrono::milliseconds connect_timeout{500};
     std::chrono::milliseconds request_timeout{2000};
+    // Limit of the head and body of one response together. A longer response
+    // fails the call.
+    size_t max_response_bytes = size_t{64} << 20;
   };
 
   // Fails with kInvalid when base_url is not of the form "http://IP:port".
--- a/tests/process/http_client_test.cc
+++ b/tests/process/http_client_test.cc
@@ -59,6 +59,36 @@
   CHECK(refused.error().code == ErrorCode::kUnavailable);
 }
 
+// Guards against a response without end that fills the memory until the time
+// limit of the call.
+TEST_CASE_FIXTURE(HttpClientFixture,
+                  "HttpClient, body without end, fails at the limit") {
+  client = HttpClient::Make(
+               {.base_url = "http://127.0.0.1:" +
+                            std::to_string(acceptor.local_endpoint().port()),
+                .request_timeout = std::chrono::milliseconds(20000),
+                .max_response_bytes = size_t{1} << 20})
+               .value();
+  bool closed_by_client = false;
+  std::thread server([&] {
+    tcp::socket socket = acceptor.accept();
+    ReadRequest(socket);
+    asio::error_code error;
+    asio::write(socket, asio::buffer(std::string("HTTP/1.1 200 OK\r\n\r\n")),
+                error);
+    const std::string piece(4096, 'x');
+    for (int i = 0; !error && i < 50000; ++i) {
+      asio::write(socket, asio::buffer(piece), error);
+    }
+    closed_by_client = static_cast<bool>(error);
+  });
+  const auto response = client->Send({.target = "/a"});
+  server.join();
+  REQUIRE_FALSE(response);
+  CHECK(response.error().code == ErrorCode::kUnknown);
+  CHECK(closed_by_client);
+}
+
 // Guards against treating a conflict as a concurrent write by another client
 // when libcurl sent the request twice and the first copy took effect.
 TEST_CASE_FIXTURE(
