--- a/src/connection/rate_message.h
+++ b/src/connection/rate_message.h
@@ -10,8 +10,8 @@
 
 namespace carawayrelay {
 
-// Identifies a question to the holder of a rate. Drawn at random, so that the
-// questions of two frontends do not share an id.
+// Identifies a query to the holder of a rate. Drawn at random, so that the
+// queries of two frontends do not share an id.
 enum class RateRequestId : std::uint64_t {};
 
 // Asks the holder of a workspace's rate to admit one request.
--- a/src/process/limits/rate_admission.cc
+++ b/src/process/limits/rate_admission.cc
@@ -15,7 +15,7 @@
 // How long a holder may take to answer. Much longer than a round trip between
 // zones, because a holder on a small VM may be busy.
 constexpr milliseconds kAnswerTimeout{50};
-// Datagrams may be lost, so a question is sent twice before the next holder is
+// Datagrams may be lost, so a query is sent twice before the next holder is
 // asked.
 constexpr int kSendsToHolder = 2;
 constexpr int kMaxHoldersAsked = 3;
@@ -50,49 +50,46 @@
 }
 
 void RateAdmission::AskNextHolder(RateRequestId id,
-                                  Question question,
+                                  Query query,
                                   TimePoint now) {
-  std::vector<RateMembers::Holder> holders =
-      members_.HoldersOf(question.workspace, now);
-  if (holders.empty() || question.holders_asked >= kMaxHoldersAsked) {
-    question.done(DecideAlone(question, now));
+  std::optional<RateMembers::Holder> holder =
+      members_.HolderOf(query.workspace, now);
+  if (!holder || query.holders_asked >= kMaxHoldersAsked) {
+    query.done(DecideAlone(query, now));
     return;
   }
-  question.holder = std::move(holders.front());
-  if (question.holder.node == node_) {
-    Finish(question,
-           holder_.Decide({.id = id, .workspace = question.workspace}, now),
+  query.holder = *std::move(holder);
+  if (query.holder.node == node_) {
+    Finish(query, holder_.Decide({.id = id, .workspace = query.workspace}, now),
            now);
     return;
   }
   ++counters_.asked;
-  ++question.holders_asked;
-  question.sends_to_holder = 0;
-  SendQuestion(id, std::move(question), now);
+  ++query.holders_asked;
+  query.sends_to_holder = 0;
+  SendQuery(id, std::move(query), now);
 }
 
-void RateAdmission::SendQuestion(RateRequestId id,
-                                 Question question,
-                                 TimePoint now) {
-  ++question.sends_to_holder;
-  question.timeout_at = now + kAnswerTimeout;
-  send_(question.holder.address,
-        RateRequest{.id = id, .workspace = question.workspace});
-  questions_.insert_or_assign(id, std::move(question));
+void RateAdmission::SendQuery(RateRequestId id, Query query, TimePoint now) {
+  ++query.sends_to_holder;
+  query.timeout_at = now + kAnswerTimeout;
+  send_(query.holder.address,
+        RateRequest{.id = id, .workspace = query.workspace});
+  queries_.insert_or_assign(id, std::move(query));
 }
 
-void RateAdmission::Finish(const Question& question,
+void RateAdmission::Finish(const Query& query,
                            const RateDecision& decision,
                            TimePoint now) {
   switch (decision.outcome) {
     case RateOutcome::kGranted:
-      question.done(RateAdmitted{});
+      query.done(RateAdmitted{});
       return;
     case RateOutcome::kExceeded:
-      question.done(RateExceeded{.retry_after = decision.retry_after});
+      query.done(RateExceeded{.retry_after = decision.retry_after});
       return;
     case RateOutcome::kUnknown:
-      question.done(DecideAlone(question, now));
+      query.done(DecideAlone(query, now));
       return;
   }
 }
@@ -105,9 +102,9 @@
                    send_(address, holder_.Decide(request, now));
                  },
                  [&](const RateDecision& decision) {
-                   // An answer to a question that was decided meanwhile has no
+                   // An answer to a query that was decided meanwhile has no
                    // effect.
-                   if (auto node = questions_.extract(decision.id)) {
+                   if (auto node = queries_.extract(decision.id)) {
                      Finish(node.mapped(), decision, now);
                    }
                  },
@@ -117,43 +114,41 @@
 
 void RateAdmission::Tick(TimePoint now) {
   std::vector<RateRequestId> due;
-  for (const auto& [id, question] : questions_) {
-    if (now >= question.timeout_at) {
+  for (const auto& [id, query] : queries_) {
+    if (now >= query.timeout_at) {
       due.push_back(id);
     }
   }
   for (const RateRequestId id : due) {
-    Question question = std::move(questions_.extract(id).mapped());
-    if (question.sends_to_holder < kSendsToHolder) {
+    Query query = std::move(queries_.extract(id).mapped());
+    if (query.sends_to_holder < kSendsToHolder) {
       ++counters_.repeated;
-      SendQuestion(id, std::move(question), now);
+      SendQuery(id, std::move(query), now);
       continue;
     }
-    LogDecision(LogEvent::kRateHolderSilent, "holder", question.holder.node,
-                "workspace", question.workspace);
-    members_.NoteSilent(question.holder.node, now);
-    AskNextHolder(id, std::move(question), now);
+    LogDecision(LogEvent::kRateHolderSilent, "holder", query.holder.node,
+                "workspace", query.workspace);
+    members_.NoteSilent(query.holder.node, now);
+    AskNextHolder(id, std::move(query), now);
   }
 }
 
 std::optional<TimePoint> RateAdmission::NextTimeout() const {
   std::optional<TimePoint> next;
-  for (const auto& [id, question] : questions_) {
-    next = std::min(next.value_or(question.timeout_at), question.timeout_at);
+  for (const auto& [id, query] : queries_) {
+    next = std::min(next.value_or(query.timeout_at), query.timeout_at);
   }
   return next;
 }
 
-RateVerdict RateAdmission::DecideAlone(const Question& question,
-                                       TimePoint now) {
+RateVerdict RateAdmission::DecideAlone(const Query& query, TimePoint now) {
   ++counters_.alone;
   const double members =
       static_cast<double>(std::max<size_t>(members_.size(), 1));
-  const double rate = question.rate_per_second / members;
-  const double depth = std::max(question.burst / members, 1.0);
+  const double rate = query.rate_per_second / members;
+  const double depth = std::max(query.burst / members, 1.0);
   TokenBucket& bucket =
-      own_parts_.try_emplace(question.workspace, rate, depth, now)
-          .first->second;
+      own_parts_.try_emplace(query.workspace, rate, depth, now).first->second;
   bucket.SetRate(rate, depth, now);
   if (bucket.TrySpend(1, now)) {
     return RateAdmitted{};
--- a/src/process/limits/rate_admission.h
+++ b/src/process/limits/rate_admission.h
@@ -28,9 +28,9 @@
 using RateVerdict = std::variant<RateAdmitted, RateExceeded, RateUnavailable>;
 
 // Keeps the rates of workspaces over all frontends together: asks the holder of
-// a workspace's rate about each request, and answers such questions of others.
+// a workspace's rate about each request, and answers the queries of others.
 //
-// A question without an answer is sent once more, and then the next holder in
+// A query without an answer is sent once more, and then the next holder in
 // order is asked. When none of them answers, the request counts against this
 // frontend's equal part of the rate.
 //
@@ -56,7 +56,7 @@
   void HandleMessage(const std::string& address,
                      const RateMessage& message,
                      TimePoint now);
-  // Repeats questions that got no answer in time.
+  // Repeats queries that got no answer in time.
   void Tick(TimePoint now);
   // When Tick() has something to do next.
   std::optional<TimePoint> NextTimeout() const;
@@ -67,13 +67,13 @@
 
   struct Counters {
     std::uint64_t asked = 0;     // requests that another frontend decided
-    std::uint64_t repeated = 0;  // questions sent again
+    std::uint64_t repeated = 0;  // queries sent again
     std::uint64_t alone = 0;     // requests that no holder decided
   };
   const Counters& counters() const { return counters_; }
 
  private:
-  struct Question {
+  struct Query {
     std::string workspace;
     double rate_per_second = 0;
     double burst = 0;
@@ -85,20 +85,18 @@
   };
 
   // Asks the best holder that is not known to be silent.
-  void AskNextHolder(RateRequestId id, Question question, TimePoint now);
-  void SendQuestion(RateRequestId id, Question question, TimePoint now);
-  void Finish(const Question& question,
-              const RateDecision& decision,
-              TimePoint now);
+  void AskNextHolder(RateRequestId id, Query query, TimePoint now);
+  void SendQuery(RateRequestId id, Query query, TimePoint now);
+  void Finish(const Query& query, const RateDecision& decision, TimePoint now);
   // Decides without a holder, by this frontend's part of the rate.
-  RateVerdict DecideAlone(const Question& question, TimePoint now);
+  RateVerdict DecideAlone(const Query& query, TimePoint now);
 
   const std::string node_;
   std::mt19937_64 random_;
   MessageSender send_;
   RateMembers members_{node_};
   RateHolder holder_{members_};
-  std::map<RateRequestId, Question> questions_;
+  std::map<RateRequestId, Query> queries_;
   std::map<std::string, TokenBucket> own_parts_;
   Counters counters_;
 };
--- a/src/process/limits/rate_holder.cc
+++ b/src/process/limits/rate_holder.cc
@@ -18,7 +18,7 @@
 constexpr double kFirstTokensFraction = 0.05;
 constexpr double kMinFirstTokens = 8;
 constexpr milliseconds kMaxRetryAfter{1000};
-// Answers that are kept for questions that come again.
+// Answers that are kept for queries that come again.
 constexpr size_t kMaxDecided = 1024;
 
 double AllowedInWindow(const ServingWorkspace& workspace) {
--- a/src/process/limits/rate_holder.h
+++ b/src/process/limits/rate_holder.h
@@ -32,7 +32,7 @@
   explicit RateHolder(const RateMembers& members) : members_(members) {}
 
   void SetConfig(ServingConfigPtr config);
-  // Decides on a request. A question that comes again, because its answer was
+  // Decides on a request. A query that comes again, because its answer was
   // lost, gets the same answer and counts once.
   RateDecision Decide(const RateRequest& request, TimePoint now);
   // Returns the requests that were granted in the last window, by workspace.
@@ -50,7 +50,7 @@
   const RateMembers& members_;
   ServingConfigPtr config_;
   std::map<std::string, Usage> usage_;
-  // The latest answers, by question, and their order.
+  // The latest answers, by query, and their order.
   std::map<RateRequestId, RateDecision> decided_;
   std::deque<RateRequestId> decided_order_;
 };
--- a/src/process/limits/rate_members.cc
+++ b/src/process/limits/rate_members.cc
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <cmath>
 #include <nlohmann/json.hpp>
-#include <optional>
 
 #include "process/limits/sliding_window_counter.h"
 #include "process/telemetry/decision_log.h"
@@ -22,8 +21,6 @@
 constexpr int kReadsUntilAbandoned = 30;
 // How long a frontend that did not answer is not asked again.
 constexpr milliseconds kSilencePenalty{2000};
-// How many frontends are asked about one workspace, one after the other.
-constexpr size_t kMaxHolders = 3;
 constexpr double kMinWeight = 0.01;
 
 std::optional<RateMemberReport> DecodeRateMemberReport(
@@ -108,28 +105,23 @@
                     [](const auto& item) { return item.second.IsLive(); }));
 }
 
-std::vector<RateMembers::Holder> RateMembers::HoldersOf(
+std::optional<RateMembers::Holder> RateMembers::HolderOf(
     const std::string& workspace,
     TimePoint now) const {
-  std::vector<std::pair<double, Holder>> ranked;
+  std::optional<Holder> best;
+  double best_rank = 0;
   for (const auto& [node, member] : members_) {
     if (!member.IsLive() || now < member.silent_until) {
       continue;
     }
-    ranked.emplace_back(
-        Rank(HashOf(workspace, member.hash), member.report.weight),
-        Holder{.node = node, .address = member.report.address});
-  }
-  const size_t count = std::min(ranked.size(), kMaxHolders);
-  std::partial_sort(
-      ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count),
-      ranked.end(),
-      [](const auto& a, const auto& b) { return a.first > b.first; });
-  std::vector<Holder> holders;
-  for (size_t i = 0; i < count; ++i) {
-    holders.push_back(std::move(ranked[i].second));
+    const double rank =
+        Rank(HashOf(workspace, member.hash), member.report.weight);
+    if (!best || rank > best_rank) {
+      best = Holder{.node = node, .address = member.report.address};
+      best_rank = rank;
+    }
   }
-  return holders;
+  return best;
 }
 
 void RateMembers::NoteSilent(const std::string& node, TimePoint now) {
--- a/src/process/limits/rate_members.h
+++ b/src/process/limits/rate_members.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -48,11 +49,11 @@
   bool IsKnown() const { return members_.contains(node_); }
   size_t size() const;
 
-  // Returns the frontends to ask about a workspace, best first. Those that did
-  // not answer lately are left out.
-  std::vector<Holder> HoldersOf(const std::string& workspace,
-                                TimePoint now) const;
-  // Leaves the frontend out of HoldersOf() for a while.
+  // Returns the frontend that holds the rate of the workspace, among those that
+  // answered lately, or nullopt when there is none.
+  std::optional<Holder> HolderOf(const std::string& workspace,
+                                 TimePoint now) const;
+  // Leaves the frontend out of HolderOf() for a while.
   void NoteSilent(const std::string& node, TimePoint now);
   // Returns how many requests of the workspace the other frontends granted in
   // the last window, by their reports.
--- a/src/process/serving/frontend_process_monitoring.cc
+++ b/src/process/serving/frontend_process_monitoring.cc
@@ -49,7 +49,7 @@
                    static_cast<double>(rates_.members().size()));
   const RateAdmission::Counters& rates = rates_.counters();
   const auto count_rates = [&](const char* event, std::uint64_t value) {
-    metrics.SetCounter(names::kRateQuestions, {{"event", event}}, value);
+    metrics.SetCounter(names::kRateQueries, {{"event", event}}, value);
   };
   count_rates("asked", rates.asked);
   count_rates("repeated", rates.repeated);
--- a/src/process/serving/serving_metrics.h
+++ b/src/process/serving/serving_metrics.h
@@ -30,9 +30,9 @@
 inline constexpr MetricDescriptor kRateMembers{
     "carawayrelay_rate_members", "Frontends that hold the rates together."};
 // Labels: event (asked, repeated, alone).
-inline constexpr MetricDescriptor kRateQuestions{
-    "carawayrelay_rate_questions_total",
-    "Requests that another frontend decided, questions sent again, and "
+inline constexpr MetricDescriptor kRateQueries{
+    "carawayrelay_rate_queries_total",
+    "Requests that another frontend decided, queries sent again, and "
     "requests "
     "that no frontend answered about."};
 inline constexpr MetricDescriptor kConfigVersion{
--- a/tests/serving/rate_admission_test.cc
+++ b/tests/serving/rate_admission_test.cc
@@ -363,9 +363,9 @@
   CHECK(refused * 100 <= requests);
 }
 
-// Guards against a question that comes again and counts as another request.
+// Guards against a query that comes again and counts as another request.
 TEST_CASE_FIXTURE(RateFleetFixture,
-                  "RateHolder, question comes again, same answer and count") {
+                  "RateHolder, query comes again, same answer and count") {
   Reset(1, 1);
   RateHolder& holder = frontends[0].rates->holder();
   const RateRequest request{.id = RateRequestId{5}, .workspace = "w"};
@@ -449,9 +449,9 @@
   int held_by_small = 0;
   constexpr int kWorkspaces = 3000;
   for (int i = 0; i < kWorkspaces; ++i) {
-    const auto holders = members.HoldersOf("w" + std::to_string(i), now());
-    REQUIRE(holders.size() == 2);
-    held_by_small += holders[0].node == "b" ? 1 : 0;
+    const auto holder = members.HolderOf("w" + std::to_string(i), now());
+    REQUIRE(holder);
+    held_by_small += holder->node == "b" ? 1 : 0;
   }
   CHECK(held_by_small > kWorkspaces / 6 * 0.8);
   CHECK(held_by_small < kWorkspaces / 6 * 1.2);
