Frontend: requests that were read get an answer at a planned stop

Cause, found by reading: the event loop ends after a last look at its ring; requests that the HTTP server read after that were dropped with their connections. Change: RequestIntake hands requests over until the loop ends, then refuses those that wait and all later ones as not run.

--- a/include/carawayrelay/process.h
+++ b/include/carawayrelay/process.h
@@ -76,6 +76,8 @@
 #include "process/limits/sliding_window_counter.h"
 #include "process/serving/event_loop_clock.h"
 #include "process/serving/frontend_process.h"
+#include "process/serving/request_intake.h"
+#include "process/serving/run_step.h"
 #include "process/serving/serving_command.h"
 #include "process/serving/serving_core.h"
 #include "process/serving/serving_event.h"
--- a/src/process/serving/frontend_process.cc
+++ b/src/process/serving/frontend_process.cc
@@ -145,23 +145,15 @@
           [this](const HttpRequest& request, const HttpExchangePtr& exchange) {
             HandleMonitoringRequest(request, exchange);
           }));
+  intake_ = std::make_unique<RequestIntake>(core_->events());
   BOOST_OUTCOME_TRY(
       clients_server_,
-      HttpServer::Make(
-          {.listen_address = settings_.listen_clients,
-           .max_body_bytes = kMaxBodyBytes},
-          [this](HttpRequest request, HttpExchangePtr exchange) {
-            ServingEvent event(
-                HttpRequestArrived{std::move(request), std::move(exchange)});
-            if (!core_->events().TryPush(event)) {
-              const CompleteResponse refusal = platform::EncodeRefusal(
-                  {.code = RefusalCode::kOverloaded,
-                   .reason = "too many events are waiting",
-                   .retry_after = kNotReadyRetry});
-              std::get<HttpRequestArrived>(event).exchange->Respond(
-                  refusal.status, refusal.headers, refusal.body);
-            }
-          }));
+      HttpServer::Make({.listen_address = settings_.listen_clients,
+                        .max_body_bytes = kMaxBodyBytes},
+                       [this](HttpRequest request, HttpExchangePtr exchange) {
+                         intake_->Accept(std::move(request),
+                                         std::move(exchange));
+                       }));
   thread_ = std::thread([this] { Run(); });
   LogDecision(LogEvent::kServingStarted, "role", "frontend", "zone",
               settings_.zone, "clients", settings_.listen_clients, "ready",
@@ -193,6 +185,7 @@
     }
   }
   is_ready_ = false;
+  intake_->Close();
   exchanges_.clear();
 }
 
--- a/src/process/serving/frontend_process.h
+++ b/src/process/serving/frontend_process.h
@@ -11,6 +11,7 @@
 #include "process/jobs/job_api.h"
 #include "process/limits/rate_admission.h"
 #include "process/limits/rate_member_reporter.h"
+#include "process/serving/request_intake.h"
 #include "process/serving/serving_core.h"
 #include "process/serving/serving_settings.h"
 #include "process/telemetry/request_observed.h"
@@ -92,6 +93,7 @@
   ConfigVersion cold_limits_version_ = kNoConfig;
   size_t cold_limits_members_ = 0;
   std::unique_ptr<DatagramSocket> peers_socket_;
+  std::unique_ptr<RequestIntake> intake_;
   std::unique_ptr<HttpServer> clients_server_;
   std::unique_ptr<HttpServer> ready_server_;
   std::unique_ptr<HttpServer> metrics_server_;
