Logs: failed attempts name the prompt's parts and whether an event had come

The logs could not tell whether backend servers crashed on what requests have in common, on repeats of a few requests, or on load. attempt_failed and item_run_failed now name the shared parts of the prompt, whether the attempt had got an event and (online) whether the server was cold.

--- a/include/carawayrelay/request.h
+++ b/include/carawayrelay/request.h
@@ -11,6 +11,7 @@
 #include "request/fair_queue.h"
 #include "request/ids.h"
 #include "request/overloaded.h"
+#include "request/prompt_parts.h"
 #include "request/refusal.h"
 #include "request/retry_policy.h"
 #include "request/sse_parser.h"
--- a/src/process/forward/online_forwarder.cc
+++ b/src/process/forward/online_forwarder.cc
@@ -172,37 +172,6 @@
   RequestReservation(request, *candidate, now);
 }
 
-void OnlineForwarder::SendTo(Request& request,
-                             BackendDirectory::Backend& chosen,
-                             TimePoint now) {
-  BackendDirectory::Backend* backend = &chosen;
-  counters_.without_reservation += request.reservation_id.empty() ? 1 : 0;
-  ++request.sends;
-  request.tried_backends.insert(backend->registration.id);
-  request.backend_id = backend->registration.id;
-  request.status = 0;
-  request.is_signed = false;
-  request.is_forwarding = false;
-  request.headers.clear();
-  request.body.clear();
-  request.event_splitter.Reset();
-  request.last_progress_at = now;
-  request.is_silence_recorded = false;
-  request.is_attempt_running = true;
-  backends_.NoteSent(*backend, now);
-  const auto left =
-      std::chrono::duration_cast<milliseconds>(request.deadline - now);
-  const ClientCallId client = request.call.client;
-  request.outbound_id = calls_.Start(
-      platform::EncodeBackendCall({.call = request.call,
-                                   .backend = backend->registration,
-                                   .workspace = request.workspace,
-                                   .time_left = std::max(left, milliseconds(1)),
-                                   .resume_after = request.last_event,
-                                   .reservation_id = request.reservation_id}),
-      [this, client](CallEvent& event) { OnEvent(client, event); });
-}
-
 void OnlineForwarder::OnEvent(ClientCallId client, CallEvent& event) {
   const auto it = requests_.find(client);
   if (it == requests_.end()) {
@@ -277,6 +246,7 @@
   std::string complete_events;
   for (RawSseEvent& event : request.event_splitter.Feed(bytes)) {
     if (event.has_data) {
+      request.has_attempt_event = true;
       request.last_progress_at = now;
     }
     // A resumed stream may repeat events that the client already has.
@@ -337,60 +307,6 @@
   Finish(request, "served", now);
 }
 
-void OnlineForwarder::HandleDecline(Request& request,
-                                    const std::string& reason,
-                                    TimePoint now) {
-  request.last_failure = reason;
-  LogDecision(LogEvent::kAttemptDeclined, "id", request.call.request_id,
-              "runner", request.backend_id, "reason", reason);
-  CancelAttempt(request);
-  ChooseAndSend(request, now);
-}
-
-void OnlineForwarder::CancelAttempt(Request& request) {
-  if (std::exchange(request.is_reserving, false)) {
-    calls_.Cancel(request.outbound_id);
-  }
-  if (!std::exchange(request.is_attempt_running, false)) {
-    return;
-  }
-  calls_.Cancel(request.outbound_id);
-  if (BackendDirectory::Backend* backend = backends_.Find(request.backend_id)) {
-    backend->own_calls = std::max(0, backend->own_calls - 1);
-  }
-}
-
-void OnlineForwarder::FailAttempt(Request& request,
-                                  bool was_sent,
-                                  const std::string& reason,
-                                  TimePoint now) {
-  request.last_failure = reason;
-  request.may_have_run |= was_sent;
-  request.attempts += was_sent ? 1 : 0;
-  if (BackendDirectory::Backend* backend = backends_.Find(request.backend_id)) {
-    backends_.NoteFailure(*backend, reason, now);
-  }
-  CancelAttempt(request);
-  const bool may_repeat =
-      !request.may_have_run ||
-      (request.is_repeatable && request.attempts < request.max_attempts);
-  LogDecision(LogEvent::kAttemptFailed, "id", request.call.request_id, "runner",
-              request.backend_id, "was_sent", was_sent, "attempt",
-              request.attempts, "resends", may_repeat && now < request.deadline,
-              "after_event", request.last_event, "reason", reason);
-  if (may_repeat && now < request.deadline) {
-    ++counters_.resent;
-    ChooseAndSend(request, now);
-    return;
-  }
-  Refuse(request,
-         {.code = RefusalCode::kBackendFailed,
-          .run_state =
-              request.may_have_run ? RunState::kUnknown : RunState::kNotRun,
-          .reason = reason},
-         now);
-}
-
 void OnlineForwarder::Refuse(Request& request, Refusal refusal, TimePoint now) {
   CancelAttempt(request);
   if (refusal.code == RefusalCode::kBackendFailed &&
--- a/src/process/forward/online_forwarder.h
+++ b/src/process/forward/online_forwarder.h
@@ -108,6 +108,7 @@
     HeaderList headers;
     std::string body;
     SseEventSplitter event_splitter;
+    bool has_attempt_event = false;  // a complete event with data arrived
     // When the head or the latest complete event arrived. Single bytes and
     // comments do not count, so that a stalled server that sends some now and
     // then is noticed.
--- /dev/null
+++ b/src/process/forward/online_forwarder_attempts.cc
@@ -0,0 +1,108 @@
+#include <algorithm>
+#include <chrono>
+#include <string>
+#include <utility>
+
+#include "platform/backend_codec.h"
+#include "process/forward/online_forwarder.h"
+#include "process/telemetry/decision_log.h"
+#include "request/prompt_parts.h"
+
+namespace carawayrelay {
+namespace {
+
+using std::chrono::milliseconds;
+
+}  // namespace
+
+void OnlineForwarder::SendTo(Request& request,
+                             BackendDirectory::Backend& chosen,
+                             TimePoint now) {
+  BackendDirectory::Backend* backend = &chosen;
+  counters_.without_reservation += request.reservation_id.empty() ? 1 : 0;
+  ++request.sends;
+  request.tried_backends.insert(backend->registration.id);
+  request.backend_id = backend->registration.id;
+  request.status = 0;
+  request.is_signed = false;
+  request.is_forwarding = false;
+  request.headers.clear();
+  request.body.clear();
+  request.event_splitter.Reset();
+  request.has_attempt_event = false;
+  request.last_progress_at = now;
+  request.is_silence_recorded = false;
+  request.is_attempt_running = true;
+  backends_.NoteSent(*backend, now);
+  const auto left =
+      std::chrono::duration_cast<milliseconds>(request.deadline - now);
+  const ClientCallId client = request.call.client;
+  request.outbound_id = calls_.Start(
+      platform::EncodeBackendCall({.call = request.call,
+                                   .backend = backend->registration,
+                                   .workspace = request.workspace,
+                                   .time_left = std::max(left, milliseconds(1)),
+                                   .resume_after = request.last_event,
+                                   .reservation_id = request.reservation_id}),
+      [this, client](CallEvent& event) { OnEvent(client, event); });
+}
+
+void OnlineForwarder::HandleDecline(Request& request,
+                                    const std::string& reason,
+                                    TimePoint now) {
+  request.last_failure = reason;
+  LogDecision(LogEvent::kAttemptDeclined, "id", request.call.request_id,
+              "runner", request.backend_id, "reason", reason);
+  CancelAttempt(request);
+  ChooseAndSend(request, now);
+}
+
+void OnlineForwarder::CancelAttempt(Request& request) {
+  if (std::exchange(request.is_reserving, false)) {
+    calls_.Cancel(request.outbound_id);
+  }
+  if (!std::exchange(request.is_attempt_running, false)) {
+    return;
+  }
+  calls_.Cancel(request.outbound_id);
+  if (BackendDirectory::Backend* backend = backends_.Find(request.backend_id)) {
+    backend->own_calls = std::max(0, backend->own_calls - 1);
+  }
+}
+
+void OnlineForwarder::FailAttempt(Request& request,
+                                  bool was_sent,
+                                  const std::string& reason,
+                                  TimePoint now) {
+  request.last_failure = reason;
+  request.may_have_run |= was_sent;
+  request.attempts += was_sent ? 1 : 0;
+  bool is_cold = false;
+  if (BackendDirectory::Backend* backend = backends_.Find(request.backend_id)) {
+    is_cold = now < backend->cold_until;
+    backends_.NoteFailure(*backend, reason, now);
+  }
+  CancelAttempt(request);
+  const bool may_repeat =
+      !request.may_have_run ||
+      (request.is_repeatable && request.attempts < request.max_attempts);
+  LogDecision(LogEvent::kAttemptFailed, "id", request.call.request_id, "runner",
+              request.backend_id, "was_sent", was_sent, "attempt",
+              request.attempts, "resends", may_repeat && now < request.deadline,
+              "after_event", request.last_event, "got_event",
+              request.has_attempt_event, "cold", is_cold, "prompt_parts",
+              JoinIds(request.call.prompt_parts), "reason", reason);
+  if (may_repeat && now < request.deadline) {
+    ++counters_.resent;
+    ChooseAndSend(request, now);
+    return;
+  }
+  Refuse(request,
+         {.code = RefusalCode::kBackendFailed,
+          .run_state =
+              request.may_have_run ? RunState::kUnknown : RunState::kNotRun,
+          .reason = reason},
+         now);
+}
+
+}  // namespace carawayrelay
--- a/src/process/jobs/item_worker.h
+++ b/src/process/jobs/item_worker.h
@@ -108,6 +108,7 @@
     bool is_response_invalid = false;
     std::string response_problem;
     SseEventSplitter event_splitter;
+    bool has_run_event = false;  // the current run sent a complete event
     TimePoint last_progress_at{};  // of the head or a complete event
     TimePoint started_at{};
   };
--- a/src/process/jobs/item_worker_runs.cc
+++ b/src/process/jobs/item_worker_runs.cc
@@ -5,8 +5,10 @@
 #include <utility>
 
 #include "platform/backend_codec.h"
+#include "platform/prompt_codec.h"
 #include "process/telemetry/decision_log.h"
 #include "request/overloaded.h"
+#include "request/prompt_parts.h"
 
 namespace carawayrelay {
 namespace {
@@ -70,6 +72,7 @@
   run.is_response_invalid = false;
   run.response_problem.clear();
   run.event_splitter.Reset();
+  run.has_run_event = false;
   run.last_progress_at = now;
   run.started_at = now;
   run.backend_id = backend->registration.id;
@@ -152,6 +155,7 @@
     progress.text += event.data;
     progress.last_event = *event.id;
     run.last_progress_at = now;
+    run.has_run_event = true;
   }
   if (run.event_splitter.IsEventTooLong()) {
     run.response_problem = "an event is over the limit";
@@ -180,11 +184,13 @@
   const bool has_failed =
       end.is_complete && !run.is_response_invalid && run.status == kRunFailed;
   run.failures += has_failed ? 1 : 0;
-  LogDecision(LogEvent::kItemRunFailed, "job", key.first, "item", key.second,
-              "id", run.item.id, "status", run.status, "declined",
-              run.is_declined, "after_event", run.progress.last_event,
-              "failures", run.failures, "reason",
-              run.response_problem.empty() ? end.reason : run.response_problem);
+  LogDecision(
+      LogEvent::kItemRunFailed, "job", key.first, "item", key.second, "id",
+      run.item.id, "status", run.status, "declined", run.is_declined,
+      "after_event", run.progress.last_event, "got_event", run.has_run_event,
+      "failures", run.failures, "prompt_parts",
+      JoinIds(platform::DecodeSharedPromptParts(run.item.headers)), "reason",
+      run.response_problem.empty() ? end.reason : run.response_problem);
   if (!has_failed) {
     Pause(run, now);
   } else if (run.failures >= max_failures) {
--- a/src/process/telemetry/log_timeline.cc
+++ b/src/process/telemetry/log_timeline.cc
@@ -31,8 +31,9 @@
        "backend server {runner} declined and did not run it: {reason}"},
       {"attempt_failed",
        "attempt {attempt} at backend server {runner} failed: {reason}; request "
-       "sent: {was_sent}, last event received: {after_event}, retries: "
-       "{resends}"},
+       "sent: {was_sent}, events of this attempt: {got_event}, last event "
+       "received: {after_event}, retries: {resends}, prompt parts: "
+       "{prompt_parts}"},
       {"request_ended",
        "ended after {ms} ms: {outcome}, status {status}, backend server "
        "{runner}, route {route}, workspace {workspace}, attempts {attempts}, "
@@ -51,7 +52,7 @@
       {"item_run_failed",
        "run of item {item} failed: status {status}, declined: {declined}, "
        "last event received: {after_event}, failures so far: {failures}, "
-       "reason: {reason}"},
+       "prompt parts: {prompt_parts}, reason: {reason}"},
       {"item_finished",
        "item {item} finished: {outcome}, events: {events}, failures: "
        "{failures}"},
--- a/src/request/client_call.h
+++ b/src/request/client_call.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "request/boot_clock.h"
+#include "request/prompt_parts.h"
 #include "request/refusal.h"
 
 namespace carawayrelay {
@@ -29,6 +30,7 @@
   std::optional<std::chrono::milliseconds> time_left;
   // Prompt tokens plus the maximum output tokens; 0 when the client sent none.
   std::int64_t tokens = 0;
+  PromptParts prompt_parts;  // empty when the client named none
   // Id of the last event that the client received, when it resumes a stream.
   std::string resume_after;
   // Headers that are passed on to the backend server unchanged.
