Quarantine parts of prompts that crash backend servers

Cause: a broken connection counted as a fault of the backend server only. Nothing connected crashes with what their requests had in common, and each process saw too few of them to tell. Ruled out: repeats of the same requests (62 broken attempts with the part had 62 ids) and a cascade of load (the first eight crashes hit warm servers).

Change: processes report the parts of requests that broke before their first event to each other through the store. Three crashes, at least 100 ms apart, that name a part, with no answer on it in between, put it in quarantine; requests with it are refused as not run, batch items are left unclaimed. Parts that always come together are refused only together, so that the sound requests that share one of them are still answered. The claims of ItemWorker move to a file of their own.

--- a/src/process/forward/online_forwarder.cc
+++ b/src/process/forward/online_forwarder.cc
@@ -33,12 +33,14 @@
 OnlineForwarder::OnlineForwarder(Options options,
                                  BackendDirectory& backends,
                                  RateAdmission& rates,
+                                 PromptQuarantine& quarantine,
                                  OutboundCalls& calls,
                                  const EventLoopClock& clock,
                                  ResponseCallback send_response)
     : options_(std::move(options)),
       backends_(backends),
       rates_(rates),
+      quarantine_(quarantine),
       calls_(calls),
       clock_(clock),
       send_response_(std::move(send_response)),
@@ -134,6 +136,9 @@
 }
 
 void OnlineForwarder::ChooseAndSend(Request& request, TimePoint now) {
+  if (RefuseIfQuarantined(request, now)) {
+    return;
+  }
   BackendDirectory::Backend* backend =
       backends_.Choose({.service = request.service,
                         .zone = options_.zone,
@@ -233,6 +238,7 @@
     }
     return;
   }
+  NoteAnswerBegun(request, now);
   request.last_progress_at = now;
   request.body += data.bytes;
   if (request.body.size() > kMaxBufferedBytes) {
@@ -246,7 +252,7 @@
   std::string complete_events;
   for (RawSseEvent& event : request.event_splitter.Feed(bytes)) {
     if (event.has_data) {
-      request.has_attempt_event = true;
+      NoteAnswerBegun(request, now);
       request.last_progress_at = now;
     }
     // A resumed stream may repeat events that the client already has.
@@ -273,6 +279,9 @@
                                   const CallEnd& end,
                                   TimePoint now) {
   if (!end.is_complete || request.status == 0) {
+    if (end.was_sent && !request.has_attempt_event) {
+      quarantine_.NoteCrash(request.backend_id, request.call.prompt_parts, now);
+    }
     FailAttempt(request, end.was_sent, end.reason, now);
     return;
   }
--- a/src/process/forward/online_forwarder.h
+++ b/src/process/forward/online_forwarder.h
@@ -11,6 +11,7 @@
 
 #include "process/forward/backend_directory.h"
 #include "process/limits/rate_admission.h"
+#include "process/quarantine/prompt_quarantine.h"
 #include "process/serving/event_loop_clock.h"
 #include "process/telemetry/request_observed.h"
 #include "process/transport/outbound_calls.h"
@@ -54,6 +55,8 @@
     std::uint64_t broken = 0;     // failed after the response head was sent
     std::uint64_t abandoned = 0;  // their clients disconnected
     std::uint64_t resent = 0;     // attempts repeated after a failure
+    // Not sent, because backend servers crash on a part of the prompt.
+    std::uint64_t quarantined = 0;
     // Attempts that were sent with and without a reserved slot.
     std::uint64_t with_reservation = 0;
     std::uint64_t without_reservation = 0;
@@ -62,6 +65,7 @@
   OnlineForwarder(Options options,
                   BackendDirectory& backends,
                   RateAdmission& rates,
+                  PromptQuarantine& quarantine,
                   OutboundCalls& calls,
                   const EventLoopClock& clock,
                   ResponseCallback send_response);
@@ -153,6 +157,11 @@
   void HandleEvent(Request& request, const CallHead& head, TimePoint now);
   void HandleEvent(Request& request, CallData& data, TimePoint now);
   void HandleEvent(Request& request, const CallEnd& end, TimePoint now);
+  // Records that the backend server began to answer the current attempt.
+  void NoteAnswerBegun(Request& request, TimePoint now);
+  // Refuses the request and returns true if backend servers crash on its
+  // prompt.
+  bool RefuseIfQuarantined(Request& request, TimePoint now);
   void ForwardEvents(Request& request, const std::string& bytes, TimePoint now);
   void HandleDecline(Request& request,
                      const std::string& reason,
@@ -172,6 +181,7 @@
   Options options_;
   BackendDirectory& backends_;
   RateAdmission& rates_;
+  PromptQuarantine& quarantine_;
   OutboundCalls& calls_;
   const EventLoopClock& clock_;
   ResponseCallback send_response_;
--- a/src/process/forward/online_forwarder_attempts.cc
+++ b/src/process/forward/online_forwarder_attempts.cc
@@ -57,6 +57,28 @@
   ChooseAndSend(request, now);
 }
 
+void OnlineForwarder::NoteAnswerBegun(Request& request, TimePoint now) {
+  if (!std::exchange(request.has_attempt_event, true)) {
+    quarantine_.NoteAnswer(request.call.prompt_parts, now);
+  }
+}
+
+bool OnlineForwarder::RefuseIfQuarantined(Request& request, TimePoint now) {
+  const auto match = quarantine_.Find(request.call.prompt_parts);
+  if (!match) {
+    return false;
+  }
+  ++counters_.quarantined;
+  Refuse(request,
+         {.code = RefusalCode::kQuarantined,
+          .run_state =
+              request.may_have_run ? RunState::kUnknown : RunState::kNotRun,
+          .reason = "backend servers crash on prompt part " + match->part,
+          .retry_after = std::chrono::ceil<milliseconds>(match->until - now)},
+         now);
+  return true;
+}
+
 void OnlineForwarder::CancelAttempt(Request& request) {
   if (std::exchange(request.is_reserving, false)) {
     calls_.Cancel(request.outbound_id);
--- a/src/process/forward/online_forwarder_reservations.cc
+++ b/src/process/forward/online_forwarder_reservations.cc
@@ -55,6 +55,9 @@
   Request& request = it->second;
   request.is_reserving = false;
   const TimePoint now = clock_.now();
+  if (RefuseIfQuarantined(request, now)) {
+    return;
+  }
   BackendDirectory::Backend* found = backends_.Find(backend_id);
   const platform::ReservationResponse response =
       platform::DecodeReservationResponse(status, body);
--- a/src/process/jobs/item_worker.h
+++ b/src/process/jobs/item_worker.h
@@ -14,6 +14,7 @@
 #include "process/forward/backend_directory.h"
 #include "process/jobs/job_table.h"
 #include "process/jobs/job_writer.h"
+#include "process/quarantine/prompt_quarantine.h"
 #include "process/store/store_client.h"
 #include "process/transport/outbound_calls.h"
 #include "request/sse_event_splitter.h"
@@ -64,6 +65,7 @@
              JobWriter& writer,
              StoreClient& store,
              BackendDirectory& backends,
+             PromptQuarantine& quarantine,
              OutboundCalls& calls,
              const EventLoopClock& clock);
 
@@ -93,6 +95,7 @@
     RunState state = RunState::kLoading;
     TimePoint state_since{};
     platform::SubmittedItem item;
+    PromptParts prompt_parts;
     bool has_item = false;
     PartialRun progress;
     int failures = 0;
@@ -108,7 +111,7 @@
     bool is_response_invalid = false;
     std::string response_problem;
     SseEventSplitter event_splitter;
-    bool has_run_event = false;  // the current run sent a complete event
+    bool has_run_event = false;    // the current run sent a complete event
     TimePoint last_progress_at{};  // of the head or a complete event
     TimePoint started_at{};
   };
@@ -147,6 +150,8 @@
   void OnEvent(const ItemKey& key, CallEvent& event);
   void AppendEvents(Run& run, const std::string& bytes, TimePoint now);
   void OnEnd(const ItemKey& key, Run& run, const CallEnd& end, TimePoint now);
+  // Records what the end of a run says of its prompt.
+  void NoteRunEnd(const Run& run, const CallEnd& end, TimePoint now);
   void Pause(Run& run, TimePoint now);
   // Records that the local backend server failed to run the item.
   void NoteRunFailed(const ItemKey& key, TimePoint now);
@@ -168,6 +173,7 @@
   JobWriter& writer_;
   StoreClient& store_;
   BackendDirectory& backends_;
+  PromptQuarantine& quarantine_;
   OutboundCalls& calls_;
   const EventLoopClock& clock_;
   ServingConfigPtr config_;
@@ -183,6 +189,9 @@
   // When items failed on the local backend server. Other workers get the first
   // chance to retry them.
   std::map<ItemKey, TimePoint> failed_locally_;
+  // Items whose prompt was quarantined when this worker claimed them, with the
+  // parts of their prompts.
+  std::map<ItemKey, PromptParts> quarantined_items_;
   int consecutive_failures_ = 0;
   bool is_claiming_ = false;
   bool is_stopping_ = false;
--- /dev/null
+++ b/src/process/jobs/item_worker_claims.cc
@@ -0,0 +1,227 @@
+#include <algorithm>
+#include <memory>
+
+#include "platform/prompt_codec.h"
+#include "process/jobs/item_worker.h"
+#include "process/jobs/job_api.h"
+#include "process/telemetry/decision_log.h"
+
+namespace carawayrelay {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A claim that conflicts with the write of another worker is retried once, then
+// abandoned in favor of the other workers.
+constexpr int kMaxClaimTries = 2;
+// Workers wait a random time up to this limit before they claim items of a job
+// that has changed, so that they seldom write the same row.
+constexpr milliseconds kMaxClaimDelay{400};
+// One of this many jobs that are due first is chosen at random, so that workers
+// seldom write the same row.
+constexpr size_t kMaxJobCandidates = 3;
+constexpr milliseconds kClaimBackoff{60};
+
+}  // namespace
+
+bool ItemWorker::IsClaimable(const std::string& job,
+                             size_t index,
+                             const JobItemState& item,
+                             milliseconds store_now) const {
+  const ItemKey key{job, index};
+  if (item.IsListed() || runs_.contains(key) || failed_locally_.contains(key)) {
+    return false;
+  }
+  const auto quarantined = quarantined_items_.find(key);
+  if (quarantined != quarantined_items_.end() &&
+      quarantine_.Find(quarantined->second)) {
+    return false;
+  }
+  return item.state == ItemState::kWaiting || item.owner == options_.node ||
+         item.lease_end <= store_now;
+}
+
+bool ItemWorker::IsClaimDelayOver(const std::string& job,
+                                  std::uint64_t version,
+                                  TimePoint now) {
+  ClaimTime& time = claim_times_[job];
+  if (time.version != version) {
+    std::uniform_int_distribution<std::int64_t> delay(0,
+                                                      kMaxClaimDelay.count());
+    time = {.version = version, .at = now + milliseconds(delay(random_))};
+  }
+  return now >= time.at;
+}
+
+bool ItemWorker::HasOpenJob() const {
+  return std::any_of(jobs_.jobs().begin(), jobs_.jobs().end(),
+                     [](const auto& item) { return item.second.job.IsOpen(); });
+}
+
+std::optional<std::string> ItemWorker::ChooseJob(TimePoint now) {
+  const BackendDirectory::Backend* backend = LocalBackend();
+  if (backend == nullptr || !config_) {
+    return std::nullopt;
+  }
+  const milliseconds store_now = store_.StoreTime(now);
+  struct Candidate {
+    bool is_late;  // the job is unlikely to finish before `due`
+    milliseconds due;
+    std::string job;
+
+    auto operator<=>(const Candidate&) const = default;
+  };
+  std::vector<Candidate> found;
+  for (const auto& [id, entry] : jobs_.jobs()) {
+    if (!entry.job.IsOpen()) {
+      continue;
+    }
+    const ServingRoute* route = config_->FindRouteByName(entry.job.route);
+    if (route == nullptr ||
+        std::none_of(route->services.begin(), route->services.end(),
+                     [&](const WeightedService& s) {
+                       return s.service == backend->registration.service;
+                     })) {
+      continue;
+    }
+    if (!IsClaimDelayOver(id, entry.version, now)) {
+      continue;
+    }
+    for (size_t i = 0; i < entry.job.items.size(); ++i) {
+      if (IsClaimable(id, i, entry.job.items[i], store_now)) {
+        const milliseconds due =
+            entry.job.accepted + route->bulk.completion_target;
+        found.push_back({.is_late = due - store_now < options_.run_time,
+                         .due = due,
+                         .job = id});
+        break;
+      }
+    }
+  }
+  if (found.empty()) {
+    return std::nullopt;
+  }
+  std::sort(found.begin(), found.end());
+  const auto in_time = static_cast<size_t>(std::count_if(
+      found.begin(), found.end(),
+      [](const Candidate& candidate) { return !candidate.is_late; }));
+  const size_t candidate_count = in_time > 0 ? in_time : found.size();
+  std::uniform_int_distribution<size_t> pick(
+      0, std::min(candidate_count, kMaxJobCandidates) - 1);
+  return found[pick(random_)].job;
+}
+
+void ItemWorker::Claim(int count, TimePoint now) {
+  if (is_claiming_ || now < next_claim_) {
+    return;
+  }
+  const std::optional<std::string> job = ChooseJob(now);
+  if (!job) {
+    return;
+  }
+  is_claiming_ = true;
+  auto claimed = std::make_shared<std::vector<size_t>>();
+  const auto apply = [this, id = *job, count, claimed,
+                      tries = std::make_shared<int>(0)](BulkJob& state,
+                                                        RowsTransaction&) {
+    claimed->clear();
+    if (state.is_ended || ++*tries > kMaxClaimTries) {
+      return JobWriter::Outcome::kObsolete;
+    }
+    const milliseconds store_now = store_.StoreTime(clock_.now());
+    for (size_t i = 0;
+         i < state.items.size() && claimed->size() < static_cast<size_t>(count);
+         ++i) {
+      JobItemState& item = state.items[i];
+      if (!IsClaimable(id, i, item, store_now)) {
+        continue;
+      }
+      item.state = ItemState::kClaimed;
+      item.owner = options_.node;
+      item.lease_end = store_now + options_.lease;
+      claimed->push_back(i);
+    }
+    return claimed->empty() ? JobWriter::Outcome::kObsolete
+                            : JobWriter::Outcome::kChanged;
+  };
+  const auto done = [this, id = *job, claimed](JobWriter::Outcome outcome) {
+    is_claiming_ = false;
+    const TimePoint at = clock_.now();
+    if (outcome == JobWriter::Outcome::kChanged) {
+      OnClaimed(id, *claimed, at);
+    } else {
+      next_claim_ = at + kClaimBackoff;
+    }
+  };
+  writer_.Add(*job, {.apply = apply, .done = done});
+}
+
+void ItemWorker::OnClaimed(const std::string& job,
+                           const std::vector<size_t>& items,
+                           TimePoint now) {
+  const JobTable::Entry* entry = jobs_.Find(job);
+  for (const size_t index : items) {
+    Run& run = runs_[{job, index}];
+    run.state_since = now;
+    run.lease_end = store_.StoreTime(now) + options_.lease;
+    bool has_partial = false;
+    if (entry != nullptr) {
+      run.failures = entry->job.items[index].failures;
+      has_partial = entry->job.items[index].has_partial;
+    }
+    LogDecision(LogEvent::kItemClaimed, "job", job, "item", index,
+                "has_partial", has_partial);
+    LoadItem({job, index});
+  }
+}
+
+void ItemWorker::LoadItem(const ItemKey& key) {
+  LoadSubmission(
+      key.first, store_,
+      [this, key](Result<std::vector<platform::SubmittedItem>> items) {
+        const auto it = runs_.find(key);
+        if (it == runs_.end() || it->second.state != RunState::kLoading) {
+          return;
+        }
+        const TimePoint now = clock_.now();
+        if (!items || key.second >= items.value().size()) {
+          ReleaseClaim(key, it->second,
+                       items ? "the submission does not contain the item"
+                             : items.error().message,
+                       now);
+          return;
+        }
+        it->second.item = std::move(items.value()[key.second]);
+        it->second.prompt_parts =
+            platform::DecodeSharedPromptParts(it->second.item.headers);
+        it->second.has_item = true;
+        const JobTable::Entry* entry = jobs_.Find(key.first);
+        if (entry == nullptr || !entry->job.items[key.second].has_partial) {
+          Pause(it->second, now);
+          return;
+        }
+        const RowKey row = job_rows::Partial(key.first, key.second);
+        store_.Send(
+            RowsRead{.table = row.table,
+                     .part = row.part,
+                     .from = row.key,
+                     .to = row.key + '\0'},
+            [this, key](StoreResponse response) {
+              const auto found = runs_.find(key);
+              if (found == runs_.end() ||
+                  found->second.state != RunState::kLoading) {
+                return;
+              }
+              if (!response.rows.empty()) {
+                if (auto partial = DecodePartialRun(response.rows[0].value)) {
+                  found->second.progress = std::move(partial).value();
+                }
+              }
+              // If the partial result cannot be read, the item runs from the
+              // start.
+              Pause(found->second, clock_.now());
+            });
+      });
+}
+
+}  // namespace carawayrelay
--- a/src/process/jobs/item_worker_runs.cc
+++ b/src/process/jobs/item_worker_runs.cc
@@ -5,7 +5,6 @@
 #include <utility>
 
 #include "platform/backend_codec.h"
-#include "platform/prompt_codec.h"
 #include "process/telemetry/decision_log.h"
 #include "request/overloaded.h"
 #include "request/prompt_parts.h"
@@ -48,10 +47,17 @@
     if (count <= 0) {
       return;
     }
-    if (run.state == RunState::kPaused) {
-      StartRun(key, run, now);
-      --count;
+    if (run.state != RunState::kPaused) {
+      continue;
+    }
+    if (const auto match = quarantine_.Find(run.prompt_parts)) {
+      quarantined_items_[key] = run.prompt_parts;
+      ReleaseClaim(key, run,
+                   "backend servers crash on prompt part " + match->part, now);
+      continue;
     }
+    StartRun(key, run, now);
+    --count;
   }
 }
 
@@ -155,7 +161,9 @@
     progress.text += event.data;
     progress.last_event = *event.id;
     run.last_progress_at = now;
-    run.has_run_event = true;
+    if (!std::exchange(run.has_run_event, true)) {
+      quarantine_.NoteAnswer(run.prompt_parts, now);
+    }
   }
   if (run.event_splitter.IsEventTooLong()) {
     run.response_problem = "an event is over the limit";
@@ -163,10 +171,18 @@
   }
 }
 
+void ItemWorker::NoteRunEnd(const Run& run, const CallEnd& end, TimePoint now) {
+  if (!end.is_complete && end.was_sent && !run.is_response_invalid &&
+      !run.has_run_event) {
+    quarantine_.NoteCrash(run.backend_id, run.prompt_parts, now);
+  }
+}
+
 void ItemWorker::OnEnd(const ItemKey& key,
                        Run& run,
                        const CallEnd& end,
                        TimePoint now) {
+  NoteRunEnd(run, end, now);
   const ServingRoute* route = FindRoute(key.first);
   const int max_failures = route == nullptr ? 1 : route->max_attempts;
   if (end.is_complete && run.status == 200 && !run.is_response_invalid &&
@@ -184,13 +200,12 @@
   const bool has_failed =
       end.is_complete && !run.is_response_invalid && run.status == kRunFailed;
   run.failures += has_failed ? 1 : 0;
-  LogDecision(
-      LogEvent::kItemRunFailed, "job", key.first, "item", key.second, "id",
-      run.item.id, "status", run.status, "declined", run.is_declined,
-      "after_event", run.progress.last_event, "got_event", run.has_run_event,
-      "failures", run.failures, "prompt_parts",
-      JoinIds(platform::DecodeSharedPromptParts(run.item.headers)), "reason",
-      run.response_problem.empty() ? end.reason : run.response_problem);
+  LogDecision(LogEvent::kItemRunFailed, "job", key.first, "item", key.second,
+              "id", run.item.id, "status", run.status, "declined",
+              run.is_declined, "after_event", run.progress.last_event,
+              "got_event", run.has_run_event, "failures", run.failures,
+              "prompt_parts", JoinIds(run.prompt_parts), "reason",
+              run.response_problem.empty() ? end.reason : run.response_problem);
   if (!has_failed) {
     Pause(run, now);
   } else if (run.failures >= max_failures) {
--- a/src/process/serving/frontend_process.cc
+++ b/src/process/serving/frontend_process.cc
@@ -89,13 +89,15 @@
 
 Result<void> FrontendProcess::Start() {
   BOOST_OUTCOME_TRY(
-      core_, ServingCore::Make(
-                 {.store_address = settings_.store_address, .seed = seed_},
-                 [this](TimePoint) {
-                   if (core_->operators().config()) {
-                     rates_.SetConfig(core_->operators().config());
-                   }
-                 }));
+      core_,
+      ServingCore::Make({.node = settings_.node,
+                         .store_address = settings_.store_address,
+                         .seed = seed_},
+                        [this](TimePoint) {
+                          if (core_->operators().config()) {
+                            rates_.SetConfig(core_->operators().config());
+                          }
+                        }));
   const auto send_response = [this](ClientCallId client,
                                     ClientResponseEvent response) {
     SendResponse(client, std::move(response));
@@ -105,7 +107,8 @@
           .zone = settings_.zone,
           .seed = seed_,
           .observe = [this](const RequestObserved& o) { Observe(o); }},
-      core_->backends(), rates_, core_->calls(), core_->clock(), send_response);
+      core_->backends(), rates_, core_->quarantine(), core_->calls(),
+      core_->clock(), send_response);
   rate_member_reporter_ = std::make_unique<RateMemberReporter>(
       RateMemberReporter::Options{.node = settings_.node,
                                   .address = settings_.listen_peers,
--- a/src/process/serving/frontend_process_monitoring.cc
+++ b/src/process/serving/frontend_process_monitoring.cc
@@ -41,6 +41,7 @@
   count("broken", c.broken);
   count("abandoned", c.abandoned);
   count("resent", c.resent);
+  count("quarantined", c.quarantined);
   count("held", c.with_reservation);
   count("unheld", c.without_reservation);
   metrics.SetGauge(names::kRequestsActive, {},
--- a/src/process/serving/serving_core.cc
+++ b/src/process/serving/serving_core.cc
@@ -41,6 +41,7 @@
           [this](OutboundCallId id) { http_client_->Cancel(id); }),
       store_(options.store_address, calls_, clock_),
       backends_(options.seed),
+      crash_reports_(options.node, quarantine_, store_, clock_),
       writer_(jobs_, store_.sender(), clock_),
       operators_(store_.sender(),
                  clock_,
@@ -95,6 +96,7 @@
     metrics_.SetGauge(metric, {}, value);
   };
   set(names::kJobs, static_cast<double>(jobs_.jobs().size()));
+  set(names::kQuarantinedParts, static_cast<double>(quarantine_.size()));
   set(names::kCallsRunning, static_cast<double>(calls_.size()));
   if (operators_.config()) {
     set(names::kConfigVersion,
@@ -117,6 +119,7 @@
   operators_.Tick(now);
   backend_watch_.Tick(now);
   backends_.Tick(now);
+  crash_reports_.Tick(now);
   job_watch_.Tick(now);
   jobs_.SetUpToDateAt(job_watch_.up_to_date_at());
   writer_.Tick(now);
--- a/src/process/serving/serving_core.h
+++ b/src/process/serving/serving_core.h
@@ -6,6 +6,8 @@
 #include "process/forward/backend_directory.h"
 #include "process/jobs/job_table.h"
 #include "process/jobs/job_writer.h"
+#include "process/quarantine/crash_report_exchange.h"
+#include "process/quarantine/prompt_quarantine.h"
 #include "process/serving/event_loop_clock.h"
 #include "process/serving/serving_event.h"
 #include "process/store/operator_watch.h"
@@ -25,6 +27,7 @@
 class ServingCore {
  public:
   struct Options {
+    std::string node;  // name of this process
     std::string store_address;
     std::uint64_t seed = 1;
     // Longest time that the store delays the response to a watch call for
@@ -50,6 +53,7 @@
   StoreClient& store() { return store_; }
   OperatorWatch& operators() { return operators_; }
   BackendDirectory& backends() { return backends_; }
+  PromptQuarantine& quarantine() { return quarantine_; }
   JobTable& jobs() { return jobs_; }
   JobWriter& writer() { return writer_; }
   // Passes an event of an outbound call to the handler of that call.
@@ -74,6 +78,8 @@
   OutboundCalls calls_;
   StoreClient store_;
   BackendDirectory backends_;
+  PromptQuarantine quarantine_;
+  CrashReportExchange crash_reports_;
   JobTable jobs_;
   JobWriter writer_;
   OperatorWatch operators_;
--- a/src/process/serving/serving_metrics.h
+++ b/src/process/serving/serving_metrics.h
@@ -5,7 +5,8 @@
 // Metrics of the serving roles, except those of finished requests.
 namespace carawayrelay::serving_metrics {
 
-// Labels: event (served, refused, broken, abandoned, resent, held, unheld).
+// Labels: event (served, refused, broken, abandoned, resent, quarantined, held,
+// unheld).
 inline constexpr MetricDescriptor kRequestEvents{
     "carawayrelay_request_events_total",
     "Decisions about online requests of this frontend."};
@@ -18,6 +19,10 @@
 // Labels: state (usable, draining, replaced, lapsed, avoided, cold).
 inline constexpr MetricDescriptor kBackends{
     "carawayrelay_runners", "Known entries of backend servers by state."};
+inline constexpr MetricDescriptor kQuarantinedParts{
+    "carawayrelay_prompt_parts_quarantined",
+    "Parts of prompts that are not sent, because backend servers crash on "
+    "them."};
 inline constexpr MetricDescriptor kJobs{"carawayrelay_jobs_known",
                                         "Batch jobs that this process knows."};
 // Labels: call, status.
--- a/src/process/serving/worker_process.cc
+++ b/src/process/serving/worker_process.cc
@@ -59,7 +59,8 @@
 Result<void> WorkerProcess::Start() {
   BOOST_OUTCOME_TRY(
       core_,
-      ServingCore::Make({.store_address = settings_.store_address,
+      ServingCore::Make({.node = settings_.node,
+                         .store_address = settings_.store_address,
                          .seed = seed_,
                          .operators_wait = kOperatorsWait,
                          .jobs_interval = kJobsInterval},
@@ -72,7 +73,7 @@
                           .reserved_slots = settings_.reserved_slots,
                           .seed = seed_},
       core_->jobs(), core_->writer(), core_->store(), core_->backends(),
-      core_->calls(), core_->clock());
+      core_->quarantine(), core_->calls(), core_->clock());
   if (!settings_.listen_metrics.empty()) {
     BOOST_OUTCOME_TRY(
         metrics_server_,
--- a/src/process/telemetry/events.cc
+++ b/src/process/telemetry/events.cc
@@ -44,6 +44,14 @@
       return "runner_avoided";
     case LogEvent::kBackendReplaced:
       return "runner_replaced";
+    case LogEvent::kCrashSuspected:
+      return "crash_suspected";
+    case LogEvent::kPromptQuarantined:
+      return "prompt_quarantined";
+    case LogEvent::kPromptReleased:
+      return "prompt_released";
+    case LogEvent::kCrashReportUnreadable:
+      return "crash_report_unreadable";
     case LogEvent::kRequestRefused:
       return "request_refused";
     case LogEvent::kAttemptDeclined:
--- a/src/process/telemetry/log_timeline.cc
+++ b/src/process/telemetry/log_timeline.cc
@@ -79,6 +79,14 @@
       {"runner_gone", "backend server {runner} was removed: {reason}"},
       {"runner_avoided",
        "avoids backend server {runner} for {avoid_ms} ms: {reason}"},
+      {"crash_suspected",
+       "backend server {runner} may have crashed on one of the prompt parts "
+       "{suspects}"},
+      {"prompt_quarantined",
+       "refuses requests with prompt part {part} for {for_ms} ms after "
+       "{crashes} crashes"},
+      {"prompt_released",
+       "serves requests with prompt part {part} again: {reason}"},
       {"runner_replaced",
        "ignores the registration of backend server {runner} at {address}: "
        "{reason}"}};
--- a/src/request/refusal.cc
+++ b/src/request/refusal.cc
@@ -36,6 +36,7 @@
     CodeInfo{RefusalCode::kDeadline, "deadline", 504},
     CodeInfo{RefusalCode::kInternal, "internal", 500},
     CodeInfo{RefusalCode::kHeadersTooLarge, "headers_too_large", 431},
+    CodeInfo{RefusalCode::kQuarantined, "quarantined", 503},
 };
 static_assert(kCodes.size() == static_cast<size_t>(kLastRefusalCode) + 1);
 
--- a/src/request/refusal.h
+++ b/src/request/refusal.h
@@ -38,9 +38,10 @@
   kDeadline,         // the deadline of the request passed
   kInternal,         // a bug in this program
   kHeadersTooLarge,  // headers larger than the limit
+  kQuarantined,      // backend servers crash on a part of the prompt
 };
 
-inline constexpr RefusalCode kLastRefusalCode = RefusalCode::kHeadersTooLarge;
+inline constexpr RefusalCode kLastRefusalCode = RefusalCode::kQuarantined;
 
 // Why a request got no complete response. `retry_after` is set when a later
 // retry may succeed.
--- a/src/request/retry_policy.cc
+++ b/src/request/retry_policy.cc
@@ -27,6 +27,7 @@
     case RefusalCode::kStoreDown:
     case RefusalCode::kCancelled:
     case RefusalCode::kDeadline:
+    case RefusalCode::kQuarantined:
       return false;
   }
   return false;
--- /dev/null
+++ b/tests/serving/crashing_prompt_test.cc
@@ -0,0 +1,177 @@
+#include <memory>
+#include <set>
+
+#include "process/forward/online_forwarder.h"
+#include "process/quarantine/crash_report_exchange.h"
+#include "serving/serving_fixture.h"
+
+namespace carawayrelay {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Two frontends that reach each other through the store only, and eight backend
+// servers that crash when they answer a prompt with the part "dead".
+struct CrashingPromptFixture : ServingFixture {
+  struct Frontend {
+    Frontend(CrashingPromptFixture& fixture, const std::string& node)
+        : rates(node, 1, [](const std::string&, const RateMessage&) {}),
+          reports(node, quarantine, fixture.store, fixture.clock),
+          forwarder({.zone = "zone-1", .max_reservation_attempts = 0},
+                    backends,
+                    rates,
+                    quarantine,
+                    fixture.calls,
+                    fixture.clock,
+                    [&fixture](ClientCallId, ClientResponseEvent response) {
+                      fixture.responses.push_back(std::move(response));
+                    }) {
+      std::vector<StoredRow> rows;
+      for (int i = 0; i < 8; ++i) {
+        const std::string number = std::to_string(i);
+        rows.push_back(
+            BackendRow("server-" + number, "1.1.1." + number + ":1"));
+      }
+      backends.Apply(rows, true, std::nullopt, fixture.now());
+    }
+
+    BackendDirectory backends{1};
+    RateAdmission rates;
+    PromptQuarantine quarantine;
+    CrashReportExchange reports;
+    OnlineForwarder forwarder;
+  };
+
+  void Run(milliseconds time) {
+    for (milliseconds passed{0}; passed < time; passed += milliseconds(50)) {
+      Advance(milliseconds(50));
+      first.reports.Tick(now());
+      second.reports.Tick(now());
+      RunStore();
+    }
+  }
+  void Send(Frontend& frontend, const PromptParts& parts) {
+    const std::string id = "q" + std::to_string(++requests);
+    frontend.forwarder.HandleRequest({.client = ClientCallId{requests},
+                                      .request_id = id,
+                                      .host = "h",
+                                      .method = "POST",
+                                      .path = "/x/1",
+                                      .target = "/x/1",
+                                      .time_left = milliseconds(5000),
+                                      .prompt_parts = parts,
+                                      .arrived = now()},
+                                     route, nullptr, now());
+    // Backend servers crash on the part "dead" and answer all other prompts.
+    for (const OutboundCall& call : BackendCalls()) {
+      if (std::ranges::find(parts, "dead") != parts.end()) {
+        crashed.insert(call.address);
+        ++runs_of_dead;
+        Fail(call.id, /*was_sent=*/true, "Transferred a partial file");
+        continue;
+      }
+      Head(call.id, 200,
+           {{"x-carawayrelay-request-id", id},
+            {"x-carawayrelay-server-stamp", "s"}});
+      Data(call.id, "id: 1\ndata: a\n\n");
+      End(call.id);
+    }
+    Run(milliseconds(300));
+  }
+  bool IsServed() const {
+    return !responses.empty() &&
+           std::holds_alternative<ResponseEnd>(responses.back());
+  }
+
+  std::vector<ClientResponseEvent> responses;
+  ServingRoute route{.name = "r",
+                     .host = "h",
+                     .prefix = "/x/",
+                     .call_class = CallClass::kStream,
+                     .is_open = true,
+                     .time_limit = milliseconds(5000),
+                     .max_attempts = 1,
+                     .services = {{.service = "llm"}}};
+  Frontend first{*this, "edge-1"};
+  Frontend second{*this, "edge-2"};
+  std::uint64_t requests = 0;
+  int runs_of_dead = 0;
+  std::set<std::string> crashed;
+};
+
+// Guards against requests with one crashing part that take down the backend
+// servers one after the other: once 59 fell to one part within 22 s, because
+// each frontend saw only single broken connections.
+TEST_CASE_FIXTURE(CrashingPromptFixture,
+                  "Frontends, part crashes servers, later requests with it are "
+                  "not sent") {
+  Run(milliseconds(500));
+  for (int i = 0; i < 20; ++i) {
+    const std::string caller = "caller-" + std::to_string(i);
+    Send(i % 2 == 0 ? first : second, {"common", caller, "dead"});
+  }
+  CHECK(runs_of_dead <= 5);
+  const auto* refusal = std::get_if<Refusal>(&responses.back());
+  REQUIRE(refusal);
+  CHECK(refusal->code == RefusalCode::kQuarantined);
+  CHECK(refusal->run_state == RunState::kNotRun);
+  CHECK(refusal->retry_after);
+}
+
+// Guards against refusing sound requests that share their caller or their first
+// part with the crashing ones.
+TEST_CASE_FIXTURE(
+    CrashingPromptFixture,
+    "Frontends, part crashes servers, sound requests are served") {
+  Run(milliseconds(500));
+  for (int i = 0; i < 20; ++i) {
+    Send(i % 2 == 0 ? first : second, {"common", "caller", "dead"});
+    Send(i % 3 == 0 ? first : second, {"common", "caller"});
+    CHECK(IsServed());
+  }
+  CHECK(runs_of_dead <= 5);
+}
+
+// Guards against a retry that crashes one more server each: a request that may
+// be repeated counts as often as it is sent.
+TEST_CASE_FIXTURE(CrashingPromptFixture,
+                  "Frontends, repeatable request crashes servers, is not "
+                  "repeated in quarantine") {
+  route.can_resume = true;
+  route.max_attempts = 3;
+  Run(milliseconds(500));
+  for (int i = 0; i < 10; ++i) {
+    Send(i % 2 == 0 ? first : second, {"common", "caller", "dead"});
+    for (int attempt = 1; attempt < 3; ++attempt) {
+      for (const OutboundCall& call : BackendCalls()) {
+        ++runs_of_dead;
+        Fail(call.id, /*was_sent=*/true, "Transferred a partial file");
+        Run(milliseconds(300));
+      }
+    }
+  }
+  CHECK(runs_of_dead <= 5);
+  CHECK(BackendCalls().empty());
+}
+
+// Guards against a frontend that starts later and sends the part once more.
+TEST_CASE_FIXTURE(
+    CrashingPromptFixture,
+    "Frontend, starts after the crashes, does not send the part") {
+  Run(milliseconds(500));
+  for (int i = 0; i < 4; ++i) {
+    Send(first, {"caller", "dead"});
+  }
+  const int before = runs_of_dead;
+  Frontend third(*this, "edge-3");
+  Frontend restarted(*this, "edge-1");
+  third.reports.Tick(now());
+  restarted.reports.Tick(now());
+  RunStore();
+  Send(third, {"caller", "dead"});
+  Send(restarted, {"caller", "dead"});
+  CHECK(runs_of_dead == before);
+}
+
+}  // namespace
+}  // namespace carawayrelay
--- a/tests/serving/item_worker_test.cc
+++ b/tests/serving/item_worker_test.cc
@@ -7,16 +7,19 @@
 
 using std::chrono::milliseconds;
 
+constexpr const char* kSharedPart = "5c1e07a2";
 constexpr const char* kLocalAddress = "10.0.0.9:80";
 
 struct ItemWorkerFixture : JobFixture {
   BackendDirectory backends{1};
+  PromptQuarantine quarantine;
   ItemWorker worker{
       {.node = "side-1", .backend_address = kLocalAddress, .seed = 3},
       jobs,
       writer,
       store,
       backends,
+      quarantine,
       calls,
       clock};
   int running = 0;
@@ -359,6 +362,7 @@
       writer,
       store,
       backends,
+      quarantine,
       calls,
       clock};
   restarted.SetConfig(
@@ -442,5 +446,42 @@
   CHECK(Runs().empty());
 }
 
+// Guards against a worker that runs an item again and again although its prompt
+// crashes the backend server: once one part took down servers 47 times.
+TEST_CASE_FIXTURE(ItemWorkerFixture,
+                  "ItemWorker, prompt crashes the server, item is left") {
+  AddJob("j", 1);
+  int crashes = 0;
+  for (int i = 0; i < 20; ++i) {
+    RunFor();
+    for (const OutboundCall& call : Runs()) {
+      ++crashes;
+      Head(call.id, 200, SignedFor(call));
+      Fail(call.id, /*was_sent=*/true, "Transferred a partial file");
+    }
+  }
+  CHECK(crashes == 3);
+  CHECK(Runs().empty());
+  CHECK(jobs.Find("j")->job.items[0].state == ItemState::kWaiting);
+}
+
+// Guards against an item that is held for the crash of another one.
+TEST_CASE_FIXTURE(ItemWorkerFixture,
+                  "ItemWorker, quarantined part is answered elsewhere, item "
+                  "runs") {
+  AddJob("j", 1);
+  for (int i = 0; i < 10; ++i) {
+    RunFor();
+    for (const OutboundCall& call : Runs()) {
+      Fail(call.id, /*was_sent=*/true, "Transferred a partial file");
+    }
+  }
+  REQUIRE(Runs().empty());
+  quarantine.Apply("other", {.answered = {{.part = kSharedPart, .at = now()}}},
+                   now());
+  RunFor(milliseconds(1500));
+  CHECK(Runs().size() == 1);
+}
+
 }  // namespace
 }  // namespace carawayrelay
--- a/tests/serving/job_fixture.h
+++ b/tests/serving/job_fixture.h
@@ -41,11 +41,14 @@
   static std::string Submission(int items, const std::string& body = "body") {
     nlohmann::json list = nlohmann::json::array();
     for (int i = 0; i < items; ++i) {
-      list.push_back({{"id", "item-" + std::to_string(i)},
-                      {"path", "/b/" + std::to_string(i)},
-                      {"headers", {{"X-Carawayrelay-Model", "m"}}},
-                      {"body", platform::ToBase64(body)},
-                      {"tokens", 100}});
+      list.push_back(
+          {{"id", "item-" + std::to_string(i)},
+           {"path", "/b/" + std::to_string(i)},
+           {"headers",
+            {{"X-Carawayrelay-Model", "m"},
+             {"X-Carawayrelay-Prompt-Prefix", "5c1e07a2:300,5d07b8:240"}}},
+           {"body", platform::ToBase64(body)},
+           {"tokens", 100}});
     }
     return nlohmann::json{{"items", std::move(list)}}.dump();
   }
--- a/tests/serving/online_forwarder_test.cc
+++ b/tests/serving/online_forwarder_test.cc
@@ -13,10 +13,12 @@
   BackendDirectory backends{1};
   RateAdmission rates{"node-0", 1,
                       [](const std::string&, const RateMessage&) {}};
+  PromptQuarantine quarantine;
   std::vector<ClientResponseEvent> responses;
   OnlineForwarder forwarder{{.zone = "zone-1", .max_reservation_attempts = 0},
                             backends,
                             rates,
+                            quarantine,
                             calls,
                             clock,
                             [this](ClientCallId, ClientResponseEvent response) {
@@ -352,6 +354,7 @@
       {.zone = "zone-1"},
       backends,
       rates,
+      quarantine,
       calls,
       clock,
       [this](ClientCallId, ClientResponseEvent response) {
