Backend servers that announce their shutdown in an answer get no more requests

Nothing read the header Server-Leaving; only the store's list took a server out.

BackendDirectory keeps the process, by id and start, apart from the registrations: no older or repeated list brings it back, a later process under the same id or address is free of it. What runs there goes on; a request that can go nowhere else is refused as not run. An answer of a process that was not meant (421) says nothing of the one that was. Log line runner_leaving, state leaving in the metric.

--- a/src/connection/backend_registration.h
+++ b/src/connection/backend_registration.h
@@ -14,6 +14,9 @@
   std::string zone;
   int slots = 1;  // maximum number of concurrent requests
   bool is_draining = false;
+  // Start of the process, as Unix time; 0 when the registration does not say.
+  // An id may be used again by a later process.
+  std::chrono::milliseconds started_at{0};
   // Time until the backend server is warm, as of when the registration was
   // written.
   std::chrono::milliseconds remaining_cold_time{0};
--- a/src/process/forward/backend_directory.cc
+++ b/src/process/forward/backend_directory.cc
@@ -10,6 +10,8 @@
 namespace carawayrelay {
 namespace {
 
+using std::chrono::milliseconds;
+
 // Registrations that expired during a store outage are written again within two
 // seconds after the store is available again.
 constexpr std::chrono::milliseconds kExpiryGrace{2300};
@@ -115,6 +117,19 @@
   }
 }
 
+void BackendDirectory::NoteLeaving(const std::string& id, TimePoint now) {
+  const Backend* backend = Find(id);
+  const milliseconds started_at =
+      backend != nullptr ? backend->registration.started_at : milliseconds(0);
+  if (leaving_.Note(id, started_at, now)) {
+    LogDecision(LogEvent::kBackendLeaving, "runner", id, "is_registered",
+                backend != nullptr, "is_draining",
+                backend != nullptr && backend->registration.is_draining,
+                "version",
+                backend != nullptr ? backend->registration.version : 0);
+  }
+}
+
 void BackendDirectory::Remove(const std::string& id,
                               std::optional<TimePoint> reconnected_at,
                               TimePoint now) {
@@ -133,6 +148,7 @@
 }
 
 void BackendDirectory::Tick(TimePoint now) {
+  leaving_.Tick(now);
   std::erase_if(backends_, [&](const auto& item) {
     const bool is_expired =
         item.second.expires_at && *item.second.expires_at <= now;
@@ -146,6 +162,7 @@
 
 bool BackendDirectory::IsUsable(const Backend& backend) const {
   return !backend.registration.is_draining && !backend.is_replaced &&
+         !leaving_.Contains(backend.registration) &&
          !evacuated_.contains(backend.registration.zone);
 }
 
@@ -154,6 +171,7 @@
   for (const auto& [id, backend] : backends_) {
     counts.usable += IsUsable(backend) ? 1 : 0;
     counts.draining += backend.registration.is_draining ? 1 : 0;
+    counts.leaving += leaving_.Contains(backend.registration) ? 1 : 0;
     counts.replaced += backend.is_replaced ? 1 : 0;
     counts.lapsed += backend.expires_at ? 1 : 0;
     counts.avoided += now < backend.avoid_until ? 1 : 0;
--- a/src/process/forward/backend_directory.h
+++ b/src/process/forward/backend_directory.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "connection/backend_registration.h"
+#include "process/forward/leaving_backends.h"
 #include "process/store/store_request.h"
 #include "request/boot_clock.h"
 #include "request/token_bucket.h"
@@ -54,6 +55,7 @@
   struct Counts {
     int usable = 0;
     int draining = 0;
+    int leaving = 0;  // said so in an answer
     int replaced = 0;
     int lapsed = 0;  // missing from the store, removed after a grace period
     int avoided = 0;
@@ -106,6 +108,9 @@
   void NoteFailure(Backend& backend, const std::string& reason, TimePoint now);
   // Records that the backend server had no free slot.
   void NoteFull(Backend& backend, TimePoint now);
+  // Records that the backend server announced its shutdown in an answer. It
+  // gets no more requests, whatever its registration says.
+  void NoteLeaving(const std::string& id, TimePoint now);
   // Records that another backend server responded at the address. The
   // registration is not used again until it gets a higher version.
   void NoteReplaced(Backend& backend, const std::string& reason);
@@ -127,6 +132,7 @@
 
   std::mt19937_64 random_;
   std::map<std::string, Backend> backends_;
+  LeavingBackends leaving_;
   std::set<std::string> evacuated_;
   // Requests per second to one cold backend server, by service; this
   // frontend's part only.
--- a/src/process/forward/online_forwarder.cc
+++ b/src/process/forward/online_forwarder.cc
@@ -195,6 +195,9 @@
   if (backend != nullptr && response.load) {
     backends_.NoteLoad(*backend, *response.load, now);
   }
+  if (response.is_leaving && !response.is_misdirected) {
+    backends_.NoteLeaving(request.backend_id, now);
+  }
   if (response.is_declined) {
     if (backend != nullptr && response.is_misdirected) {
       backends_.NoteReplaced(*backend, "its address belongs to another start");
--- a/src/process/forward/online_forwarder_reservations.cc
+++ b/src/process/forward/online_forwarder_reservations.cc
@@ -19,6 +19,7 @@
     TimePoint now) {
   struct Progress {
     int status = 0;
+    bool is_leaving = false;
     std::string body;
   };
   const auto progress = std::make_shared<Progress>();
@@ -32,9 +33,16 @@
                                       options_.reservation_time),
       [this, client, progress, id = backend.registration.id](CallEvent& event) {
         std::visit(Overloaded{
-                       [&](CallHead& head) { progress->status = head.status; },
+                       [&](CallHead& head) {
+                         progress->status = head.status;
+                         progress->is_leaving =
+                             platform::AnnouncesLeaving(head.headers);
+                       },
                        [&](CallData& data) { progress->body += data.bytes; },
                        [&](CallEnd& end) {
+                         if (progress->is_leaving) {
+                           backends_.NoteLeaving(id, clock_.now());
+                         }
                          OnReservationResponse(client, id, progress->status,
                                                progress->body, end.is_complete);
                        },
--- a/src/process/jobs/item_worker.cc
+++ b/src/process/jobs/item_worker.cc
@@ -119,7 +119,7 @@
   calls_.Start(platform::EncodeReportCall(options_.backend_address),
                [this, body](CallEvent& event) {
                  std::visit(Overloaded{
-                                [](CallHead&) {},
+                                [&](CallHead& head) { OnReportHead(head); },
                                 [&](CallData& data) { *body += data.bytes; },
                                 [&](CallEnd& end) {
                                   is_report_pending_ = false;
@@ -134,6 +134,13 @@
                });
 }
 
+void ItemWorker::OnReportHead(const CallHead& head) {
+  const BackendDirectory::Backend* backend = LocalBackend();
+  if (backend != nullptr && platform::AnnouncesLeaving(head.headers)) {
+    backends_.NoteLeaving(backend->registration.id, clock_.now());
+  }
+}
+
 void ItemWorker::OnLoadReport(const BackendLoad& load, TimePoint now) {
   BackendDirectory::Backend* backend = LocalBackend();
   if (backend == nullptr || is_stopping_) {
--- a/src/process/jobs/item_worker.h
+++ b/src/process/jobs/item_worker.h
@@ -117,6 +117,7 @@
   };
 
   void RequestLoadReport(TimePoint now);
+  void OnReportHead(const CallHead& head);
   void OnLoadReport(const BackendLoad& load, TimePoint now);
   // Stops up to `count` runs.
   void PreemptRuns(int count, TimePoint now);
--- a/src/process/jobs/item_worker_runs.cc
+++ b/src/process/jobs/item_worker_runs.cc
@@ -111,6 +111,9 @@
                    run.last_progress_at = now;
                    const platform::BackendResponseHead response =
                        platform::DecodeBackendResponseHead(head);
+                   if (response.is_leaving && !response.is_misdirected) {
+                     backends_.NoteLeaving(run.backend_id, now);
+                   }
                    run.status = response.status;
                    run.is_declined = response.is_declined;
                    BackendDirectory::Backend* backend = LocalBackend();
--- a/src/process/serving/serving_core.cc
+++ b/src/process/serving/serving_core.cc
@@ -88,6 +88,7 @@
   };
   set_backends("usable", backends.usable);
   set_backends("draining", backends.draining);
+  set_backends("leaving", backends.leaving);
   set_backends("replaced", backends.replaced);
   set_backends("lapsed", backends.lapsed);
   set_backends("avoided", backends.avoided);
--- a/src/process/serving/serving_metrics.h
+++ b/src/process/serving/serving_metrics.h
@@ -16,7 +16,7 @@
 inline constexpr MetricDescriptor kItemEvents{
     "carawayrelay_item_events_total",
     "Decisions about batch items of this worker."};
-// Labels: state (usable, draining, replaced, lapsed, avoided, cold).
+// Labels: state (usable, draining, leaving, replaced, lapsed, avoided, cold).
 inline constexpr MetricDescriptor kBackends{
     "carawayrelay_runners", "Known entries of backend servers by state."};
 inline constexpr MetricDescriptor kQuarantinedParts{
--- a/src/process/telemetry/events.cc
+++ b/src/process/telemetry/events.cc
@@ -52,6 +52,8 @@
       return "prompt_released";
     case LogEvent::kCrashReportUnreadable:
       return "crash_report_unreadable";
+    case LogEvent::kBackendLeaving:
+      return "runner_leaving";
     case LogEvent::kRequestRefused:
       return "request_refused";
     case LogEvent::kAttemptDeclined:
--- a/src/process/telemetry/events.h
+++ b/src/process/telemetry/events.h
@@ -70,6 +70,7 @@
   kPromptQuarantined = 1927,
   kPromptReleased = 1928,
   kCrashReportUnreadable = 1929,
+  kBackendLeaving = 1930,
   kRequestRefused = 1931,
   kAttemptDeclined = 1932,
   kAttemptFailed = 1933,
--- a/src/process/telemetry/log_timeline.cc
+++ b/src/process/telemetry/log_timeline.cc
@@ -79,6 +79,9 @@
       {"runner_gone", "backend server {runner} was removed: {reason}"},
       {"runner_avoided",
        "avoids backend server {runner} for {avoid_ms} ms: {reason}"},
+      {"runner_leaving",
+       "backend server {runner} announced its shutdown (draining by its "
+       "registration: {is_draining})"},
       {"crash_suspected",
        "backend server {runner} may have crashed on one of the prompt parts "
        "{suspects}"},
--- a/tests/serving/backend_directory_test.cc
+++ b/tests/serving/backend_directory_test.cc
@@ -45,6 +45,51 @@
   CHECK(Chosen() == std::set<std::string>{"b"});
 }
 
+// Guards against new requests to a backend server that has announced its
+// shutdown, when the store is away and the list still calls it ready.
+TEST_CASE_FIXTURE(BackendDirectoryFixture,
+                  "BackendDirectory, server announced its shutdown, no list "
+                  "brings it back") {
+  StoredRow row = BackendRow("a", "1.1.1.1:1");
+  Put({row, BackendRow("b", "1.1.1.2:1")});
+  backends.NoteLeaving("a", now());
+  CHECK(Chosen() == std::set<std::string>{"b"});
+  backends.Apply({row}, /*is_full=*/true, std::nullopt, now());
+  CHECK(Chosen().empty());
+  row.version = 7;
+  Put({row});
+  CHECK(Chosen().empty());
+  Put({RemovedRow("a")});
+  row.version = 9;
+  Put({row});
+  CHECK(Chosen().empty());
+  CHECK(backends.CountStates(now()).leaving == 1);
+}
+
+// Guards against a new process that stays unused because an earlier one had its
+// id or its address and left.
+TEST_CASE_FIXTURE(BackendDirectoryFixture,
+                  "BackendDirectory, next process after one that left, is "
+                  "chosen") {
+  const auto with_start = [](StoredRow row, const std::string& started_at) {
+    row.value.insert(1, "\"born\":" + started_at + ",");
+    return row;
+  };
+  StoredRow row = BackendRow("a", "1.1.1.1:1");
+  Put({with_start(row, "1700000000000")});
+  backends.NoteLeaving("a", now());
+  CHECK(Chosen().empty());
+  row.version = 5;
+  Put({with_start(row, "1700000009000")});
+  CHECK(Chosen() == std::set<std::string>{"a"});
+  backends.NoteLeaving("a", now());
+  CHECK(Chosen().empty());
+  StoredRow next = BackendRow("b", "1.1.1.1:1");
+  next.version = 8;
+  Put({next});
+  CHECK(Chosen() == std::set<std::string>{"b"});
+}
+
 TEST_CASE_FIXTURE(BackendDirectoryFixture,
                   "BackendDirectory, zone out of service, is not chosen") {
   Put({BackendRow("a", "1.1.1.1:1")});
--- a/tests/serving/item_worker_test.cc
+++ b/tests/serving/item_worker_test.cc
@@ -24,6 +24,7 @@
       clock};
   int running = 0;
   int waiting = 0;
+  bool is_leaving = false;  // what the load reports announce
   // Whether the worker receives the changes of jobs.
   bool is_watching = true;
 
@@ -51,7 +52,8 @@
     for (const OutboundCall& call : BackendCalls()) {
       if (call.target == "/report") {
         Respond(
-            call.id, 200, {},
+            call.id, 200,
+            is_leaving ? HeaderList{{"server-leaving", "1"}} : HeaderList{},
             nlohmann::json{{"running", running}, {"queued", waiting}}.dump());
       }
     }
@@ -483,5 +485,31 @@
   CHECK(Runs().size() == 1);
 }
 
+// Guards against batch items that begin on a backend server that has announced
+// its shutdown while the store's list still calls it ready.
+TEST_CASE_FIXTURE(ItemWorkerFixture,
+                  "ItemWorker, answer announces shutdown, nothing begins") {
+  AddJob("j", 4);
+  RunFor();
+  REQUIRE_FALSE(Runs().empty());
+  HeaderList headers = SignedFor(Runs()[0]);
+  headers.emplace_back("server-leaving", "1");
+  Head(Runs()[0].id, 200, headers);
+  RunFor();
+  CHECK(Runs().empty());
+  backends.Apply({BackendRow("own", kLocalAddress)}, true, now(), now());
+  RunFor(milliseconds(3000));
+  CHECK(Runs().empty());
+}
+
+TEST_CASE_FIXTURE(
+    ItemWorkerFixture,
+    "ItemWorker, load report announces shutdown, nothing begins") {
+  is_leaving = true;
+  AddJob("j", 1);
+  RunFor(milliseconds(3000));
+  CHECK(Runs().empty());
+}
+
 }  // namespace
 }  // namespace carawayrelay
--- a/tests/serving/online_forwarder_test.cc
+++ b/tests/serving/online_forwarder_test.cc
@@ -422,5 +422,81 @@
   CHECK(BackendCalls().empty());
 }
 
+// The backend server "a" answers the first request and announces its shutdown;
+// the store's list goes on to call it ready.
+struct LeavingServerFixture : ReservationFixture {
+  LeavingServerFixture() {
+    backends.Apply({BackendRow("a", "1.1.1.1:1")}, true, std::nullopt, now());
+  }
+  static HeaderList Leaving(HeaderList headers) {
+    headers.emplace_back("server-leaving", "1");
+    return headers;
+  }
+  // Reads the list again and sends one more request.
+  void CheckNotSentAgain() {
+    backends.Apply({BackendRow("a", "1.1.1.1:1")}, true, now(), now());
+    Advance(milliseconds(2500));
+    responses.clear();
+    SendRequest();
+    CHECK(BackendCalls().empty());
+    CHECK(LastRefusal().code == RefusalCode::kNoBackend);
+    CHECK(LastRefusal().run_state == RunState::kNotRun);
+  }
+};
+
+// Guards against requests that reach a backend server long after it announced
+// its shutdown, in any kind of answer.
+TEST_CASE_FIXTURE(LeavingServerFixture,
+                  "OnlineForwarder, stream announces shutdown, goes on and is "
+                  "the last one") {
+  SendRequest();
+  const OutboundCall call = BackendCall();
+  Head(call.id, 200, Leaving(Signed()));
+  Data(call.id, "id: 1\ndata: a\n\n");
+  End(call.id);
+  CHECK(Count<ResponseEnd>() == 1);
+  CheckNotSentAgain();
+}
+
+TEST_CASE_FIXTURE(LeavingServerFixture,
+                  "OnlineForwarder, whole answer announces shutdown, is the "
+                  "last one") {
+  SendRequest();
+  Respond(BackendCall().id, 404, Leaving(Signed()), "none");
+  CheckNotSentAgain();
+}
+
+TEST_CASE_FIXTURE(LeavingServerFixture,
+                  "OnlineForwarder, refusal announces shutdown, is the last "
+                  "one") {
+  SendRequest();
+  Head(BackendCall().id, 503, Leaving({{"x-carawayrelay-not-executed", "1"}}));
+  CHECK(BackendCalls().empty());
+  CheckNotSentAgain();
+}
+
+TEST_CASE_FIXTURE(LeavingServerFixture,
+                  "OnlineForwarder, reservation announces shutdown, request is "
+                  "not sent") {
+  SendWithReservation();
+  Respond(BackendCall().id, 200, Leaving({}), R"({"hold":"h1"})");
+  CHECK(BackendCalls().empty());
+  CheckNotSentAgain();
+}
+
+// Guards against an answer of the process that has the address now that takes
+// out the one that was meant.
+TEST_CASE_FIXTURE(LeavingServerFixture,
+                  "OnlineForwarder, other process at the address announces "
+                  "shutdown, later registration is used") {
+  SendRequest();
+  Head(BackendCall().id, 421, Leaving({}));
+  StoredRow row = BackendRow("a", "1.1.1.1:1");
+  row.version = 5;
+  backends.Apply({row}, true, std::nullopt, now());
+  SendRequest();
+  CHECK(BackendCalls().size() == 1);
+}
+
 }  // namespace
 }  // namespace carawayrelay
