Job writer: an outcome that rests on an unwritten change waits for the write

Cause, found by reading: edits of one job are applied together. The second of two requests for the end (clients repeat it) saw the change of the first, counted as already applied, and was acknowledged at once, before the write that held both. That write was refused or never came. A worker that claims an item compares versions, so it can only have run because the end was not in the store; the hypotheses of a worker with an older state are out.

Change: once an edit of a batch has changed the state, the outcomes of the edits after it wait for the same write, and are decided again if it fails.

Test: JobWriter, same edit twice and write refused, neither is done; failed before (the second edit was done with nothing in the store).

--- a/src/process/jobs/job_writer.cc
+++ b/src/process/jobs/job_writer.cc
@@ -78,14 +78,13 @@
   BulkJob state = entry.job;
   RowsTransaction transaction;
   std::vector<std::pair<Edit, Outcome>> finished;
-  std::vector<Edit> writing;
+  std::vector<std::pair<Edit, Outcome>> writing;
   for (Edit& edit : std::exchange(pending.waiting, {})) {
     const Outcome outcome = edit.apply(state, transaction);
-    if (outcome == Outcome::kChanged) {
-      writing.push_back(std::move(edit));
-    } else {
-      finished.emplace_back(std::move(edit), outcome);
-    }
+    // Once `state` holds a change that is not written, other outcomes depend on
+    // the write too.
+    const bool needs_write = outcome == Outcome::kChanged || !writing.empty();
+    (needs_write ? writing : finished).emplace_back(std::move(edit), outcome);
   }
   if (writing.empty()) {
     pending_.erase(job);
@@ -113,21 +112,26 @@
                           const StoreResponse& response) {
   Pending& pending = pending_[job];
   pending.is_running = false;
-  std::vector<Edit> edits = std::exchange(pending.writing, {});
+  std::vector<std::pair<Edit, Outcome>> edits =
+      std::exchange(pending.writing, {});
   if (response.status == StoreStatus::kDone) {
     pending.failures = 0;
     if (pending.waiting.empty()) {
       pending_.erase(job);
     }
-    for (Edit& edit : edits) {
-      edit.done(Outcome::kChanged);
+    for (auto& [edit, outcome] : edits) {
+      edit.done(outcome);
     }
     ReadOrWrite(job, clock_.now());
     return;
   }
+  std::vector<Edit> again;
+  for (auto& [edit, outcome] : edits) {
+    again.push_back(std::move(edit));
+  }
   pending.waiting.insert(pending.waiting.begin(),
-                         std::make_move_iterator(edits.begin()),
-                         std::make_move_iterator(edits.end()));
+                         std::make_move_iterator(again.begin()),
+                         std::make_move_iterator(again.end()));
   if (response.status == StoreStatus::kConditionFailed) {
     bool has_state = false;
     for (const StoredRow& row : response.rows) {
--- a/src/process/jobs/job_writer.h
+++ b/src/process/jobs/job_writer.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "process/jobs/job_table.h"
@@ -29,8 +30,10 @@
     // Changes `job` and adds rows to `transaction` that must be written or
     // removed with it. May run several times.
     std::function<Outcome(BulkJob& job, RowsTransaction& transaction)> apply;
-    // Called once: with kChanged after the write, otherwise with the result of
-    // `apply`, or with kObsolete if the job does not exist.
+    // Called once, with the result of `apply`, or with kObsolete if the job
+    // does not exist. After a kChanged, and for edits that `apply` decided on a
+    // state with changes of others that are not written yet, it waits for the
+    // write.
     std::function<void(Outcome)> done;
   };
 
@@ -47,8 +50,9 @@
  private:
   struct Pending {
     std::vector<Edit> waiting;
-    std::vector<Edit> writing;  // in the running transaction
-    bool is_running = false;    // a read or a write is in progress
+    // Edits of the running transaction, with their outcomes if it succeeds.
+    std::vector<std::pair<Edit, Outcome>> writing;
+    bool is_running = false;  // a read or a write is in progress
     // The state must be read before the next write, because the outcome of a
     // write is unknown or the table has no usable state.
     bool must_read = false;
--- a/tests/serving/job_writer_test.cc
+++ b/tests/serving/job_writer_test.cc
@@ -100,5 +100,29 @@
   CHECK(outcomes == std::vector{JobWriter::Outcome::kObsolete});
 }
 
+// Guards against an end of a job that is acknowledged although it is not in the
+// store: a second request for the end saw the change of the first one, whose
+// write was refused. Once an item ran 17 s after the acknowledgement.
+TEST_CASE_FIXTURE(JobWriterFixture,
+                  "JobWriter, same edit twice and write refused, neither is "
+                  "done") {
+  bool is_refusing = true;
+  store_fault = [&](const OutboundCall& call) {
+    return is_refusing && call.method == "POST" ? StoreFault::kRefuse
+                                                : StoreFault::kNone;
+  };
+  writer.Add("j", Count(0, 1));
+  writer.Add("j", Count(0, 1));
+  RunUntilIdle();
+  CHECK(outcomes.empty());
+  CHECK(StoredState("j").items[0].failures == 0);
+  is_refusing = false;
+  Advance(milliseconds(1000));
+  RunUntilIdle();
+  CHECK(StoredState("j").items[0].failures == 1);
+  CHECK(outcomes == std::vector{JobWriter::Outcome::kChanged,
+                                JobWriter::Outcome::kAlreadyApplied});
+}
+
 }  // namespace
 }  // namespace carawayrelay
