Job interface: the end of a job whose row cannot be read is not acknowledged

It is refused with 503 now, and the client asks again.

Test: JobApi, unreadable job is ended, 503. It was written together with the change and not run without it.

--- a/src/process/jobs/job_api.cc
+++ b/src/process/jobs/job_api.cc
@@ -402,6 +402,11 @@
                    },
                .done =
                    [this, client, id = job.id](JobWriter::Outcome outcome) {
+                     if (outcome == JobWriter::Outcome::kObsolete) {
+                       RefuseUnavailable(client, id,
+                                         "the state of the job is unreadable");
+                       return;
+                     }
                      LogDecision(
                          LogEvent::kJobEnded, "job", id, "was_ended",
                          outcome == JobWriter::Outcome::kAlreadyApplied);
--- a/tests/serving/job_api_test.cc
+++ b/tests/serving/job_api_test.cc
@@ -180,6 +180,18 @@
   CHECK(StoredState("j").is_ended);
 }
 
+// Guards against an end that is acknowledged although nothing was stored,
+// because the row of the job cannot be read any more.
+TEST_CASE_FIXTURE(JobFixture, "JobApi, unreadable job is ended, 503") {
+  Submit("j", Submission(1));
+  RunUntilIdle();
+  const RowKey key = job_rows::State("j");
+  rows.Put(key.table, key.part, key.key, "damaged");
+  api.Handle(ClientCallId{2}, platform::EndJob{.job = "j"}, "w", true);
+  RunUntilIdle();
+  CHECK(LastStatus() == 503);
+}
+
 TEST_CASE_FIXTURE(JobFixture, "JobApi, malformed submissions, 400") {
   for (const char* body :
        {"", "[]", R"({"items":[]})", R"({"items":[{"id":"a"}]})",
