--- a/tests/serving/backend_directory_test.cc
+++ b/tests/serving/backend_directory_test.cc
@@ -231,6 +231,30 @@
   CHECK(backends.size() == 0);
 }
 
+// Guards against entries of other writers that end the process or stop it from
+// following the list: deep nesting, numbers without a limit, impossible ports.
+TEST_CASE_FIXTURE(BackendDirectoryFixture,
+                  "BackendDirectory, odd registrations, others stay in use") {
+  const auto with = [](const std::string& id, const std::string& old,
+                       const std::string& text) {
+    StoredRow row = BackendRow(id, "1.1.1.9:1");
+    row.value.replace(row.value.find(old), old.size(), text);
+    return row;
+  };
+  StoredRow nested = BackendRow("nested", "1.1.1.8:1");
+  nested.value = std::string(200000, '[');
+  StoredRow closed = BackendRow("closed", "1.1.1.7:1");
+  closed.value = R"({"service":)" + std::string(100000, '[') +
+                 std::string(100000, ']') + "}";
+  Put({BackendRow("a", "1.1.1.1:1"), nested, closed,
+       with("big", "\"coldLeftMs\":0", "\"coldLeftMs\":9007199254740992"),
+       with("huge", "\"coldLeftMs\":0", "\"coldLeftMs\":1e999"),
+       with("slots", "\"capacity\":8", "\"capacity\":1e300"),
+       with("port", "1.1.1.9:1", "1.1.1.9:99999"),
+       with("text", "1.1.1.9:1", "not an address")});
+  CHECK(Chosen() == std::set<std::string>{"a"});
+}
+
 TEST_CASE_FIXTURE(
     BackendDirectoryFixture,
     "BackendDirectory, unreadable registration, others stay in use") {
