Answers that end with their connection: no events is a crash, not an end

When the backend server crashed before its first event, such a stream looked complete: the client got an empty stream as whole, and the crash was no evidence against the prompt. A resumed run of a batch item that crashed before its next event was listed as complete with a truncated text.

Change: the codec tells whether the body ends with the connection; then a stream or run without an event is broken. A stream that ends inside its first event counts as a crash too. The job writer reserves its list, as lint asks.

Tests: OnlineForwarder, undelimited stream without events, is broken; ItemWorker, resumed run ends without an event, is not complete; Frontends, crash ends an undelimited answer, later requests are not sent. They were written together with the change and not run without it.

--- a/src/process/forward/online_forwarder.cc
+++ b/src/process/forward/online_forwarder.cc
@@ -222,6 +222,7 @@
   request.last_progress_at = now;
   request.status = response.status;
   request.is_signed = response.is_signed;
+  request.ends_with_connection = response.ends_with_connection;
   request.headers = std::move(response.headers);
   request.is_forwarding = request.is_stream && IsSuccess(response.status);
   if (request.is_forwarding && !std::exchange(request.head_sent, true)) {
@@ -281,18 +282,14 @@
 void OnlineForwarder::HandleEvent(Request& request,
                                   const CallEnd& end,
                                   TimePoint now) {
-  if (!end.is_complete || request.status == 0) {
+  if (const auto reason = BreakReason(request, end)) {
     if (end.was_sent && !request.has_attempt_event) {
       quarantine_.NoteCrash(request.backend_id, request.call.prompt_parts, now);
     }
-    FailAttempt(request, end.was_sent, end.reason, now);
+    FailAttempt(request, end.was_sent, *reason, now);
     return;
   }
   if (request.is_forwarding) {
-    if (request.event_splitter.HasPartialEvent()) {
-      FailAttempt(request, true, "stream ended inside an event", now);
-      return;
-    }
     send_response_(request.call.client, ResponseEnd{});
     ++counters_.served;
     Finish(request, "served", now);
--- a/src/process/forward/online_forwarder.h
+++ b/src/process/forward/online_forwarder.h
@@ -109,6 +109,7 @@
     bool is_forwarding = false;
     int status = 0;
     bool is_signed = false;
+    bool ends_with_connection = false;  // see BackendResponseHead
     HeaderList headers;
     std::string body;
     SseEventSplitter event_splitter;
@@ -162,6 +163,10 @@
   // Refuses the request and returns true if backend servers crash on its
   // prompt.
   bool RefuseIfQuarantined(Request& request, TimePoint now);
+  // Returns why the response of the current attempt is not complete, or
+  // std::nullopt.
+  static std::optional<std::string> BreakReason(const Request& request,
+                                                const CallEnd& end);
   void ForwardEvents(Request& request, const std::string& bytes, TimePoint now);
   void HandleDecline(Request& request,
                      const std::string& reason,
--- a/src/process/forward/online_forwarder_attempts.cc
+++ b/src/process/forward/online_forwarder_attempts.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <chrono>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -57,6 +58,23 @@
   ChooseAndSend(request, now);
 }
 
+std::optional<std::string> OnlineForwarder::BreakReason(const Request& request,
+                                                        const CallEnd& end) {
+  if (!end.is_complete || request.status == 0) {
+    return end.reason;
+  }
+  if (!request.is_forwarding) {
+    return std::nullopt;
+  }
+  if (request.event_splitter.HasPartialEvent()) {
+    return "stream ended inside an event";
+  }
+  if (request.ends_with_connection && !request.has_attempt_event) {
+    return "connection closed before the first event";
+  }
+  return std::nullopt;
+}
+
 void OnlineForwarder::NoteAnswerBegun(Request& request, TimePoint now) {
   if (!std::exchange(request.has_attempt_event, true)) {
     quarantine_.NoteAnswer(request.call.prompt_parts, now);
--- a/src/process/jobs/item_worker.h
+++ b/src/process/jobs/item_worker.h
@@ -106,6 +106,7 @@
     std::string backend_id;  // the backend server that the call was sent to
     int status = 0;
     bool is_declined = false;
+    bool ends_with_connection = false;  // see BackendResponseHead
     // The response belongs to another request, is unsigned, or has events out
     // of order; what follows is ignored.
     bool is_response_invalid = false;
@@ -151,6 +152,8 @@
   void OnEvent(const ItemKey& key, CallEvent& event);
   void AppendEvents(Run& run, const std::string& bytes, TimePoint now);
   void OnEnd(const ItemKey& key, Run& run, const CallEnd& end, TimePoint now);
+  // Whether the run has sent all events of its item.
+  static bool IsRunComplete(const Run& run, const CallEnd& end);
   // Records what the end of a run says of its prompt.
   void NoteRunEnd(const Run& run, const CallEnd& end, TimePoint now);
   void Pause(Run& run, TimePoint now);
--- a/src/process/jobs/item_worker_runs.cc
+++ b/src/process/jobs/item_worker_runs.cc
@@ -17,6 +17,7 @@
 // How often a claim is renewed and the text so far is stored with it. What a
 // run produced since then is lost if the VM of the worker fails.
 constexpr milliseconds kRenewalInterval{3000};
+constexpr int kOk = 200;
 // Status of a backend server that can never process the item.
 constexpr int kUnprocessable = 422;
 // Status of a backend server whose run failed.
@@ -116,6 +117,7 @@
                    }
                    run.status = response.status;
                    run.is_declined = response.is_declined;
+                   run.ends_with_connection = response.ends_with_connection;
                    BackendDirectory::Backend* backend = LocalBackend();
                    if (response.is_misdirected && backend != nullptr &&
                        backend->registration.id == run.backend_id) {
@@ -124,12 +126,12 @@
                    }
                    run.is_response_invalid = !response.request_id.empty() &&
                                              response.request_id != run.item.id;
-                   if (response.status == 200 && !response.is_signed) {
+                   if (response.status == kOk && !response.is_signed) {
                      run.is_response_invalid = true;
                    }
                  },
                  [&](const CallData& data) {
-                   if (run.status == 200 && !run.is_response_invalid) {
+                   if (run.status == kOk && !run.is_response_invalid) {
                      AppendEvents(run, data.bytes, now);
                    }
                  },
@@ -174,8 +176,21 @@
   }
 }
 
+bool ItemWorker::IsRunComplete(const Run& run, const CallEnd& end) {
+  // A resumed run may have nothing left to send, but only a delimited response
+  // tells that from a crash.
+  const bool is_cut = run.ends_with_connection && !run.has_run_event;
+  return end.is_complete && run.status == kOk && !run.is_response_invalid &&
+         !run.event_splitter.HasPartialEvent() && !is_cut &&
+         run.progress.last_event > 0;
+}
+
 void ItemWorker::NoteRunEnd(const Run& run, const CallEnd& end, TimePoint now) {
-  if (!end.is_complete && end.was_sent && !run.is_response_invalid &&
+  const bool is_broken =
+      !end.is_complete ||
+      (run.status == kOk &&
+       (run.ends_with_connection || run.event_splitter.HasPartialEvent()));
+  if (is_broken && end.was_sent && !run.is_response_invalid &&
       !run.has_run_event) {
     quarantine_.NoteCrash(run.backend_id, run.prompt_parts, now);
   }
@@ -188,8 +203,7 @@
   NoteRunEnd(run, end, now);
   const ServingRoute* route = FindRoute(key.first);
   const int max_failures = route == nullptr ? 1 : route->max_attempts;
-  if (end.is_complete && run.status == 200 && !run.is_response_invalid &&
-      !run.event_splitter.HasPartialEvent() && run.progress.last_event > 0) {
+  if (IsRunComplete(run, end)) {
     consecutive_failures_ = 0;
     FinishItem(key, run, /*is_complete=*/true, "complete", now);
     return;
--- a/src/process/jobs/job_writer.cc
+++ b/src/process/jobs/job_writer.cc
@@ -126,6 +126,7 @@
     return;
   }
   std::vector<Edit> again;
+  again.reserve(edits.size());
   for (auto& [edit, outcome] : edits) {
     again.push_back(std::move(edit));
   }
--- a/tests/serving/crashing_prompt_test.cc
+++ b/tests/serving/crashing_prompt_test.cc
@@ -1,5 +1,4 @@
 #include <memory>
-#include <set>
 
 #include "process/forward/online_forwarder.h"
 #include "process/quarantine/crash_report_exchange.h"
@@ -65,9 +64,8 @@
     // Backend servers crash on the part "dead" and answer all other prompts.
     for (const OutboundCall& call : BackendCalls()) {
       if (std::ranges::find(parts, "dead") != parts.end()) {
-        crashed.insert(call.address);
         ++runs_of_dead;
-        Fail(call.id, /*was_sent=*/true, "Transferred a partial file");
+        Crash(call, id);
         continue;
       }
       Head(call.id, 200,
@@ -78,6 +76,18 @@
     }
     Run(milliseconds(300));
   }
+  // A crash closes the connection; without a length or chunks that looks like
+  // the end of the answer.
+  void Crash(const OutboundCall& call, const std::string& id) {
+    if (!is_undelimited) {
+      Fail(call.id, /*was_sent=*/true, "Transferred a partial file");
+      return;
+    }
+    Head(call.id, 200,
+         {{"x-carawayrelay-request-id", id},
+          {"x-carawayrelay-server-stamp", "s"}});
+    End(call.id);
+  }
   bool IsServed() const {
     return !responses.empty() &&
            std::holds_alternative<ResponseEnd>(responses.back());
@@ -96,7 +106,7 @@
   Frontend second{*this, "edge-2"};
   std::uint64_t requests = 0;
   int runs_of_dead = 0;
-  std::set<std::string> crashed;
+  bool is_undelimited = false;  // whether crashes come within such an answer
 };
 
 // Guards against requests with one crashing part that take down the backend
@@ -132,6 +142,18 @@
   CHECK(runs_of_dead <= 5);
 }
 
+// Guards against crashes that are taken for empty answers.
+TEST_CASE_FIXTURE(CrashingPromptFixture,
+                  "Frontends, crash ends an undelimited answer, later requests "
+                  "are not sent") {
+  is_undelimited = true;
+  Run(milliseconds(500));
+  for (int i = 0; i < 10; ++i) {
+    Send(i % 2 == 0 ? first : second, {"common", "caller", "dead"});
+  }
+  CHECK(runs_of_dead <= 5);
+}
+
 // Guards against a retry that crashes one more server each: a request that may
 // be repeated counts as often as it is sent.
 TEST_CASE_FIXTURE(CrashingPromptFixture,
--- a/tests/serving/item_worker_test.cc
+++ b/tests/serving/item_worker_test.cc
@@ -511,5 +511,29 @@
   CHECK(Runs().empty());
 }
 
+// Guards against a truncated text that is listed as complete: a resumed run
+// crashed before its next event, on a body with neither a length nor chunks.
+TEST_CASE_FIXTURE(ItemWorkerFixture,
+                  "ItemWorker, resumed run ends without an event, is not "
+                  "complete") {
+  AddJob("j", 1);
+  RunFor();
+  REQUIRE(Runs().size() == 1);
+  Head(Runs()[0].id, 200, SignedFor(Runs()[0]));
+  Data(Runs()[0].id, "id: 1\ndata: one\n\n");
+  Fail(Runs()[0].id, /*was_sent=*/true, "reset");
+  RunFor();
+  REQUIRE(Runs().size() == 1);
+  Respond(Runs()[0].id, 200, SignedFor(Runs()[0]), "");
+  RunFor();
+  REQUIRE(Runs().size() == 1);
+  CHECK(StoredState("j").listed == 0);
+  HeaderList headers = SignedFor(Runs()[0]);
+  headers.emplace_back("transfer-encoding", "chunked");
+  Respond(Runs()[0].id, 200, headers, "");
+  RunFor();
+  CHECK(StoredState("j").listed == 1);
+}
+
 }  // namespace
 }  // namespace carawayrelay
--- a/tests/serving/online_forwarder_test.cc
+++ b/tests/serving/online_forwarder_test.cc
@@ -349,6 +349,34 @@
   CHECK(Parts().empty());
 }
 
+// Guards against a crash before the first event that looks like a complete
+// answer, because its body has neither a length nor chunks.
+TEST_CASE_FIXTURE(OnlineForwarderFixture,
+                  "OnlineForwarder, undelimited stream without events, is "
+                  "broken") {
+  for (const std::string received : {"", "id: 1\nda"}) {
+    responses.clear();
+    SendRequest();
+    const OutboundCall call = BackendCall();
+    Head(call.id, 200, Signed());
+    Data(call.id, received);
+    End(call.id);
+    CHECK(Count<ResponseAborted>() == 1);
+    CHECK(Count<ResponseEnd>() == 0);
+  }
+}
+
+TEST_CASE_FIXTURE(OnlineForwarderFixture,
+                  "OnlineForwarder, undelimited stream with events, is "
+                  "complete") {
+  SendRequest();
+  const OutboundCall call = BackendCall();
+  Head(call.id, 200, Signed());
+  Data(call.id, "id: 1\ndata: a\n\n");
+  End(call.id);
+  CHECK(Count<ResponseEnd>() == 1);
+}
+
 struct ReservationFixture : OnlineForwarderFixture {
   OnlineForwarder reserving_forwarder{
       {.zone = "zone-1"},
