Forwarder: an error after a stream has begun breaks the stream

Cause: only a 5xx counted as a failed attempt once the head was sent. A 4xx was sent as a whole answer to a client whose stream had begun; the HTTP server drops such an answer, and the request counted as served.

Change: once a stream has begun, any answer that is not its rest fails the attempt; it is resumed elsewhere or broken off.

Test: OnlineForwarder, resumed stream is answered with an error, is broken; failed before for 400, 404 and 422.

--- a/src/process/forward/online_forwarder.cc
+++ b/src/process/forward/online_forwarder.cc
@@ -295,13 +295,15 @@
     Finish(request, "served", now);
     return;
   }
-  if (request.status >= kServerError &&
-      (request.is_repeatable || !request.is_signed || request.head_sent)) {
+  const bool is_server_error = request.status >= kServerError;
+  // Once a stream has begun, no other answer can take the place of its rest.
+  if (request.head_sent ||
+      (is_server_error && (request.is_repeatable || !request.is_signed))) {
     FailAttempt(request, true, "answered " + std::to_string(request.status),
                 now);
     return;
   }
-  if (request.status >= kServerError) {
+  if (is_server_error) {
     if (BackendDirectory::Backend* backend =
             backends_.Find(request.backend_id)) {
       backends_.NoteFailure(*backend,
--- a/tests/serving/online_forwarder_test.cc
+++ b/tests/serving/online_forwarder_test.cc
@@ -377,6 +377,26 @@
   CHECK(Count<ResponseEnd>() == 1);
 }
 
+// Guards against an error of the next backend server that takes the place of
+// the rest of a stream which has begun.
+TEST_CASE_FIXTURE(OnlineForwarderFixture,
+                  "OnlineForwarder, resumed stream is answered with an error, "
+                  "is broken") {
+  route.can_resume = true;
+  for (const int status : {400, 404, 422, 500}) {
+    responses.clear();
+    SendRequest();
+    Head(BackendCall().id, 200, Signed());
+    Data(BackendCall().id, "id: 1\ndata: a\n\n");
+    Fail(BackendCall().id, /*was_sent=*/true, "cut");
+    Respond(BackendCall().id, status, Signed(), "error text");
+    CHECK(Count<CompleteResponse>() == 0);
+    CHECK(Count<ResponseEnd>() == 0);
+    CHECK(Count<ResponseAborted>() == 1);
+    CHECK(Parts() == "id: 1\ndata: a\n\n");
+  }
+}
+
 struct ReservationFixture : OnlineForwarderFixture {
   OnlineForwarder reserving_forwarder{
       {.zone = "zone-1"},
