Batch items are no longer held for the parts of their prompts

On a server that resets connections three such breaks within 300 ms put the part of the prompt in quarantine, which a thirtieth of all items share; held everywhere, it was never answered again.

Change: workers neither report breaks nor hold items for a part. An item whose runs break three times in a row before their first event is left to the other workers for 15 s. Only frontends exchange crash reports.

--- a/src/process/jobs/item_worker.cc
+++ b/src/process/jobs/item_worker.cc
@@ -34,7 +34,6 @@
                        JobWriter& writer,
                        StoreClient& store,
                        BackendDirectory& backends,
-                       PromptQuarantine& quarantine,
                        OutboundCalls& calls,
                        const EventLoopClock& clock)
     : options_(std::move(options)),
@@ -42,7 +41,6 @@
       writer_(writer),
       store_(store),
       backends_(backends),
-      quarantine_(quarantine),
       calls_(calls),
       clock_(clock),
       random_(options_.seed) {}
@@ -204,13 +202,8 @@
     return;
   }
   next_expiry_check_ = now + kExpiryCheckInterval;
-  std::erase_if(failed_locally_, [&](const auto& item) {
-    return now - item.second >= kLocalRetryDelay;
-  });
-  std::erase_if(quarantined_items_, [&](const auto& item) {
-    const JobTable::Entry* entry = jobs_.Find(item.first.first);
-    return entry == nullptr || !entry->job.IsOpen();
-  });
+  std::erase_if(failed_locally_,
+                [&](const auto& item) { return now >= item.second; });
   std::erase_if(claim_times_, [&](const auto& item) {
     const JobTable::Entry* entry = jobs_.Find(item.first);
     return entry == nullptr || !entry->job.IsOpen();
@@ -277,7 +270,7 @@
 // Reads what the run needs: the request, and the partial result if there is
 // one.
 void ItemWorker::NoteRunFailed(const ItemKey& key, TimePoint now) {
-  failed_locally_[key] = now;
+  failed_locally_[key] = now + kLocalRetryDelay;
   next_claim_ =
       now + kFirstFailurePause * (1 << std::min(consecutive_failures_,
                                                 kMaxFailurePauseDoublings));
--- a/src/process/jobs/item_worker.h
+++ b/src/process/jobs/item_worker.h
@@ -14,7 +14,6 @@
 #include "process/forward/backend_directory.h"
 #include "process/jobs/job_table.h"
 #include "process/jobs/job_writer.h"
-#include "process/quarantine/prompt_quarantine.h"
 #include "process/store/store_client.h"
 #include "process/transport/outbound_calls.h"
 #include "request/sse_event_splitter.h"
@@ -65,7 +64,6 @@
              JobWriter& writer,
              StoreClient& store,
              BackendDirectory& backends,
-             PromptQuarantine& quarantine,
              OutboundCalls& calls,
              const EventLoopClock& clock);
 
@@ -99,6 +97,8 @@
     bool has_item = false;
     PartialRun progress;
     int failures = 0;
+    // Runs in a row that broke before their first event.
+    int early_breaks = 0;
     std::chrono::milliseconds lease_end{0};
     bool is_renewing = false;
     // State of the current call to the backend server.
@@ -154,8 +154,9 @@
   void OnEnd(const ItemKey& key, Run& run, const CallEnd& end, TimePoint now);
   // Whether the run has sent all events of its item.
   static bool IsRunComplete(const Run& run, const CallEnd& end);
-  // Records what the end of a run says of its prompt.
-  void NoteRunEnd(const Run& run, const CallEnd& end, TimePoint now);
+  // Whether the connection of the run broke before its first event, as when
+  // the backend server crashes on the item.
+  static bool IsBrokenBeforeEvent(const Run& run, const CallEnd& end);
   void Pause(Run& run, TimePoint now);
   // Records that the local backend server failed to run the item.
   void NoteRunFailed(const ItemKey& key, TimePoint now);
@@ -177,7 +178,6 @@
   JobWriter& writer_;
   StoreClient& store_;
   BackendDirectory& backends_;
-  PromptQuarantine& quarantine_;
   OutboundCalls& calls_;
   const EventLoopClock& clock_;
   ServingConfigPtr config_;
@@ -190,12 +190,9 @@
     TimePoint at{};
   };
   std::map<std::string, ClaimTime> claim_times_;
-  // When items failed on the local backend server. Other workers get the first
-  // chance to retry them.
+  // Items that failed on the local backend server, and until when they are left
+  // to the other workers.
   std::map<ItemKey, TimePoint> failed_locally_;
-  // Items whose prompt was quarantined when this worker claimed them, with the
-  // parts of their prompts.
-  std::map<ItemKey, PromptParts> quarantined_items_;
   int consecutive_failures_ = 0;
   bool is_claiming_ = false;
   bool is_stopping_ = false;
--- a/src/process/jobs/item_worker_claims.cc
+++ b/src/process/jobs/item_worker_claims.cc
@@ -32,11 +32,6 @@
   if (item.IsListed() || runs_.contains(key) || failed_locally_.contains(key)) {
     return false;
   }
-  const auto quarantined = quarantined_items_.find(key);
-  if (quarantined != quarantined_items_.end() &&
-      quarantine_.Find(quarantined->second)) {
-    return false;
-  }
   return item.state == ItemState::kWaiting || item.owner == options_.node ||
          item.lease_end <= store_now;
 }
--- a/src/process/jobs/item_worker_runs.cc
+++ b/src/process/jobs/item_worker_runs.cc
@@ -23,6 +23,11 @@
 // Status of a backend server whose run failed.
 constexpr int kRunFailed = 500;
 
+// Runs in a row that may break before their first event until the item is left
+// to other workers, and for how long: the item may crash its backend server.
+constexpr int kMaxEarlyBreaks = 3;
+constexpr std::chrono::seconds kCrashRetryDelay{15};
+
 // Adds the text so far of an item to a transaction, unless it is too large for
 // a row; then the next worker begins anew or with an earlier text.
 void StorePartial(const std::pair<std::string, size_t>& key,
@@ -51,12 +56,6 @@
     if (run.state != RunState::kPaused) {
       continue;
     }
-    if (const auto match = quarantine_.Find(run.prompt_parts)) {
-      quarantined_items_[key] = run.prompt_parts;
-      ReleaseClaim(key, run,
-                   "backend servers crash on prompt part " + match->part, now);
-      continue;
-    }
     StartRun(key, run, now);
     --count;
   }
@@ -166,9 +165,8 @@
     progress.text += event.data;
     progress.last_event = *event.id;
     run.last_progress_at = now;
-    if (!std::exchange(run.has_run_event, true)) {
-      quarantine_.NoteAnswer(run.prompt_parts, now);
-    }
+    run.has_run_event = true;
+    run.early_breaks = 0;
   }
   if (run.event_splitter.IsEventTooLong()) {
     run.response_problem = "an event is over the limit";
@@ -185,22 +183,20 @@
          run.progress.last_event > 0;
 }
 
-void ItemWorker::NoteRunEnd(const Run& run, const CallEnd& end, TimePoint now) {
+bool ItemWorker::IsBrokenBeforeEvent(const Run& run, const CallEnd& end) {
   const bool is_broken =
       !end.is_complete ||
       (run.status == kOk &&
        (run.ends_with_connection || run.event_splitter.HasPartialEvent()));
-  if (is_broken && end.was_sent && !run.is_response_invalid &&
-      !run.has_run_event) {
-    quarantine_.NoteCrash(run.backend_id, run.prompt_parts, now);
-  }
+  return is_broken && end.was_sent && !run.is_response_invalid &&
+         !run.has_run_event;
 }
 
 void ItemWorker::OnEnd(const ItemKey& key,
                        Run& run,
                        const CallEnd& end,
                        TimePoint now) {
-  NoteRunEnd(run, end, now);
+  run.early_breaks += IsBrokenBeforeEvent(run, end) ? 1 : 0;
   const ServingRoute* route = FindRoute(key.first);
   const int max_failures = route == nullptr ? 1 : route->max_attempts;
   if (IsRunComplete(run, end)) {
@@ -223,7 +219,10 @@
               "got_event", run.has_run_event, "failures", run.failures,
               "prompt_parts", JoinIds(run.prompt_parts), "reason",
               run.response_problem.empty() ? end.reason : run.response_problem);
-  if (!has_failed) {
+  if (run.early_breaks >= kMaxEarlyBreaks) {
+    failed_locally_[key] = now + kCrashRetryDelay;
+    ReleaseClaim(key, run, "its runs broke before their first event", now);
+  } else if (!has_failed) {
     Pause(run, now);
   } else if (run.failures >= max_failures) {
     FinishItem(key, run, /*is_complete=*/false,
--- a/src/process/serving/frontend_process.cc
+++ b/src/process/serving/frontend_process.cc
@@ -174,6 +174,7 @@
     }
     RunStep([&] {
       core_->Tick(now);
+      core_->ExchangeCrashReports(now);
       job_api_->Tick(now);
       rates_.Tick(now);
     });
--- a/src/process/serving/serving_core.cc
+++ b/src/process/serving/serving_core.cc
@@ -120,12 +120,15 @@
   operators_.Tick(now);
   backend_watch_.Tick(now);
   backends_.Tick(now);
-  crash_reports_.Tick(now);
   job_watch_.Tick(now);
   jobs_.SetUpToDateAt(job_watch_.up_to_date_at());
   writer_.Tick(now);
 }
 
+void ServingCore::ExchangeCrashReports(TimePoint now) {
+  crash_reports_.Tick(now);
+}
+
 void ServingCore::Stop() {
   events_.Close();
   if (http_client_) {
--- a/src/process/serving/serving_core.h
+++ b/src/process/serving/serving_core.h
@@ -60,6 +60,9 @@
   void Deliver(CallEvent event);
   // Continues the watches of the store and runs periodic work that is due.
   void Tick(TimePoint now);
+  // Tells the other processes of crashes and reads theirs. Frontends call this
+  // in each iteration of the event loop.
+  void ExchangeCrashReports(TimePoint now);
   // Stops the HTTP client thread.
   void Stop();
   Metrics& metrics() { return metrics_; }
--- a/src/process/serving/worker_process.cc
+++ b/src/process/serving/worker_process.cc
@@ -73,7 +73,7 @@
                           .reserved_slots = settings_.reserved_slots,
                           .seed = seed_},
       core_->jobs(), core_->writer(), core_->store(), core_->backends(),
-      core_->quarantine(), core_->calls(), core_->clock());
+      core_->calls(), core_->clock());
   if (!settings_.listen_metrics.empty()) {
     BOOST_OUTCOME_TRY(
         metrics_server_,
