--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -41,10 +41,17 @@
         time.sleep(max(0, at - self.now()))
 
 
+used_ports = set()
+
+
 def free_port(kind=socket.SOCK_STREAM):
-    with socket.socket(socket.AF_INET, kind) as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    while True:
+        with socket.socket(socket.AF_INET, kind) as sock:
+            sock.bind(("127.0.0.1", 0))
+            port = sock.getsockname()[1]
+        if port not in used_ports:
+            used_ports.add(port)
+            return port
 
 
 def free_address(kind=socket.SOCK_STREAM):
@@ -134,16 +141,18 @@
         record("cannot run: the program is not built")
         sys.exit(CANNOT_RUN)
     fleet = Fleet(record)
+    code = CANNOT_RUN
+    # A case that is stopped ends its processes too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(CANNOT_RUN))
+    signal.signal(signal.SIGINT, lambda *_: sys.exit(CANNOT_RUN))
     try:
         broken = case(fleet, record)
         code = BROKEN if broken else HOLD
         record("result: " + (("BROKEN: " + broken) if broken else "the rule held"), is_last=True)
     except CannotRun as error:
         record("cannot run: %s" % error)
-        code = CANNOT_RUN
     except Exception as error:  # a fault of the test itself
         record("cannot run: %r" % error)
-        code = CANNOT_RUN
     finally:
         fleet.stop()
     sys.stdout.flush()
--- a/review/common/model_runner.py
+++ b/review/common/model_runner.py
@@ -62,10 +62,12 @@
             self.server.stop()
 
     def crash(self, back_after_s):
-        """Ends as when its process crashes, and is back after some seconds."""
+        """Ends as when its process crashes, and is back after some seconds.
+
+        Returns False if it is down already."""
         with self.lock:
             if self.server is None:
-                return
+                return False
             server, self.server = self.server, None
             old_id = self.id
         server.stop()
@@ -75,6 +77,7 @@
             if not self.is_stopped:
                 self.start()
         threading.Timer(back_after_s, back).start()
+        return True
 
     def used(self):
         now = time.monotonic()
