--- a/src/process/jobs/item_worker.cc
+++ b/src/process/jobs/item_worker.cc
@@ -4,6 +4,7 @@
 #include <memory>
 
 #include "platform/backend_codec.h"
+#include "process/jobs/item_listing.h"
 #include "process/jobs/job_api.h"
 #include "process/telemetry/decision_log.h"
 #include "request/overloaded.h"
@@ -24,6 +25,10 @@
 // of many items.
 constexpr milliseconds kFirstFailurePause{500};
 constexpr int kMaxFailurePauseDoublings = 3;
+// Items that one write gives up: less than a transaction may hold, so that other
+// changes of the job fit beside them.
+constexpr size_t kMaxItemsPerGiveUp =
+    RowsTransaction::kMaxEntries / kEntriesPerListing - 10;
 // Limit of concurrent runs while the backend server is cold.
 constexpr int kMaxColdRuns = 2;
 
@@ -220,30 +225,59 @@
     LoadSubmission(
         id, store_,
         [this, job = id](Result<std::vector<platform::SubmittedItem>> items) {
-          is_giving_up_ = false;
           if (items) {
-            GiveUpItems(job, items.value());
+            GiveUpItems(job, std::move(items).value());
+          } else {
+            is_giving_up_ = false;
           }
         });
     return;
   }
 }
 
-void ItemWorker::GiveUpItems(
-    const std::string& job,
-    const std::vector<platform::SubmittedItem>& items) {
-  for (size_t i = 0; i < items.size(); ++i) {
-    const JobTable::Entry* entry = jobs_.Find(job);
-    if (entry != nullptr && i < entry->job.items.size() &&
-        !entry->job.items[i].IsListed() && !runs_.contains({job, i})) {
+void ItemWorker::GiveUpItems(const std::string& job,
+                             std::vector<platform::SubmittedItem> items) {
+  auto given_up = std::make_shared<std::vector<size_t>>();
+  const auto submitted =
+      std::make_shared<const std::vector<platform::SubmittedItem>>(
+          std::move(items));
+  const auto apply = [this, job, given_up, submitted,
+                      tries = std::make_shared<int>(0)](
+                         BulkJob& state, RowsTransaction& transaction) {
+    given_up->clear();
+    // Other workers give up the same items. After a conflict with one of them,
+    // the next check finds out what is left.
+    if (state.is_ended || ++*tries > 1) {
+      return JobWriter::Outcome::kObsolete;
+    }
+    const size_t count = std::min(state.items.size(), submitted->size());
+    for (size_t i = 0; i < count && given_up->size() < kMaxItemsPerGiveUp;
+         ++i) {
+      if (!state.items[i].IsListed() && !runs_.contains({job, i})) {
+        ListItemResult(state, i,
+                       {.item = (*submitted)[i].id, .is_complete = false},
+                       transaction);
+        given_up->push_back(i);
+      }
+    }
+    return given_up->empty() ? JobWriter::Outcome::kObsolete
+                             : JobWriter::Outcome::kChanged;
+  };
+  const auto done = [this, job, given_up,
+                     submitted](JobWriter::Outcome outcome) {
+    is_giving_up_ = false;
+    if (outcome != JobWriter::Outcome::kChanged) {
+      return;
+    }
+    next_expiry_check_ = clock_.now();  // there may be more items
+    for (const size_t i : *given_up) {
       LogDecision(LogEvent::kItemFinished, "job", job, "item", i, "id",
-                  items[i].id, "outcome",
-                  "the retention time of the job is over", "events", 0,
-                  "failures", entry->job.items[i].failures);
+                  (*submitted)[i].id, "outcome",
+                  "the retention time of the job is over");
       ++counters_.given_up;
-      ListResult({job, i}, {.item = items[i].id, .is_complete = false});
     }
-  }
+  };
+  writer_.Add(job, {.apply = apply, .done = done});
 }
 
 // Stops runs whose job has ended or whose item has a listed result.
--- a/src/process/jobs/item_worker.h
+++ b/src/process/jobs/item_worker.h
@@ -130,8 +130,9 @@
 
   void DropObsoleteRuns(TimePoint now);
   void GiveUpExpiredJob(TimePoint now);
+  // Lists up to a limit of the job's unfinished items as given up.
   void GiveUpItems(const std::string& job,
-                   const std::vector<platform::SubmittedItem>& items);
+                   std::vector<platform::SubmittedItem> items);
   void Claim(int count, TimePoint now);
   std::optional<std::string> ChooseJob(TimePoint now);
   // Whether the random delay before claiming items of this version of the job
--- a/src/process/jobs/item_worker_runs.cc
+++ b/src/process/jobs/item_worker_runs.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "platform/backend_codec.h"
+#include "process/jobs/item_listing.h"
 #include "process/telemetry/decision_log.h"
 #include "request/overloaded.h"
 #include "request/prompt_parts.h"
@@ -28,21 +29,6 @@
 constexpr int kMaxEarlyBreaks = 3;
 constexpr std::chrono::seconds kCrashRetryDelay{15};
 
-// Adds the text so far of an item to a transaction, unless it is too large for
-// a row; then the next worker begins anew or with an earlier text.
-void StorePartial(const std::pair<std::string, size_t>& key,
-                  const PartialRun& progress,
-                  JobItemState& item,
-                  RowsTransaction& transaction) {
-  if (progress.last_event == 0 ||
-      progress.text.size() > job_rows::kMaxValueBytes / 2) {
-    return;
-  }
-  item.has_partial = true;
-  transaction.writes.push_back({.key = job_rows::Partial(key.first, key.second),
-                                .value = EncodePartialRun(progress)});
-}
-
 }  // namespace
 
 void ItemWorker::StartPausedRuns(int count, TimePoint now) {
@@ -249,11 +235,12 @@
     ListResult(key, result);
     return;
   }
-  if (run.progress.text.size() <= job_rows::kMaxValueBytes / 2) {
-    result.text = run.progress.text;
+  result.text = run.progress.text;
+  if (EncodeItemResult(result).size() <= job_rows::kMaxValueBytes) {
     ListResult(key, result);
     return;
   }
+  result.text.clear();
   result.object = job_rows::ResultObject(key.first, key.second);
   store_.Send(ObjectWrite{.name = result.object, .data = run.progress.text},
               [this, key, result](const StoreResponse& response) {
@@ -275,24 +262,13 @@
 void ItemWorker::ListResult(const ItemKey& key, const ItemResult& result) {
   const auto apply = [key, result](BulkJob& state,
                                    RowsTransaction& transaction) {
-    JobItemState& item = state.items[key.second];
-    if (item.IsListed()) {
+    if (state.items[key.second].IsListed()) {
       return JobWriter::Outcome::kAlreadyApplied;
     }
     if (state.is_ended) {
       return JobWriter::Outcome::kObsolete;
     }
-    item.state =
-        result.is_complete ? ItemState::kComplete : ItemState::kDeadLetter;
-    item.owner.clear();
-    if (item.has_partial) {
-      item.has_partial = false;
-      transaction.removals.push_back(job_rows::Partial(key.first, key.second));
-    }
-    transaction.writes.push_back(
-        {.key = job_rows::Result(key.first, state.listed),
-         .value = EncodeItemResult(result)});
-    ++state.listed;
+    ListItemResult(state, key.second, result, transaction);
     return JobWriter::Outcome::kChanged;
   };
   const auto done = [this, key](JobWriter::Outcome) { runs_.erase(key); };
@@ -319,7 +295,7 @@
     item.state = ItemState::kWaiting;
     item.owner.clear();
     item.failures = std::max(item.failures, failures);
-    StorePartial(key, progress, item, transaction);
+    StorePartialRun(state, key.second, progress, transaction);
     return JobWriter::Outcome::kChanged;
   };
   const auto done = [this, key](JobWriter::Outcome) { runs_.erase(key); };
@@ -348,7 +324,7 @@
         return JobWriter::Outcome::kAlreadyApplied;
       }
       item.lease_end = lease_end;
-      StorePartial(key, progress, item, transaction);
+      StorePartialRun(state, key.second, progress, transaction);
       return JobWriter::Outcome::kChanged;
     };
     const auto done = [this, key = key, lease_end](JobWriter::Outcome outcome) {
@@ -358,7 +334,8 @@
       }
       it->second.is_renewing = false;
       it->second.lease_end = lease_end;
-      if (outcome == JobWriter::Outcome::kObsolete) {
+      if (outcome == JobWriter::Outcome::kObsolete ||
+          outcome == JobWriter::Outcome::kRejected) {
         // Another worker may have claimed the item.
         Pause(it->second, clock_.now());
         LogDecision(LogEvent::kItemDropped, "job", key.first, "item",
--- a/src/process/jobs/job_api.cc
+++ b/src/process/jobs/job_api.cc
@@ -215,6 +215,16 @@
 void JobApi::RetrySubmission(const std::string& job,
                              const StoreResponse& response) {
   Submission& submission = submissions_.at(job);
+  if (response.status == StoreStatus::kRejected) {
+    FinishSubmission(
+        job,
+        Refusal{.code = RefusalCode::kInvalidRequest,
+                .run_state = submission.may_exist ? RunState::kUnknown
+                                                  : RunState::kNotRun,
+                .reason = "the store does not take the job"},
+        "rejected");
+    return;
+  }
   submission.retry_at =
       clock_.now() +
       kFirstRetry * (1 << std::min(submission.failures, kMaxDoublings));
@@ -402,7 +412,8 @@
                    },
                .done =
                    [this, client, id = job.id](JobWriter::Outcome outcome) {
-                     if (outcome == JobWriter::Outcome::kObsolete) {
+                     if (outcome == JobWriter::Outcome::kObsolete ||
+                         outcome == JobWriter::Outcome::kRejected) {
                        RefuseUnavailable(client, id,
                                          "the state of the job is unreadable");
                        return;
--- a/src/process/jobs/job_writer.cc
+++ b/src/process/jobs/job_writer.cc
@@ -1,15 +1,26 @@
 #include "process/jobs/job_writer.h"
 
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
+#include "process/telemetry/decision_log.h"
+
 namespace carawayrelay {
 namespace {
 
 constexpr std::chrono::milliseconds kFirstRetry{20};
 constexpr int kMaxDoublings = 4;
 
+// Whether the store takes the transaction together with the row of the state
+// and its condition, which are added last.
+bool FitsWithState(const RowsTransaction& transaction) {
+  constexpr size_t kStateEntries = 2;
+  return transaction.CountEntries() + kStateEntries <=
+             RowsTransaction::kMaxEntries &&
+         transaction.CountBytes() + job_rows::kMaxValueBytes <=
+             RowsTransaction::kMaxBytes;
+}
+
 }  // namespace
 
 void JobWriter::Add(const std::string& job, Edit edit) {
@@ -64,7 +75,7 @@
           return;
         }
         // The job does not exist or its row cannot be decoded.
-        std::vector<Edit> edits = std::move(p.waiting);
+        std::deque<Edit> edits = std::move(p.waiting);
         pending_.erase(job);
         for (Edit& edit : edits) {
           edit.done(Outcome::kObsolete);
@@ -72,25 +83,44 @@
       });
 }
 
+void JobWriter::ApplyEdits(Pending& pending,
+                           BulkJob& state,
+                           RowsTransaction& transaction,
+                           std::vector<std::pair<Edit, Outcome>>& finished) {
+  while (!pending.waiting.empty()) {
+    if (pending.is_isolating && !pending.writing.empty()) {
+      return;
+    }
+    Edit& edit = pending.waiting.front();
+    BulkJob next_state = state;
+    RowsTransaction next = transaction;
+    const Outcome outcome = edit.apply(next_state, next);
+    if (!pending.writing.empty() && !FitsWithState(next)) {
+      return;
+    }
+    state = std::move(next_state);
+    transaction = std::move(next);
+    // Once `state` holds a change that is not written, other outcomes depend on
+    // the write too.
+    const bool needs_write =
+        outcome == Outcome::kChanged || !pending.writing.empty();
+    (needs_write ? pending.writing : finished)
+        .emplace_back(std::move(edit), outcome);
+    pending.waiting.pop_front();
+  }
+}
+
 void JobWriter::Write(const std::string& job) {
   Pending& pending = pending_[job];
   const JobTable::Entry& entry = *jobs_.Find(job);
   BulkJob state = entry.job;
   RowsTransaction transaction;
   std::vector<std::pair<Edit, Outcome>> finished;
-  std::vector<std::pair<Edit, Outcome>> writing;
-  for (Edit& edit : std::exchange(pending.waiting, {})) {
-    const Outcome outcome = edit.apply(state, transaction);
-    // Once `state` holds a change that is not written, other outcomes depend on
-    // the write too.
-    const bool needs_write = outcome == Outcome::kChanged || !writing.empty();
-    (needs_write ? writing : finished).emplace_back(std::move(edit), outcome);
-  }
-  if (writing.empty()) {
+  ApplyEdits(pending, state, transaction, finished);
+  if (pending.writing.empty()) {
     pending_.erase(job);
   } else {
     pending.is_running = true;
-    pending.writing = std::move(writing);
     const RowKey key = job_rows::State(job);
     transaction.expected.push_back({.key = key, .version = entry.version});
     const std::string value = EncodeBulkJob(state);
@@ -114,6 +144,10 @@
   pending.is_running = false;
   std::vector<std::pair<Edit, Outcome>> edits =
       std::exchange(pending.writing, {});
+  if (response.status == StoreStatus::kRejected) {
+    OnRejected(job, std::move(edits), response);
+    return;
+  }
   if (response.status == StoreStatus::kDone) {
     pending.failures = 0;
     if (pending.waiting.empty()) {
@@ -125,14 +159,7 @@
     ReadOrWrite(job, clock_.now());
     return;
   }
-  std::vector<Edit> again;
-  again.reserve(edits.size());
-  for (auto& [edit, outcome] : edits) {
-    again.push_back(std::move(edit));
-  }
-  pending.waiting.insert(pending.waiting.begin(),
-                         std::make_move_iterator(again.begin()),
-                         std::make_move_iterator(again.end()));
+  RequeueEdits(pending, std::move(edits));
   if (response.status == StoreStatus::kConditionFailed) {
     bool has_state = false;
     for (const StoredRow& row : response.rows) {
@@ -146,6 +173,31 @@
   ScheduleRetry(job, response.status == StoreStatus::kUnknown);
 }
 
+void JobWriter::RequeueEdits(Pending& pending,
+                             std::vector<std::pair<Edit, Outcome>> edits) {
+  for (auto it = edits.rbegin(); it != edits.rend(); ++it) {
+    pending.waiting.push_front(std::move(it->first));
+  }
+}
+
+void JobWriter::OnRejected(const std::string& job,
+                           std::vector<std::pair<Edit, Outcome>> edits,
+                           const StoreResponse& response) {
+  Pending& pending = pending_[job];
+  LogDecision(LogEvent::kJobWriteRejected, "job", job, "edits", edits.size(),
+              "reason", response.reason);
+  pending.is_isolating = edits.size() > 1;
+  if (pending.is_isolating) {
+    RequeueEdits(pending, std::move(edits));
+  } else {
+    if (pending.waiting.empty()) {
+      pending_.erase(job);
+    }
+    edits.front().first.done(Outcome::kRejected);
+  }
+  ReadOrWrite(job, clock_.now());
+}
+
 void JobWriter::ScheduleRetry(const std::string& job, bool must_read) {
   Pending& pending = pending_[job];
   pending.must_read |= must_read;
--- a/src/process/store/blocking_store_client.cc
+++ b/src/process/store/blocking_store_client.cc
@@ -125,6 +125,7 @@
       case StoreStatus::kDone:
         return Success();
       case StoreStatus::kRefused:
+      case StoreStatus::kRejected:
         return Unavailable(key.key, result.response.reason);
       case StoreStatus::kConditionFailed:
         if (!result.maybe_repeated) {
@@ -151,7 +152,8 @@
     if (result.response.status == StoreStatus::kDone) {
       return Success();
     }
-    if (result.response.status == StoreStatus::kRefused) {
+    if (result.response.status == StoreStatus::kRefused ||
+        result.response.status == StoreStatus::kRejected) {
       return Unavailable(name, result.response.reason);
     }
     const Result<std::string> stored = ReadObject(name);
@@ -193,6 +195,7 @@
       case StoreStatus::kDone:
         return result.response.version;
       case StoreStatus::kRefused:
+      case StoreStatus::kRejected:
         return Unavailable(key.key, result.response.reason);
       case StoreStatus::kConditionFailed:
         // The conflict may be with an earlier copy of this write.
--- a/src/process/store/store_client.cc
+++ b/src/process/store/store_client.cc
@@ -78,6 +78,7 @@
     store_time_ = response.store_time;
     store_time_received_at_ = now;
   }
+  // A rejected request says nothing about the availability of the store.
   const bool failed = response.status == StoreStatus::kRefused ||
                       response.status == StoreStatus::kUnknown;
   if (failed && !is_unavailable_) {
--- a/src/process/store/store_request.h
+++ b/src/process/store/store_request.h
@@ -39,6 +39,18 @@
   std::vector<Expected> expected;
   std::vector<Write> writes;
   std::vector<RowKey> removals;
+
+  // Limits of the store on one transaction. It refuses a larger one each time.
+  static constexpr size_t kMaxEntries = 100;
+  // Bytes of values and names before their encoding, which enlarges values by a
+  // third: the store takes 1 MB.
+  static constexpr size_t kMaxBytes = 700'000;
+
+  size_t CountEntries() const {
+    return expected.size() + writes.size() + removals.size();
+  }
+  // Returns the bytes of values and names before their encoding.
+  size_t CountBytes() const;
 };
 
 // Reads the rows of one part with keys in [from, to), in ascending order. There
@@ -80,8 +92,9 @@
   kConditionFailed,  // `rows` holds the current rows
   kHistoryLost,  // the changes are no longer available; read the whole table
   kNotFound,
-  kRefused,  // nothing was done; a retry may succeed
-  kUnknown,  // no response: done, not done, or done later
+  kRefused,   // nothing was done; a retry may succeed
+  kRejected,  // nothing was done; the same request is never accepted
+  kUnknown,   // no response: done, not done, or done later
 };
 
 // Stable lower-case name for logs.
@@ -97,6 +110,8 @@
       return "not_found";
     case StoreStatus::kRefused:
       return "refused";
+    case StoreStatus::kRejected:
+      return "rejected";
     case StoreStatus::kUnknown:
       return "unknown";
   }
--- a/src/process/telemetry/events.cc
+++ b/src/process/telemetry/events.cc
@@ -74,6 +74,8 @@
       return "job_read_failed";
     case LogEvent::kJobRowUnreadable:
       return "job_row_unreadable";
+    case LogEvent::kJobWriteRejected:
+      return "job_write_rejected";
     case LogEvent::kItemClaimed:
       return "item_claimed";
     case LogEvent::kItemRunFailed:
--- a/src/process/telemetry/events.h
+++ b/src/process/telemetry/events.h
@@ -81,6 +81,7 @@
   kJobEnded = 1944,
   kJobReadFailed = 1945,
   kJobRowUnreadable = 1946,
+  kJobWriteRejected = 1947,
   kItemClaimed = 1951,
   kItemRunFailed = 1952,
   kItemFinished = 1953,
--- a/tests/serving/item_worker_test.cc
+++ b/tests/serving/item_worker_test.cc
@@ -536,5 +536,41 @@
   CHECK(StoredState("j").listed == 1);
 }
 
+// Guards against a large job that stops all batch work at the end of its
+// retention time: its items were given up in one transaction, which the store
+// refuses, and claims of other jobs waited for it.
+TEST_CASE_FIXTURE(ItemWorkerFixture,
+                  "ItemWorker, retention time of a large job over, all items "
+                  "listed and other jobs run") {
+  running = 8;
+  AddJob("large", 200);
+  RunFor(milliseconds(64000));
+  running = 0;
+  CHECK(StoredState("large").listed == 200);
+  AddJob("late", 3);
+  RunFor(milliseconds(2000));
+  CHECK(Runs().size() == 3);
+  CHECK(rows.refused_transactions() == 0);
+  Read("large", 150);
+  CHECK(LastBody()["results"].size() == 50);
+  CHECK(LastBody()["results"][0]["state"] == "dead_letter");
+}
+
+// Guards against a result that does not fit into a row because its encoding is
+// larger than its text.
+TEST_CASE_FIXTURE(ItemWorkerFixture,
+                  "ItemWorker, text that grows when encoded, is listed") {
+  AddJob("j", 1);
+  RunFor();
+  REQUIRE(Runs().size() == 1);
+  const std::string text(20000, '\x01');
+  Respond(Runs()[0].id, 200, SignedFor(Runs()[0]),
+          "id: 1\ndata: " + text + "\n\n");
+  RunFor(milliseconds(2000));
+  CHECK(StoredState("j").listed == 1);
+  Read("j", 0);
+  CHECK(LastBody()["results"][0]["text"] == text);
+}
+
 }  // namespace
 }  // namespace carawayrelay
--- a/tests/serving/job_api_test.cc
+++ b/tests/serving/job_api_test.cc
@@ -195,11 +195,32 @@
 TEST_CASE_FIXTURE(JobFixture, "JobApi, malformed submissions, 400") {
   for (const char* body :
        {"", "[]", R"({"items":[]})", R"({"items":[{"id":"a"}]})",
-        R"({"items":[{"id":"a","path":"/b/1","body":"?"}]})"}) {
+        R"({"items":[{"id":"a","path":"/b/1","body":"?"}]})",
+        R"({"items":[{"id":"a b","path":"/b/1"}]})"}) {
     Submit("j", body);
     CHECK(LastStatus() == 400);
   }
 }
 
+// Guards against an item whose result never fits into a row, because its id is
+// as large as the row.
+TEST_CASE_FIXTURE(JobFixture, "JobApi, id of an item too long, 400") {
+  nlohmann::json body = nlohmann::json::parse(Submission(1));
+  body["items"][0]["id"] = std::string(129, 'i');
+  Submit("j", body.dump());
+  CHECK(LastStatus() == 400);
+}
+
+// Guards against a submission that is tried for seconds although the store will
+// never take it.
+TEST_CASE_FIXTURE(JobFixture,
+                  "JobApi, store rejects the job for good, refused at once") {
+  Submit(std::string(201, 'j'), Submission(1));
+  RunUntilIdle();
+  REQUIRE(responses.size() == 1);
+  CHECK(LastStatus() == 400);
+  CHECK(std::get<Refusal>(responses[0]).run_state == RunState::kNotRun);
+}
+
 }  // namespace
 }  // namespace carawayrelay
--- a/tests/serving/job_writer_test.cc
+++ b/tests/serving/job_writer_test.cc
@@ -124,5 +124,60 @@
                                 JobWriter::Outcome::kAlreadyApplied});
 }
 
+// Guards against a transaction over the store's limit of entries or bytes,
+// which is refused each time it is sent again: no edit of the job is written
+// any more. Once six jobs were never finished.
+TEST_CASE_FIXTURE(
+    JobWriterFixture,
+    "JobWriter, edits over the limits of the store, all written") {
+  for (const size_t value_bytes : {10, 30000}) {
+    CAPTURE(value_bytes);
+    outcomes.clear();
+    constexpr size_t kEdits = 150;
+    for (size_t i = 0; i < kEdits; ++i) {
+      JobWriter::Edit edit = Count(0, static_cast<int>(value_bytes + i));
+      edit.apply = [count = edit.apply, i, value_bytes](
+                       BulkJob& job, RowsTransaction& transaction) {
+        transaction.writes.push_back({.key = job_rows::Result("j", i),
+                                      .value = std::string(value_bytes, 'x')});
+        return count(job, transaction);
+      };
+      writer.Add("j", std::move(edit));
+    }
+    for (int i = 0; i < 10; ++i) {
+      Advance(milliseconds(500));
+      RunUntilIdle();
+    }
+    CHECK(outcomes == std::vector(kEdits, JobWriter::Outcome::kChanged));
+    CHECK(rows.refused_transactions() == 0);
+    const RowKey last = job_rows::Result("j", kEdits - 1);
+    CHECK(rows.Get(last.table, last.part, last.key).size() == value_bytes);
+  }
+}
+
+// Guards against one write that the store refuses for good and that holds up
+// all other edits of the job.
+TEST_CASE_FIXTURE(JobWriterFixture,
+                  "JobWriter, one edit never fits, the others are written") {
+  JobWriter::Edit too_large = Count(1, 1);
+  too_large.apply = [](BulkJob& job, RowsTransaction& transaction) {
+    job.items[1].failures = 1;
+    transaction.writes.push_back(
+        {.key = job_rows::Result("j", 0), .value = std::string(60000, 'x')});
+    return JobWriter::Outcome::kChanged;
+  };
+  writer.Add("j", Count(0, 1));
+  writer.Add("j", std::move(too_large));
+  writer.Add("j", Count(2, 1));
+  for (int i = 0; i < 10; ++i) {
+    Advance(milliseconds(500));
+    RunUntilIdle();
+  }
+  CHECK(outcomes.size() == 3);
+  CHECK(StoredState("j").items[0].failures == 1);
+  CHECK(StoredState("j").items[1].failures == 0);
+  CHECK(StoredState("j").items[2].failures == 1);
+}
+
 }  // namespace
 }  // namespace carawayrelay
--- a/tests/standins/row_store_test.cc
+++ b/tests/standins/row_store_test.cc
@@ -95,5 +95,66 @@
   CHECK(Send(ObjectRead{.name = "o"}).data == "a");
 }
 
+// Guards against a stand-in that takes what the store refuses: a transaction of
+// over 100 entries once stopped all batch work and no test showed it.
+TEST_CASE_FIXTURE(RowStoreFixture,
+                  "RowStore, transactions over a limit, are refused") {
+  const auto transaction_of = [](size_t writes, size_t value_bytes) {
+    RowsTransaction transaction;
+    for (size_t i = 0; i < writes; ++i) {
+      transaction.writes.push_back(
+          {.key = {.table = "t", .key = "k" + std::to_string(i)},
+           .value = std::string(value_bytes, 'x')});
+    }
+    return transaction;
+  };
+  CHECK(Send(transaction_of(100, 10)).status == StoreStatus::kDone);
+  CHECK(Send(transaction_of(101, 10)).status != StoreStatus::kDone);
+  CHECK(Send(transaction_of(20, 37000)).status == StoreStatus::kDone);
+  CHECK(Send(transaction_of(30, 37000)).status != StoreStatus::kDone);
+  CHECK(Send(transaction_of(1, 49152)).status == StoreStatus::kDone);
+  CHECK(Send(transaction_of(1, 49153)).status != StoreStatus::kDone);
+  RowsTransaction two_parts = transaction_of(2, 10);
+  two_parts.writes[1].key.part = "p";
+  CHECK(Send(two_parts).status != StoreStatus::kDone);
+  RowsTransaction long_key = transaction_of(1, 10);
+  long_key.writes[0].key.key = std::string(201, 'k');
+  CHECK(Send(long_key).status != StoreStatus::kDone);
+  CHECK(store.refused_transactions() == 5);
+}
+
+TEST_CASE_FIXTURE(
+    RowStoreFixture,
+    "RowStore, rows of operators and servers, cannot be written") {
+  for (const char* table : {"op", "servers"}) {
+    CAPTURE(table);
+    RowsTransaction transaction;
+    transaction.writes.push_back({.key = {.table = table, .key = "k"}});
+    CHECK(Send(transaction).status != StoreStatus::kDone);
+    CHECK(store.Get(table, "", "k").empty());
+  }
+}
+
+TEST_CASE_FIXTURE(RowStoreFixture,
+                  "RowStore, an object over the limit, is refused") {
+  const std::string largest(RowStore::kMaxObjectBytes, 'x');
+  CHECK(Send(ObjectWrite{.name = "a", .data = largest}).status ==
+        StoreStatus::kDone);
+  CHECK(Send(ObjectWrite{.name = "b", .data = largest + 'x'}).status !=
+        StoreStatus::kDone);
+}
+
+// Guards against readers that take a part of a table for all of it.
+TEST_CASE_FIXTURE(RowStoreFixture,
+                  "RowStore, rows over 1 MB, are read in several calls") {
+  for (int i = 0; i < 40; ++i) {
+    store.Put("t", "", "k" + std::to_string(i), std::string(30000, 'x'));
+  }
+  const StoreResponse response = Send(RowsRead{.table = "t"});
+  CHECK(response.has_more);
+  CHECK(response.rows.size() < 40);
+  CHECK(response.rows.size() > 20);
+}
+
 }  // namespace
 }  // namespace carawayrelay
--- a/tools/standins/row_store.cc
+++ b/tools/standins/row_store.cc
@@ -1,8 +1,10 @@
 #include "standins/row_store.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -18,8 +20,12 @@
 constexpr std::string_view kObjectGet = "/blob-get/";
 constexpr std::string_view kChanges = "/rows-feed";
 constexpr std::string_view kRead = "/rows-get";
-// Limit of the rows in one response to a read.
-constexpr size_t kMaxRows = 500;
+// Tables that only operators and backend servers may write.
+constexpr std::array kForeignTables = {std::string_view("op"),
+                                       std::string_view("servers")};
+constexpr std::array kEntryLists = {"expectRev", "writes", "remove"};
+constexpr int kBadRequest = 400;
+constexpr int kForbidden = 403;
 
 std::string Decode(std::string_view text) {
   std::string out;
@@ -84,9 +90,7 @@
     return Changes(target);
   }
   if (method == "PUT" && path.starts_with(kObjectPut)) {
-    const std::string name = Decode(path.substr(kObjectPut.size()));
-    return objects_.emplace(name, body).second ? Response{200, "{}"}
-                                               : Response{412, "{}"};
+    return PutNewObject(Decode(path.substr(kObjectPut.size())), body);
   }
   if (method == "GET" && path.starts_with(kObjectGet)) {
     const auto it = objects_.find(Decode(path.substr(kObjectGet.size())));
@@ -101,11 +105,62 @@
   return it == rows_.end() || it->second.is_removed ? 0 : it->second.version;
 }
 
-RowStore::Response RowStore::Transact(const std::string& body) {
+RowStore::Response RowStore::PutNewObject(const std::string& name,
+                                          const std::string& data) {
+  size_t bytes = data.size();
+  for (const auto& [other, content] : objects_) {
+    bytes += content.size();
+  }
+  if (data.size() > kMaxObjectBytes) {
+    return {413, "{}"};
+  }
+  if (bytes > kMaxBytesOfObjects) {
+    return {507, "{}"};
+  }
+  return objects_.emplace(name, data).second ? Response{200, "{}"}
+                                             : Response{412, "{}"};
+}
+
+int RowStore::StatusForSize(const std::string& body) const {
   const json root = json::parse(body, nullptr, false);
-  if (!root.is_object()) {
-    return {400, "{}"};
+  if (!root.is_object() || body.size() > kMaxTransactionBytes) {
+    return kBadRequest;
+  }
+  size_t entries = 0;
+  std::set<std::string> parts;
+  std::set<std::string> tables;
+  for (const auto& [key, row] : rows_) {
+    tables.insert(std::get<0>(key));
+  }
+  for (const char* list : kEntryLists) {
+    for (const json& entry : root.value(list, json::array())) {
+      const auto& [table, part, key] = KeyOf(entry);
+      const bool is_write = std::string_view(list) != kEntryLists[0];
+      if (is_write && std::ranges::count(kForeignTables, table) > 0) {
+        return kForbidden;
+      }
+      ++entries;
+      parts.insert(part);
+      tables.insert(table);
+      if (std::max({table.size(), part.size(), key.size()}) > kMaxNameBytes ||
+          entry.value("value", "").size() > kMaxValueBytes) {
+        return kBadRequest;
+      }
+    }
+  }
+  const bool has_one_part = parts.size() <= 1 || root.value("across", false);
+  return entries > kMaxTransactionEntries || tables.size() > kMaxTables ||
+                 !has_one_part
+             ? kBadRequest
+             : 0;
+}
+
+RowStore::Response RowStore::Transact(const std::string& body) {
+  if (const int status = StatusForSize(body); status != 0) {
+    ++refused_transactions_;
+    return {status, "{}"};
   }
+  const json root = json::parse(body);
   json current = json::array();
   bool conditions_met = true;
   for (const json& expected : root.value("expectRev", json::array())) {
@@ -149,8 +204,9 @@
   const std::optional<std::string> to = Parameter(target, "to");
   const std::uint64_t limit = NumberParameter(target, "limit");
   const size_t max_rows =
-      limit == 0 ? kMaxRows : std::min<size_t>(limit, kMaxRows);
+      limit == 0 ? kMaxReadRows : std::min<size_t>(limit, kMaxReadRows);
   json rows = json::array();
+  size_t bytes = 0;
   bool has_more = false;
   for (const auto& [key, row] : rows_) {
     const auto& [row_table, row_part, row_key] = key;
@@ -158,14 +214,16 @@
         row_key < from || (to && row_key >= *to)) {
       continue;
     }
-    if (rows.size() == max_rows) {
+    std::string value = platform::ToBase64(row.value);
+    bytes += row_key.size() + value.size();
+    if (rows.size() == max_rows || bytes > kMaxReadBytes) {
       has_more = true;
       break;
     }
     rows.push_back({{"table", table},
                     {"part", part},
                     {"key", row_key},
-                    {"value", platform::ToBase64(row.value)},
+                    {"value", std::move(value)},
                     {"ver", row.version}});
   }
   return {200, json{{"rows", std::move(rows)},
--- a/tools/standins/row_store.h
+++ b/tools/standins/row_store.h
@@ -13,9 +13,24 @@
 
 // In-memory stand-in for the platform's store: versioned rows, conditional
 // transactions, a feed of changes, and objects. It implements the protocol of
-// the store without sockets. Not thread-safe.
+// the store without sockets, and refuses what the store refuses for its size.
+// The limits of calls per second are not kept. Not thread-safe.
 class RowStore {
  public:
+  // Conditions, writes and removals of one transaction.
+  static constexpr size_t kMaxTransactionEntries = 100;
+  static constexpr size_t kMaxTransactionBytes = 1'000'000;
+  // Size of a table name, a part or a key.
+  static constexpr size_t kMaxNameBytes = 200;
+  static constexpr size_t kMaxTables = 100;
+  // Size of an encoded value.
+  static constexpr size_t kMaxValueBytes = 65536;
+  static constexpr size_t kMaxObjectBytes = size_t{8} << 20;
+  static constexpr size_t kMaxBytesOfObjects = 400'000'000;
+  // Limits of the rows in one response to a read.
+  static constexpr size_t kMaxReadRows = 500;
+  static constexpr size_t kMaxReadBytes = 1'000'000;
+
   struct Response {
     int status = 0;
     std::string body;
@@ -58,6 +73,8 @@
   void PutObject(const std::string& name, const std::string& data) {
     objects_[name] = data;
   }
+  // Number of transactions that were refused for what they hold.
+  int refused_transactions() const { return refused_transactions_; }
   // Returns the keys of the rows in a part of a table, in ascending order.
   std::vector<std::string> Keys(const std::string& table,
                                 const std::string& part) const;
@@ -88,6 +105,9 @@
   }
 
   Response Transact(const std::string& body);
+  Response PutNewObject(const std::string& name, const std::string& data);
+  // Returns the status with which the store refuses the transaction, or 0.
+  int StatusForSize(const std::string& body) const;
   Response Read(const std::string& target) const;
   Response Changes(const std::string& target) const;
   // Returns 0 if there is no such row.
@@ -99,6 +119,7 @@
   // Includes removed rows, which the feed of changes reports.
   std::map<Key, Row> rows_;
   std::map<std::string, std::string> objects_;
+  int refused_transactions_ = 0;
   std::uint64_t version_ = 0;
   // Changes up to this version are discarded.
   std::uint64_t oldest_retained_ = 0;
