--- a/src/process/forward/online_forwarder.cc
+++ b/src/process/forward/online_forwarder.cc
@@ -23,6 +23,8 @@
 constexpr size_t kMaxBufferedBytes = size_t{8} << 20;
 
 constexpr int kServerError = 500;
+// Of requests for which neither the client nor the route has a time limit.
+constexpr milliseconds kDefaultTimeLimit{60000};
 
 bool IsSuccess(int status) {
   return status >= 200 && status < 300;
@@ -46,6 +48,15 @@
       send_response_(std::move(send_response)),
       random_(options_.seed) {}
 
+TimePoint OnlineForwarder::DeadlineOf(const ClientCall& call,
+                                      const ServingRoute& route) {
+  milliseconds limit = call.time_left.value_or(route.time_limit);
+  if (route.time_limit.count() > 0) {
+    limit = std::min(limit, route.time_limit);
+  }
+  return call.arrived + (limit.count() > 0 ? limit : kDefaultTimeLimit);
+}
+
 void OnlineForwarder::HandleRequest(ClientCall call,
                                     const ServingRoute& route,
                                     const ServingWorkspace* workspace,
@@ -58,12 +69,7 @@
   request.is_repeatable = route.IsRepeatable();
   request.max_attempts = route.max_attempts;
   request.last_event = request.call.resume_after;
-  milliseconds limit = request.call.time_left.value_or(route.time_limit);
-  if (route.time_limit.count() > 0) {
-    limit = std::min(limit, route.time_limit);
-  }
-  request.deadline =
-      request.call.arrived + (limit.count() > 0 ? limit : milliseconds(60000));
+  request.deadline = DeadlineOf(request.call, route);
   request.service = ChooseService(route);
   ContinueTrace(request);
   if (workspace == nullptr) {
@@ -379,6 +385,21 @@
   Finish(it->second, "client_gone", clock_.now());
 }
 
+void OnlineForwarder::Stop(TimePoint now) {
+  while (!requests_.empty()) {
+    Request& request = requests_.begin()->second;
+    const bool may_have_run =
+        request.is_attempt_running || request.may_have_run;
+    Refuse(
+        request,
+        {.code = may_have_run ? RefusalCode::kDeadline : RefusalCode::kLeaving,
+         .run_state = may_have_run ? RunState::kUnknown : RunState::kNotRun,
+         .reason = "this entry stops",
+         .retry_after = milliseconds(0)},
+        now);
+  }
+}
+
 void OnlineForwarder::Tick(TimePoint now) {
   std::vector<ClientCallId> clients;
   for (const auto& [client, request] : requests_) {
--- a/src/process/forward/online_forwarder.h
+++ b/src/process/forward/online_forwarder.h
@@ -70,6 +70,9 @@
                   const EventLoopClock& clock,
                   ResponseCallback send_response);
 
+  // Returns when the time limits of the client and of the route end.
+  static TimePoint DeadlineOf(const ClientCall& call,
+                              const ServingRoute& route);
   // Accepts a request whose route and access were already checked.
   // `workspace` is nullptr on routes that are open to all. The response may be
   // sent before this returns.
@@ -81,6 +84,9 @@
   // Refuses requests whose deadline passed and moves repeatable requests away
   // from backend servers that stopped responding.
   void Tick(TimePoint now);
+  // Ends all requests, because the process stops: refuses those that were not
+  // sent to a backend server, and answers the others that they may have run.
+  void Stop(TimePoint now);
 
   size_t active() const { return requests_.size(); }
   const Counters& counters() const { return counters_; }
--- a/src/process/serving/frontend_process.cc
+++ b/src/process/serving/frontend_process.cc
@@ -14,35 +14,16 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds kTickInterval{50};
 // Tick interval without active requests. Events end the wait early.
 constexpr milliseconds kIdleTickInterval{200};
-// Maximum age of the configuration as a fraction of the key revocation time.
-constexpr double kMaxConfigAgeFraction = 0.8;
-// Retry-After of refusals while this frontend cannot serve requests.
-constexpr milliseconds kNotReadyRetry{500};
-// Time that the load balancer needs after a stop signal to route clients to
-// other frontends.
-constexpr milliseconds kDeregistrationDelay{3000};
-// After kDeregistrationDelay, the process stops when no request has arrived and
-// no response has ended for this long.
+// Once the load balancer sends no more clients, the process stops when no
+// request has arrived and no response has ended for this long.
 constexpr milliseconds kMinIdleBeforeStop{500};
-// Part of the stop grace period that is reserved for ending the threads.
-constexpr milliseconds kShutdownReserve{700};
-// Requests that arrive within this time before the stop are refused, because
-// the response might not be complete in time.
-constexpr milliseconds kRefuseBeforeStop{2000};
-// If the job table is older than this, job requests read from the store.
-constexpr milliseconds kMaxJobsAge{1200};
+// How long the responses to open requests may take to leave the process at the
+// stop.
+constexpr milliseconds kLastResponsesDelay{100};
 constexpr size_t kMaxBodyBytes = size_t{8} << 20;
 
-std::string HostOf(const HttpRequest& request) {
-  const auto it = request.headers.find("host");
-  return it == request.headers.end()
-             ? std::string()
-             : it->second.substr(0, it->second.find(':'));
-}
-
 }  // namespace
 
 Result<std::unique_ptr<FrontendProcess>> FrontendProcess::Make(
@@ -190,16 +171,33 @@
   }
   is_ready_ = false;
   intake_->Close();
+  EndOpenRequests(core_->BeginIteration());
   exchanges_.clear();
 }
 
+void FrontendProcess::EndOpenRequests(TimePoint now) {
+  if (!stop_.HasBegun()) {
+    return;
+  }
+  forwarder_->Stop(now);
+  // What is left are calls about batch jobs.
+  for (const auto& [client, exchange] : exchanges_) {
+    const CompleteResponse response = platform::EncodeRefusal(
+        {.code = RefusalCode::kDeadline,
+         .run_state = RunState::kUnknown,
+         .reason = "this entry stops before the store has answered"});
+    exchange->Respond(response.status, response.headers, response.body);
+  }
+  std::this_thread::sleep_for(kLastResponsesDelay);
+}
+
 void FrontendProcess::HandleEvent(ServingEvent event, TimePoint now) {
   std::visit(Overloaded{
                  [&](HttpRequestArrived& arrived) {
                    HandleRequest(std::move(arrived), now);
                  },
                  [&](ShutdownRequested&) {
-                   draining_since_ = now;
+                   stop_.Begin(now);
                    last_active_ = now;
                    is_ready_ = false;
                    LogDecision(LogEvent::kServingStopping, "active",
@@ -214,138 +212,6 @@
              event);
 }
 
-std::optional<Refusal> FrontendProcess::RefusalForAnyRequest(
-    TimePoint now) const {
-  if (draining_since_ && now - *draining_since_ >= settings_.stop_grace -
-                                                       kShutdownReserve -
-                                                       kRefuseBeforeStop) {
-    return Refusal{.code = RefusalCode::kLeaving,
-                   .reason = "this entry is about to stop",
-                   .retry_after = milliseconds(0)};
-  }
-  const std::optional<Duration> age = core_->operators().Age(now);
-  if (!age) {
-    return Refusal{.code = RefusalCode::kNotReady,
-                   .reason = "no configuration is known yet",
-                   .retry_after = kNotReadyRetry};
-  }
-  if (*age >= settings_.key_revocation * kMaxConfigAgeFraction) {
-    return Refusal{.code = RefusalCode::kStaleConfig,
-                   .reason = "the configuration was last confirmed " +
-                             std::to_string(ToMilliseconds(*age)) + " ms ago",
-                   .retry_after = kNotReadyRetry};
-  }
-  return std::nullopt;
-}
-
-void FrontendProcess::HandleRequest(HttpRequestArrived arrived, TimePoint now) {
-  const ClientCallId client{next_client_++};
-  last_active_ = now;
-  if (draining_since_) {
-    arrived.exchange->CloseAfterResponse();
-  }
-  exchanges_.emplace(client, std::move(arrived.exchange));
-  next_tick_ = std::min(next_tick_, now + kTickInterval);
-  HttpRequest& request = arrived.request;
-  if (auto refusal = RefusalForAnyRequest(now)) {
-    Refuse(client, platform::RequestIdOf(request), *std::move(refusal));
-    return;
-  }
-  if (auto refusal = RefusalForSize(request)) {
-    Refuse(client, platform::RequestIdOf(request), *std::move(refusal));
-    return;
-  }
-  if (auto call = platform::DecodeJobCall(request)) {
-    const ServingRoute* route =
-        core_->operators().config()->FindBulkRoute(HostOf(request));
-    if (route != nullptr) {
-      HandleJobCall(client, request, *std::move(call), *route, now);
-      return;
-    }
-  }
-  Result<ClientCall> call = platform::DecodeClientCall(std::move(request), now);
-  if (!call) {
-    Refuse(
-        client, "",
-        {.code = RefusalCode::kInvalidRequest, .reason = call.error().message});
-    return;
-  }
-  call.value().client = client;
-  HandleClientCall(std::move(call).value(), now);
-}
-
-std::optional<Refusal> FrontendProcess::RefusalForSize(
-    const HttpRequest& request) const {
-  const ClientLimits& limits = core_->operators().config()->limits();
-  if (request.body.size() > limits.body_bytes) {
-    return Refusal{.code = RefusalCode::kTooLarge,
-                   .reason = "the body is over the limit of " +
-                             std::to_string(limits.body_bytes) + " bytes"};
-  }
-  size_t header_bytes = request.path.size() + request.query.size();
-  for (const auto& [name, value] : request.headers) {
-    header_bytes += name.size() + value.size();
-  }
-  if (header_bytes > limits.header_bytes) {
-    return Refusal{.code = RefusalCode::kHeadersTooLarge,
-                   .reason = "the headers are over the limit of " +
-                             std::to_string(limits.header_bytes) + " bytes"};
-  }
-  return std::nullopt;
-}
-
-void FrontendProcess::HandleJobCall(ClientCallId client,
-                                    const HttpRequest& request,
-                                    platform::JobCall call,
-                                    const ServingRoute& route,
-                                    TimePoint now) {
-  const ServingWorkspace* workspace =
-      core_->operators().config()->FindWorkspaceByKey(
-          platform::ApiKeyOf(request));
-  if (workspace == nullptr) {
-    Refuse(client, route.name,
-           {.code = RefusalCode::kUnauthorized, .reason = "unknown key"});
-    return;
-  }
-  job_api_->Handle(client, std::move(call), workspace->name,
-                   core_->jobs().IsCurrent(kMaxJobsAge, now));
-}
-
-void FrontendProcess::HandleClientCall(ClientCall call, TimePoint now) {
-  const ServingConfig& config = *core_->operators().config();
-  const ServingRoute* route = config.FindRoute(call.host, call.path);
-  if (route == nullptr) {
-    Refuse(call.client, call.request_id,
-           {.code = RefusalCode::kNotFound, .reason = "no such route"});
-    return;
-  }
-  const ServingWorkspace* workspace = nullptr;
-  if (!route->is_open) {
-    workspace = config.FindWorkspaceByKey(call.key);
-    if (workspace == nullptr) {
-      Refuse(call.client, call.request_id,
-             {.code = RefusalCode::kUnauthorized, .reason = "unknown key"});
-      return;
-    }
-  }
-  if (route->call_class == CallClass::kBulk && workspace != nullptr) {
-    job_api_->Submit(std::move(call), *route, *workspace, now);
-    return;
-  }
-  forwarder_->HandleRequest(std::move(call), *route, workspace, now);
-}
-
-void FrontendProcess::Refuse(ClientCallId client,
-                             const std::string& request_id,
-                             Refusal refusal) {
-  const auto& operators = core_->operators();
-  LogDecision(LogEvent::kRequestRefused, "id", request_id, "code",
-              ToString(refusal.code), "reason", refusal.reason,
-              "config_version",
-              operators.config() ? operators.config()->version() : kNoConfig);
-  SendResponse(client, std::move(refusal));
-}
-
 void FrontendProcess::SendResponse(ClientCallId client,
                                    ClientResponseEvent response) {
   const auto it = exchanges_.find(client);
@@ -354,7 +220,7 @@
   }
   // Copied, because the map element may be erased below.
   const HttpExchangePtr exchange = it->second;
-  if (draining_since_) {
+  if (stop_.HasBegun()) {
     exchange->CloseAfterResponse();
   }
   const bool is_last = std::visit(
@@ -429,14 +295,9 @@
 }
 
 bool FrontendProcess::IsDrained(TimePoint now) const {
-  if (!draining_since_) {
-    return false;
-  }
-  if (now - *draining_since_ >= settings_.stop_grace - kShutdownReserve) {
-    return true;
-  }
-  return exchanges_.empty() && now - *draining_since_ >= kDeregistrationDelay &&
-         now - last_active_ >= kMinIdleBeforeStop;
+  return stop_.IsOver(now) ||
+         (stop_.IsDeregistered(now) && exchanges_.empty() &&
+          now - last_active_ >= kMinIdleBeforeStop);
 }
 
 void FrontendProcess::HandleDatagram(const Datagram& datagram, TimePoint now) {
--- a/src/process/serving/frontend_process.h
+++ b/src/process/serving/frontend_process.h
@@ -11,6 +11,7 @@
 #include "process/jobs/job_api.h"
 #include "process/limits/rate_admission.h"
 #include "process/limits/rate_member_reporter.h"
+#include "process/serving/graceful_stop.h"
 #include "process/serving/request_intake.h"
 #include "process/serving/serving_core.h"
 #include "process/serving/serving_settings.h"
@@ -32,13 +33,16 @@
   ~FrontendProcess();
 
   // Shuts down gracefully: reports not ready, still serves requests that
-  // arrive, and stops when there are no more requests or the stop grace period
-  // is almost over. Blocks until the event loop thread has ended.
+  // arrive and end in time, and stops when there are no more requests or the
+  // stop grace period is almost over. Blocks until the event loop thread has
+  // ended.
   void Drain();
   // Logs a reload request. Settings are read at start only.
   void Reload();
 
  private:
+  static constexpr std::chrono::milliseconds kTickInterval{50};
+
   FrontendProcess(FrontendSettings settings, std::uint64_t seed);
 
   Result<void> Start();
@@ -54,6 +58,9 @@
   // Returns the refusal that applies to every request while the process is
   // about to stop or the configuration is missing or too old.
   std::optional<Refusal> RefusalForAnyRequest(TimePoint now) const;
+  // Returns the refusal of a request that may last until `deadline` if the
+  // process stops before.
+  std::optional<Refusal> RefusalForStop(TimePoint deadline) const;
   void SendResponse(ClientCallId client, ClientResponseEvent response);
   void Refuse(ClientCallId client,
               const std::string& request_id,
@@ -64,6 +71,8 @@
   void UpdateColdLimits();
   void UpdateReadiness(TimePoint now);
   bool IsDrained(TimePoint now) const;
+  // Answers the requests that are still open when the process must end.
+  void EndOpenRequests(TimePoint now);
   void UpdateMetrics(TimePoint now);
   void HandleDatagram(const Datagram& datagram, TimePoint now);
   void SendRateMessage(const std::string& address, const RateMessage& message);
@@ -85,7 +94,7 @@
   std::map<ClientCallId, HttpExchangePtr> exchanges_;
   std::uint64_t next_client_ = 1;
   std::atomic<bool> is_ready_ = false;
-  std::optional<TimePoint> draining_since_;
+  GracefulStop stop_{settings_.stop_grace};
   // Time of the latest arrival of a request or end of a response.
   TimePoint last_active_{};
   TimePoint next_tick_{};
--- a/src/process/serving/frontend_process_monitoring.cc
+++ b/src/process/serving/frontend_process_monitoring.cc
@@ -13,7 +13,7 @@
 }  // namespace
 
 void FrontendProcess::UpdateReadiness(TimePoint now) {
-  const bool is_ready = !draining_since_ && !RefusalForAnyRequest(now) &&
+  const bool is_ready = !stop_.HasBegun() && !RefusalForAnyRequest(now) &&
                         rates_.members().IsKnown() &&
                         core_->backends().size() > 0;
   if (is_ready_.exchange(is_ready) != is_ready) {
--- /dev/null
+++ b/tests/serving/frontend_process_test.cc
@@ -0,0 +1,211 @@
+#include "process/serving/frontend_process.h"
+
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <chrono>
+#include <deque>
+#include <memory>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "process/fake_store.h"
+#include "process/transport/http_client.h"
+#include "standins/row_store.h"
+
+namespace carawayrelay {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+// The store as a server on loopback. Calls that wait for changes are answered
+// with the next other call, so that watches cause little load.
+class LoopbackStore {
+ public:
+  LoopbackStore() {
+    std::tie(server_, url_) = ServeOnFreePort(
+        [this](const HttpRequest& request, const HttpExchangePtr& exchange) {
+          Handle(request, exchange);
+        });
+  }
+  ~LoopbackStore() { server_->Stop(); }
+
+  std::string address() const { return url_.substr(url_.rfind('/') + 1); }
+  void Put(const std::string& table, const std::string& key, const json& row) {
+    const std::lock_guard lock(mutex_);
+    rows_.Put(table, "", key, row.dump());
+  }
+
+ private:
+  struct Watch {
+    std::string target;
+    HttpExchangePtr exchange;
+  };
+
+  void Handle(const HttpRequest& request, const HttpExchangePtr& exchange) {
+    const std::lock_guard lock(mutex_);
+    const std::string target = request.query.empty()
+                                   ? request.path
+                                   : request.path + "?" + request.query;
+    for (const Watch& watch : std::exchange(watches_, {})) {
+      Respond(*watch.exchange, rows_.Handle("GET", watch.target, ""));
+    }
+    if (rows_.HasChanges(target)) {
+      Respond(*exchange, rows_.Handle(request.method, target, request.body));
+    } else {
+      watches_.push_back({.target = target, .exchange = exchange});
+    }
+  }
+  static void Respond(HttpExchange& exchange,
+                      const RowStore::Response& answer) {
+    exchange.Respond(answer.status, {}, answer.body);
+  }
+
+  std::mutex mutex_;
+  RowStore rows_;
+  std::deque<Watch> watches_;
+  std::string url_;
+  std::unique_ptr<HttpServer> server_;
+};
+
+// A frontend on loopback with one backend server, which works for `work` on
+// each request.
+struct FrontendProcessFixture {
+  static constexpr milliseconds kStopGrace{4000};
+  static constexpr const char* kHost = "h.example";
+  static constexpr const char* kKey = "key";
+
+  std::atomic<milliseconds> work{milliseconds(0)};
+  std::atomic<int> runs = 0;
+  std::mutex threads_mutex;
+  std::vector<std::thread> threads;
+  LoopbackStore store;
+  std::unique_ptr<HttpServer> backend;
+  std::unique_ptr<FrontendProcess> frontend;
+  std::string clients_url;
+  json config = json::parse(R"({
+    "version": 1,
+    "routes": [
+      {"name": "online", "host": "h.example", "prefix": "/x/", "routeType": "non_idempotent",
+       "timeoutMs": 30000, "latencyGoalMs": 300, "maxAttempts": 1, "service": "s"},
+      {"name": "batch", "host": "h.example", "prefix": "/b/", "routeType": "bulk", "service": "s",
+       "runAimMs": 18000, "keepS": 60, "maxAttempts": 3}],
+    "services": [{"name": "s", "maxConns": 100}],
+    "tenants": [{"name": "w", "apiKeys": ["key"], "ratePerS": 0, "burst": 0}]})");
+
+  FrontendProcessFixture() {
+    std::string backend_url;
+    std::tie(backend, backend_url) = ServeOnFreePort(
+        [this](const HttpRequest& request, const HttpExchangePtr& exchange) {
+          ++runs;
+          const std::lock_guard lock(threads_mutex);
+          threads.emplace_back([this, request, exchange] {
+            std::this_thread::sleep_for(work.load());
+            exchange->Respond(
+                200,
+                {{"x-carawayrelay-server-stamp", "s"},
+                 {"x-carawayrelay-request-id",
+                  request.headers.at("x-carawayrelay-request-id")}},
+                "done");
+          });
+        });
+    store.Put("op", "config", config);
+    store.Put("servers", "backend",
+              {{"service", "s"},
+               {"address", backend_url.substr(backend_url.rfind('/') + 1)},
+               {"zone", "z"},
+               {"version", "1"},
+               {"capacity", 8},
+               {"state", "ready"},
+               {"coldLeftMs", 0},
+               {"sequence", 1}});
+    const std::string clients = FreeAddress();
+    clients_url = "http://" + clients;
+    FrontendSettings settings{.node = "edge-1",
+                              .zone = "z",
+                              .listen_clients = clients,
+                              .listen_ready = FreeAddress(),
+                              .listen_peers = FreeAddress(),
+                              .store_address = store.address(),
+                              .stop_grace = kStopGrace};
+    auto made = FrontendProcess::Make(std::move(settings), 1);
+    REQUIRE_MESSAGE(made, made.error().message);
+    frontend = std::move(made).value();
+    const TimePoint end = BootClock::now() + milliseconds(10000);
+    while (Send("first", milliseconds(1000)) != 200 && BootClock::now() < end) {
+      std::this_thread::sleep_for(milliseconds(50));
+    }
+    runs = 0;
+  }
+  ~FrontendProcessFixture() {
+    frontend.reset();
+    const std::lock_guard lock(threads_mutex);
+    for (std::thread& thread : threads) {
+      thread.join();
+    }
+    backend->Stop();
+  }
+
+  static std::string FreeAddress() {
+    auto [server, url] =
+        ServeOnFreePort([](const HttpRequest&, const HttpExchangePtr&) {});
+    server->Stop();
+    return url.substr(url.rfind('/') + 1);
+  }
+  // Returns the status, or 0 if there was no complete response.
+  int Call(const std::string& method,
+           const std::string& target,
+           const std::string& id,
+           milliseconds time_limit,
+           const std::string& body) {
+    const Result<HttpResponse> response =
+        HttpClient::Make(
+            {.base_url = clients_url, .request_timeout = milliseconds(15000)})
+            .value()
+            ->Send({.method = method,
+                    .target = target,
+                    .headers = {std::string("Host: ") + kHost,
+                                std::string("X-Api-Key: ") + kKey,
+                                "X-Carawayrelay-Request-Id: " + id,
+                                "X-Carawayrelay-Deadline-Ms: " +
+                                    std::to_string(time_limit.count())},
+                    .body = body});
+    return response ? response.value().status : 0;
+  }
+  int Send(const std::string& id, milliseconds time_limit) {
+    return Call("POST", "/x/1", id, time_limit, "{}");
+  }
+};
+
+// Guards against a planned stop that cuts requests: they were accepted although
+// their time limit ends after the stop, passed on, and cut at the stop.
+TEST_CASE_FIXTURE(FrontendProcessFixture,
+                  "FrontendProcess, stopping, serves or refuses by the time "
+                  "limit") {
+  work = milliseconds(5000);
+  int long_before = -1;
+  std::thread client(
+      [&] { long_before = Send("before", milliseconds(30000)); });
+  std::this_thread::sleep_for(milliseconds(300));
+  CHECK(runs == 1);
+  std::thread stop([this] { frontend->Drain(); });
+  std::this_thread::sleep_for(milliseconds(300));
+  CHECK(Send("long", milliseconds(5000)) == 503);
+  CHECK(runs == 1);
+  work = milliseconds(100);
+  CHECK(Send("short", milliseconds(1000)) == 200);
+  CHECK(runs == 2);
+  stop.join();
+  client.join();
+  // The backend server still worked on it at the stop.
+  CHECK(long_before == 504);
+}
+
+}  // namespace
+}  // namespace carawayrelay
