--- a/src/process/jobs/item_worker.cc
+++ b/src/process/jobs/item_worker.cc
@@ -4,7 +4,6 @@
 #include <memory>
 
 #include "platform/backend_codec.h"
-#include "process/jobs/item_listing.h"
 #include "process/jobs/job_api.h"
 #include "process/telemetry/decision_log.h"
 #include "request/overloaded.h"
@@ -16,7 +15,6 @@
 
 // Limit of items that one write claims.
 constexpr int kMaxItemsPerClaim = 3;
-constexpr milliseconds kExpiryCheckInterval{500};
 // How long an item whose run failed is left to the other workers, because the
 // fault may be in the local backend server.
 constexpr milliseconds kLocalRetryDelay{3000};
@@ -25,10 +23,6 @@
 // of many items.
 constexpr milliseconds kFirstFailurePause{500};
 constexpr int kMaxFailurePauseDoublings = 3;
-// Items that one write gives up: less than a transaction may hold, so that other
-// changes of the job fit beside them.
-constexpr size_t kMaxItemsPerGiveUp =
-    RowsTransaction::kMaxEntries / kEntriesPerListing - 10;
 // Limit of concurrent runs while the backend server is cold.
 constexpr int kMaxColdRuns = 2;
 
@@ -74,11 +68,19 @@
       }));
 }
 
-const ServingRoute* ItemWorker::FindRoute(const std::string& job) const {
-  const JobTable::Entry* entry = jobs_.Find(job);
-  return entry == nullptr || !config_
-             ? nullptr
-             : config_->FindRouteByName(entry->job.route);
+const ServingRoute* ItemWorker::FindRoute(const BulkJob& job) const {
+  const ServingRoute* route =
+      config_ ? config_->FindRouteByName(job.route) : nullptr;
+  return route != nullptr && route->call_class == CallClass::kBulk ? route
+                                                                   : nullptr;
+}
+
+bool ItemWorker::IsServedLocally(const ServingRoute& route) {
+  const BackendDirectory::Backend* backend = LocalBackend();
+  return backend != nullptr &&
+         std::ranges::any_of(route.services, [&](const WeightedService& s) {
+           return s.service == backend->registration.service;
+         });
 }
 
 void ItemWorker::Tick(TimePoint now) {
@@ -87,7 +89,7 @@
   if (is_stopping_) {
     return;
   }
-  GiveUpExpiredJob(now);
+  GiveUpJob(now);
   if (LocalBackend() == nullptr) {
     for (auto& [key, run] : runs_) {
       if (run.state == RunState::kRunning || run.state == RunState::kPaused) {
@@ -200,86 +202,6 @@
   run.state_since = now;
 }
 
-// Lists the unfinished items of one job as given up when the retention time of
-// the job is over.
-void ItemWorker::GiveUpExpiredJob(TimePoint now) {
-  if (now < next_expiry_check_ || !config_ || is_giving_up_) {
-    return;
-  }
-  next_expiry_check_ = now + kExpiryCheckInterval;
-  std::erase_if(failed_locally_,
-                [&](const auto& item) { return now >= item.second; });
-  std::erase_if(claim_times_, [&](const auto& item) {
-    const JobTable::Entry* entry = jobs_.Find(item.first);
-    return entry == nullptr || !entry->job.IsOpen();
-  });
-  const milliseconds store_now = store_.StoreTime(now);
-  for (const auto& [id, entry] : jobs_.jobs()) {
-    const ServingRoute* route = config_->FindRouteByName(entry.job.route);
-    if (!entry.job.IsOpen() || route == nullptr ||
-        route->bulk.item_expiry.count() == 0 ||
-        store_now < entry.job.accepted + route->bulk.item_expiry) {
-      continue;
-    }
-    is_giving_up_ = true;
-    LoadSubmission(
-        id, store_,
-        [this, job = id](Result<std::vector<platform::SubmittedItem>> items) {
-          if (items) {
-            GiveUpItems(job, std::move(items).value());
-          } else {
-            is_giving_up_ = false;
-          }
-        });
-    return;
-  }
-}
-
-void ItemWorker::GiveUpItems(const std::string& job,
-                             std::vector<platform::SubmittedItem> items) {
-  auto given_up = std::make_shared<std::vector<size_t>>();
-  const auto submitted =
-      std::make_shared<const std::vector<platform::SubmittedItem>>(
-          std::move(items));
-  const auto apply = [this, job, given_up, submitted,
-                      tries = std::make_shared<int>(0)](
-                         BulkJob& state, RowsTransaction& transaction) {
-    given_up->clear();
-    // Other workers give up the same items. After a conflict with one of them,
-    // the next check finds out what is left.
-    if (state.is_ended || ++*tries > 1) {
-      return JobWriter::Outcome::kObsolete;
-    }
-    const size_t count = std::min(state.items.size(), submitted->size());
-    for (size_t i = 0; i < count && given_up->size() < kMaxItemsPerGiveUp;
-         ++i) {
-      if (!state.items[i].IsListed() && !runs_.contains({job, i})) {
-        ListItemResult(state, i,
-                       {.item = (*submitted)[i].id, .is_complete = false},
-                       transaction);
-        given_up->push_back(i);
-      }
-    }
-    return given_up->empty() ? JobWriter::Outcome::kObsolete
-                             : JobWriter::Outcome::kChanged;
-  };
-  const auto done = [this, job, given_up,
-                     submitted](JobWriter::Outcome outcome) {
-    is_giving_up_ = false;
-    if (outcome != JobWriter::Outcome::kChanged) {
-      return;
-    }
-    next_expiry_check_ = clock_.now();  // there may be more items
-    for (const size_t i : *given_up) {
-      LogDecision(LogEvent::kItemFinished, "job", job, "item", i, "id",
-                  (*submitted)[i].id, "outcome",
-                  "the retention time of the job is over");
-      ++counters_.given_up;
-    }
-  };
-  writer_.Add(job, {.apply = apply, .done = done});
-}
-
 // Stops runs whose job has ended or whose item has a listed result.
 void ItemWorker::DropObsoleteRuns(TimePoint now) {
   for (auto it = runs_.begin(); it != runs_.end();) {
--- a/src/process/jobs/item_worker.h
+++ b/src/process/jobs/item_worker.h
@@ -129,9 +129,20 @@
   int CountPending() const;
 
   void DropObsoleteRuns(TimePoint now);
-  void GiveUpExpiredJob(TimePoint now);
-  // Lists up to a limit of the job's unfinished items as given up.
+  // Returns the reason why the items of the job that are not finished must be
+  // given up, or nullopt: its route was removed, or its retention time is over.
+  // Nothing of such a job is started any more.
+  std::optional<std::string> GiveUpReason(const JobTable::Entry& entry,
+                                          TimePoint now) const;
+  // Lists unfinished items of one job as given up if there is a reason.
+  void GiveUpJob(TimePoint now);
+  // Whether the item is not listed and no worker holds it.
+  bool CanGiveUp(const BulkJob& job, size_t index, TimePoint now) const;
+  bool HasItemToGiveUp(const BulkJob& job, TimePoint now) const;
+  // Lists up to a limit of the job's unfinished items as given up, without
+  // those that a worker holds.
   void GiveUpItems(const std::string& job,
+                   const std::string& reason,
                    std::vector<platform::SubmittedItem> items);
   void Claim(int count, TimePoint now);
   std::optional<std::string> ChooseJob(TimePoint now);
@@ -172,7 +183,11 @@
                     const std::string& reason,
                     TimePoint now);
   void RenewClaims(TimePoint now);
-  const ServingRoute* FindRoute(const std::string& job) const;
+  // Returns the route of the job, or nullptr if the configuration has no such
+  // route for batch jobs.
+  const ServingRoute* FindRoute(const BulkJob& job) const;
+  // Whether the local backend server belongs to a service of the route.
+  bool IsServedLocally(const ServingRoute& route);
 
   Options options_;
   JobTable& jobs_;
@@ -201,7 +216,7 @@
   bool is_giving_up_ = false;
   TimePoint next_report_{};
   TimePoint next_claim_{};
-  TimePoint next_expiry_check_{};
+  TimePoint next_give_up_check_{};
   Counters counters_;
 };
 
--- a/src/process/jobs/item_worker_claims.cc
+++ b/src/process/jobs/item_worker_claims.cc
@@ -54,8 +54,7 @@
 }
 
 std::optional<std::string> ItemWorker::ChooseJob(TimePoint now) {
-  const BackendDirectory::Backend* backend = LocalBackend();
-  if (backend == nullptr || !config_) {
+  if (LocalBackend() == nullptr || !config_) {
     return std::nullopt;
   }
   const milliseconds store_now = store_.StoreTime(now);
@@ -68,15 +67,9 @@
   };
   std::vector<Candidate> found;
   for (const auto& [id, entry] : jobs_.jobs()) {
-    if (!entry.job.IsOpen()) {
-      continue;
-    }
-    const ServingRoute* route = config_->FindRouteByName(entry.job.route);
-    if (route == nullptr ||
-        std::none_of(route->services.begin(), route->services.end(),
-                     [&](const WeightedService& s) {
-                       return s.service == backend->registration.service;
-                     })) {
+    const ServingRoute* route = FindRoute(entry.job);
+    if (!entry.job.IsOpen() || route == nullptr || !IsServedLocally(*route) ||
+        GiveUpReason(entry, now)) {
       continue;
     }
     if (!IsClaimDelayOver(id, entry.version, now)) {
--- a/src/process/jobs/item_worker_runs.cc
+++ b/src/process/jobs/item_worker_runs.cc
@@ -48,15 +48,20 @@
 }
 
 void ItemWorker::StartRun(const ItemKey& key, Run& run, TimePoint now) {
-  const ServingRoute* route = FindRoute(key.first);
   const JobTable::Entry* entry = jobs_.Find(key.first);
+  const ServingRoute* route =
+      entry == nullptr ? nullptr : FindRoute(entry->job);
   const BackendDirectory::Backend* backend = LocalBackend();
-  if (route == nullptr || entry == nullptr || backend == nullptr) {
+  if (route == nullptr || backend == nullptr || !IsServedLocally(*route)) {
     ReleaseClaim(key, run,
                  "the route, job or local backend server is not available",
                  now);
     return;
   }
+  if (const auto reason = GiveUpReason(*entry, now)) {
+    ReleaseClaim(key, run, *reason, now);
+    return;
+  }
   run.state = RunState::kRunning;
   run.state_since = now;
   run.status = 0;
@@ -183,7 +188,9 @@
                        const CallEnd& end,
                        TimePoint now) {
   run.early_breaks += IsBrokenBeforeEvent(run, end) ? 1 : 0;
-  const ServingRoute* route = FindRoute(key.first);
+  const JobTable::Entry* entry = jobs_.Find(key.first);
+  const ServingRoute* route =
+      entry == nullptr ? nullptr : FindRoute(entry->job);
   const int max_failures = route == nullptr ? 1 : route->max_attempts;
   if (IsRunComplete(run, end)) {
     consecutive_failures_ = 0;
--- a/src/process/jobs/job_api.cc
+++ b/src/process/jobs/job_api.cc
@@ -54,10 +54,9 @@
   return tokens;
 }
 
-void JobApi::Submit(ClientCall call,
-                    const ServingRoute& route,
-                    const ServingWorkspace& workspace,
-                    TimePoint now) {
+void JobApi::Submit(ClientCall call, const Access& access, TimePoint now) {
+  const ServingRoute& route = access.route;
+  const ServingWorkspace& workspace = access.workspace;
   const std::string id = call.request_id;
   if (const JobTable::Entry* existing = jobs_.Find(id)) {
     // The client resends the job because it did not receive the response.
@@ -85,6 +84,7 @@
   BulkJob job{.id = id,
               .workspace = workspace.name,
               .route = route.name,
+              .config_version = access.config_version,
               .accepted = store_.StoreTime(now)};
   for (const platform::SubmittedItem& item : items.value()) {
     job.items.push_back({.tokens = item.tokens});
--- a/src/process/jobs/job_api.h
+++ b/src/process/jobs/job_api.h
@@ -34,13 +34,17 @@
         clock_(clock),
         send_response_(std::move(send_response)) {}
 
+  // What a submission is accepted under.
+  struct Access {
+    const ServingRoute& route;
+    const ServingWorkspace& workspace;
+    ConfigVersion config_version = kNoConfig;
+  };
+
   // Stores a submission on a route that the workspace may use. Sends one
   // response: when the submission is refused, when it is stored, or when it
   // could not be stored in time.
-  void Submit(ClientCall call,
-              const ServingRoute& route,
-              const ServingWorkspace& workspace,
-              TimePoint now);
+  void Submit(ClientCall call, const Access& access, TimePoint now);
   // Handles a request about a job of the workspace and sends one response.
   // If `is_current` is false, the job table may be out of date, and the state
   // of the job is read from the store before results are sent.
--- a/src/process/serving/frontend_process.h
+++ b/src/process/serving/frontend_process.h
@@ -52,7 +52,6 @@
   void HandleJobCall(ClientCallId client,
                      const HttpRequest& request,
                      platform::JobCall call,
-                     const ServingRoute& route,
                      TimePoint now);
   void HandleClientCall(ClientCall call, TimePoint now);
   // Returns the refusal that applies to every request while the process is
--- a/src/process/serving/frontend_process_requests.cc
+++ b/src/process/serving/frontend_process_requests.cc
@@ -75,10 +75,12 @@
     return;
   }
   if (auto call = platform::DecodeJobCall(request)) {
-    const ServingRoute* route =
-        core_->operators().config()->FindBulkRoute(HostOf(request));
-    if (route != nullptr) {
-      HandleJobCall(client, request, *std::move(call), *route, now);
+    const ServingConfig& config = *core_->operators().config();
+    const std::string host = HostOf(request);
+    // Jobs stay readable after the routes on which they were accepted.
+    if (config.FindBulkRoute(host) != nullptr ||
+        config.FindRoute(host, request.path) == nullptr) {
+      HandleJobCall(client, request, *std::move(call), now);
       return;
     }
   }
@@ -116,18 +118,18 @@
 void FrontendProcess::HandleJobCall(ClientCallId client,
                                     const HttpRequest& request,
                                     platform::JobCall call,
-                                    const ServingRoute& route,
                                     TimePoint now) {
+  const std::string id = platform::RequestIdOf(request);
   const ServingWorkspace* workspace =
       core_->operators().config()->FindWorkspaceByKey(
           platform::ApiKeyOf(request));
   if (workspace == nullptr) {
-    Refuse(client, route.name,
+    Refuse(client, id,
            {.code = RefusalCode::kUnauthorized, .reason = "unknown key"});
     return;
   }
   if (auto refusal = RefusalForStop(now + kMaxJobCallTime)) {
-    Refuse(client, route.name, *std::move(refusal));
+    Refuse(client, id, *std::move(refusal));
     return;
   }
   job_api_->Handle(client, std::move(call), workspace->name,
@@ -159,7 +161,11 @@
     return;
   }
   if (is_job && workspace != nullptr) {
-    job_api_->Submit(std::move(call), *route, *workspace, now);
+    job_api_->Submit(std::move(call),
+                     {.route = *route,
+                      .workspace = *workspace,
+                      .config_version = config.version()},
+                     now);
     return;
   }
   forwarder_->HandleRequest(std::move(call), *route, workspace, now);
--- a/src/request/bulk_job.cc
+++ b/src/request/bulk_job.cc
@@ -61,6 +61,7 @@
   }
   return json{{"workspace", job.workspace},
               {"route", job.route},
+              {"config_version", ToInt(job.config_version)},
               {"accepted_ms", job.accepted.count()},
               {"ended", job.is_ended},
               {"listed", job.listed},
@@ -85,6 +86,11 @@
               .accepted = milliseconds(root["accepted_ms"].get<std::int64_t>()),
               .is_ended = root["ended"].get<bool>(),
               .listed = root["listed"].get<size_t>()};
+  // Rows of processes of an earlier release have no version.
+  if (Has(root, "config_version", Type::number_unsigned)) {
+    job.config_version =
+        ConfigVersion{root["config_version"].get<std::uint64_t>()};
+  }
   for (const json& value : root["items"]) {
     BOOST_OUTCOME_TRY(JobItemState item, DecodeItem(value));
     job.items.push_back(std::move(item));
--- a/src/request/bulk_job.h
+++ b/src/request/bulk_job.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "request/error.h"
+#include "request/ids.h"
 
 namespace carawayrelay {
 
@@ -38,6 +39,8 @@
   std::string id;
   std::string workspace;
   std::string route;
+  // Version of the configuration under which the job was accepted.
+  ConfigVersion config_version = kNoConfig;
   // Time at which the job was accepted, by the store's clock.
   std::chrono::milliseconds accepted{0};
   bool is_ended = false;  // true once its client has ended the job
--- a/tests/serving/frontend_process_test.cc
+++ b/tests/serving/frontend_process_test.cc
@@ -207,5 +207,22 @@
   CHECK(long_before == 504);
 }
 
+// Guards against a 404 for an accepted job whose route is the last one for
+// batch jobs of its host and is removed.
+TEST_CASE_FIXTURE(FrontendProcessFixture,
+                  "FrontendProcess, route of a job removed, job is read") {
+  const std::string submission =
+      R"({"items":[{"id":"item-1","path":"/b/1","body":"","tokens":10}]})";
+  REQUIRE(Call("POST", "/b/1", "j", milliseconds(4000), submission) == 202);
+  config["version"] = 2;
+  config["routes"].erase(1);
+  store.Put("op", "config", config);
+  std::this_thread::sleep_for(milliseconds(2500));
+  CHECK(Call("POST", "/b/1", "k", milliseconds(4000), submission) == 404);
+  CHECK(Call("GET", "/lots/j", "r", milliseconds(4000), "") == 200);
+  CHECK(Call("GET", "/lots/none", "r", milliseconds(4000), "") == 404);
+  CHECK(Call("DELETE", "/lots/j", "r", milliseconds(4000), "") == 200);
+}
+
 }  // namespace
 }  // namespace carawayrelay
--- a/tests/serving/item_worker_test.cc
+++ b/tests/serving/item_worker_test.cc
@@ -572,5 +572,89 @@
   CHECK(LastBody()["results"][0]["text"] == text);
 }
 
+// Guards against items of accepted jobs that are neither run nor listed because
+// the configuration no longer has their route, or has it for other requests.
+TEST_CASE_FIXTURE(ItemWorkerFixture,
+                  "ItemWorker, route of a job removed, items are given up") {
+  AddJob("j", 4);
+  running = 8;
+  SUBCASE("no such route") {
+    worker.SetConfig(std::make_shared<ServingConfig>(ServingConfig::Parts{}));
+  }
+  SUBCASE("no longer a route of batch jobs") {
+    route.call_class = CallClass::kIdempotent;
+    worker.SetConfig(std::make_shared<ServingConfig>(
+        ServingConfig::Parts{.routes = {route}}));
+  }
+  RunFor(milliseconds(3000));
+  CHECK(StoredState("j").listed == 4);
+  CHECK(Runs().empty());
+  Read("j", 0);
+  CHECK(LastBody()["results"][3]["state"] == "dead_letter");
+}
+
+// Guards against items that are given up by a worker that has not read the
+// configuration with their route yet.
+TEST_CASE_FIXTURE(ItemWorkerFixture,
+                  "ItemWorker, configuration older than the job, items wait") {
+  config_version = ConfigVersion{7};
+  AddJob("j", 2);
+  running = 8;
+  worker.SetConfig(std::make_shared<ServingConfig>(
+      ServingConfig::Parts{.version = ConfigVersion{6}}));
+  RunFor(milliseconds(3000));
+  CHECK(StoredState("j").listed == 0);
+  worker.SetConfig(std::make_shared<ServingConfig>(
+      ServingConfig::Parts{.version = ConfigVersion{7}, .routes = {route}}));
+  running = 0;
+  RunFor(milliseconds(1000));
+  CHECK(Runs().size() == 2);
+}
+
+// Guards against a paused run that goes on after its route was removed or moved
+// to another service, and against giving up an item that another worker runs.
+TEST_CASE_FIXTURE(ItemWorkerFixture,
+                  "ItemWorker, route changes while a run is paused, no new "
+                  "start") {
+  AddJob("j", 1);
+  RunFor();
+  REQUIRE(Runs().size() == 1);
+  Fail(Runs()[0].id, /*was_sent=*/true, "reset");
+  SUBCASE("route removed") {
+    worker.SetConfig(std::make_shared<ServingConfig>(ServingConfig::Parts{}));
+    RunFor(milliseconds(2000));
+    CHECK(StoredState("j").listed == 1);
+  }
+  SUBCASE("route moved to another service") {
+    route.services = {{.service = "other"}};
+    worker.SetConfig(std::make_shared<ServingConfig>(
+        ServingConfig::Parts{.routes = {route}}));
+    RunFor(milliseconds(2000));
+    CHECK(StoredState("j").items[0].state == ItemState::kWaiting);
+  }
+  CHECK(Runs().empty());
+}
+
+TEST_CASE_FIXTURE(
+    ItemWorkerFixture,
+    "ItemWorker, route removed while another worker runs an item, "
+    "the item is left to it") {
+  AddJob("j", 2);
+  BulkJob job = StoredState("j");
+  job.items[0].state = ItemState::kClaimed;
+  job.items[0].owner = "side-2";
+  job.items[0].lease_end = store.StoreTime(now()) + milliseconds(8000);
+  const RowKey key = job_rows::State("j");
+  rows.Put(key.table, key.part, key.key, EncodeBulkJob(job));
+  jobs.Replace(
+      {.key = key, .value = EncodeBulkJob(job), .version = rows.version()});
+  worker.SetConfig(std::make_shared<ServingConfig>(ServingConfig::Parts{}));
+  RunFor(milliseconds(3000));
+  CHECK(StoredState("j").listed == 1);
+  CHECK(StoredState("j").items[0].state == ItemState::kClaimed);
+  RunFor(milliseconds(6000));
+  CHECK(StoredState("j").listed == 2);
+}
+
 }  // namespace
 }  // namespace carawayrelay
--- a/tests/serving/job_fixture.h
+++ b/tests/serving/job_fixture.h
@@ -29,6 +29,7 @@
                      .services = {{.service = "llm"}},
                      .bulk = {.completion_target = std::chrono::seconds(18),
                               .item_expiry = std::chrono::seconds(60)}};
+  ConfigVersion config_version = kNoConfig;
   ServingWorkspace workspace{.name = "w", .keys = {"k"}};
 
   // Reads from the store first, as a frontend does before it accepts jobs: the
@@ -58,7 +59,10 @@
                 .host = "h",
                 .body = body,
                 .arrived = now()},
-               route, workspace, now());
+               {.route = route,
+                .workspace = workspace,
+                .config_version = config_version},
+               now());
   }
   // Runs the steps of the event loop thread until no store calls are left, at
   // most 20 times.
