--- a/src/connection/gen/wire_types.cpp
+++ b/src/connection/gen/wire_types.cpp
@@ -3082,6 +3082,522 @@
 }
 
 
+RateLoanRequest::~RateLoanRequest() noexcept {
+}
+
+
+void RateLoanRequest::__set_node(const std::string& val) {
+  this->node = val;
+}
+
+void RateLoanRequest::__set_process(const int64_t val) {
+  this->process = val;
+}
+
+void RateLoanRequest::__set_sent_at_us(const int64_t val) {
+  this->sent_at_us = val;
+}
+
+void RateLoanRequest::__set_shards(const int64_t val) {
+  this->shards = val;
+}
+std::ostream& operator<<(std::ostream& out, const RateLoanRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RateLoanRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->node);
+          this->__isset.node = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->process);
+          this->__isset.process = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sent_at_us);
+          this->__isset.sent_at_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->shards);
+          this->__isset.shards = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RateLoanRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RateLoanRequest");
+
+  xfer += oprot->writeFieldBegin("node", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->node);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("process", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->process);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sent_at_us", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->sent_at_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("shards", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->shards);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RateLoanRequest &a, RateLoanRequest &b) {
+  using ::std::swap;
+  swap(a.node, b.node);
+  swap(a.process, b.process);
+  swap(a.sent_at_us, b.sent_at_us);
+  swap(a.shards, b.shards);
+  swap(a.__isset, b.__isset);
+}
+
+RateLoanRequest::RateLoanRequest(const RateLoanRequest& other58) {
+  node = other58.node;
+  process = other58.process;
+  sent_at_us = other58.sent_at_us;
+  shards = other58.shards;
+  __isset = other58.__isset;
+}
+RateLoanRequest& RateLoanRequest::operator=(const RateLoanRequest& other59) {
+  node = other59.node;
+  process = other59.process;
+  sent_at_us = other59.sent_at_us;
+  shards = other59.shards;
+  __isset = other59.__isset;
+  return *this;
+}
+void RateLoanRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RateLoanRequest(";
+  out << "node=" << to_string(node);
+  out << ", " << "process=" << to_string(process);
+  out << ", " << "sent_at_us=" << to_string(sent_at_us);
+  out << ", " << "shards=" << to_string(shards);
+  out << ")";
+}
+
+
+RateLoan::~RateLoan() noexcept {
+}
+
+
+void RateLoan::__set_node(const std::string& val) {
+  this->node = val;
+}
+
+void RateLoan::__set_process(const int64_t val) {
+  this->process = val;
+}
+
+void RateLoan::__set_holder(const int64_t val) {
+  this->holder = val;
+}
+
+void RateLoan::__set_request_sent_at_us(const int64_t val) {
+  this->request_sent_at_us = val;
+}
+
+void RateLoan::__set_duration_ms(const int64_t val) {
+  this->duration_ms = val;
+}
+
+void RateLoan::__set_part(const double val) {
+  this->part = val;
+}
+
+void RateLoan::__set_shards(const int64_t val) {
+  this->shards = val;
+}
+std::ostream& operator<<(std::ostream& out, const RateLoan& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RateLoan::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->node);
+          this->__isset.node = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->process);
+          this->__isset.process = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->holder);
+          this->__isset.holder = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->request_sent_at_us);
+          this->__isset.request_sent_at_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->duration_ms);
+          this->__isset.duration_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->part);
+          this->__isset.part = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->shards);
+          this->__isset.shards = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RateLoan::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RateLoan");
+
+  xfer += oprot->writeFieldBegin("node", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->node);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("process", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->process);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("holder", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->holder);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("request_sent_at_us", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->request_sent_at_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("duration_ms", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->duration_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("part", ::apache::thrift::protocol::T_DOUBLE, 6);
+  xfer += oprot->writeDouble(this->part);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("shards", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->shards);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RateLoan &a, RateLoan &b) {
+  using ::std::swap;
+  swap(a.node, b.node);
+  swap(a.process, b.process);
+  swap(a.holder, b.holder);
+  swap(a.request_sent_at_us, b.request_sent_at_us);
+  swap(a.duration_ms, b.duration_ms);
+  swap(a.part, b.part);
+  swap(a.shards, b.shards);
+  swap(a.__isset, b.__isset);
+}
+
+RateLoan::RateLoan(const RateLoan& other60) {
+  node = other60.node;
+  process = other60.process;
+  holder = other60.holder;
+  request_sent_at_us = other60.request_sent_at_us;
+  duration_ms = other60.duration_ms;
+  part = other60.part;
+  shards = other60.shards;
+  __isset = other60.__isset;
+}
+RateLoan& RateLoan::operator=(const RateLoan& other61) {
+  node = other61.node;
+  process = other61.process;
+  holder = other61.holder;
+  request_sent_at_us = other61.request_sent_at_us;
+  duration_ms = other61.duration_ms;
+  part = other61.part;
+  shards = other61.shards;
+  __isset = other61.__isset;
+  return *this;
+}
+void RateLoan::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RateLoan(";
+  out << "node=" << to_string(node);
+  out << ", " << "process=" << to_string(process);
+  out << ", " << "holder=" << to_string(holder);
+  out << ", " << "request_sent_at_us=" << to_string(request_sent_at_us);
+  out << ", " << "duration_ms=" << to_string(duration_ms);
+  out << ", " << "part=" << to_string(part);
+  out << ", " << "shards=" << to_string(shards);
+  out << ")";
+}
+
+
+RateLoanReturn::~RateLoanReturn() noexcept {
+}
+
+
+void RateLoanReturn::__set_node(const std::string& val) {
+  this->node = val;
+}
+
+void RateLoanReturn::__set_process(const int64_t val) {
+  this->process = val;
+}
+
+void RateLoanReturn::__set_sent_at_us(const int64_t val) {
+  this->sent_at_us = val;
+}
+
+void RateLoanReturn::__set_shards(const int64_t val) {
+  this->shards = val;
+}
+std::ostream& operator<<(std::ostream& out, const RateLoanReturn& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RateLoanReturn::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->node);
+          this->__isset.node = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->process);
+          this->__isset.process = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sent_at_us);
+          this->__isset.sent_at_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->shards);
+          this->__isset.shards = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RateLoanReturn::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RateLoanReturn");
+
+  xfer += oprot->writeFieldBegin("node", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->node);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("process", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->process);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sent_at_us", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->sent_at_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("shards", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->shards);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RateLoanReturn &a, RateLoanReturn &b) {
+  using ::std::swap;
+  swap(a.node, b.node);
+  swap(a.process, b.process);
+  swap(a.sent_at_us, b.sent_at_us);
+  swap(a.shards, b.shards);
+  swap(a.__isset, b.__isset);
+}
+
+RateLoanReturn::RateLoanReturn(const RateLoanReturn& other62) {
+  node = other62.node;
+  process = other62.process;
+  sent_at_us = other62.sent_at_us;
+  shards = other62.shards;
+  __isset = other62.__isset;
+}
+RateLoanReturn& RateLoanReturn::operator=(const RateLoanReturn& other63) {
+  node = other63.node;
+  process = other63.process;
+  sent_at_us = other63.sent_at_us;
+  shards = other63.shards;
+  __isset = other63.__isset;
+  return *this;
+}
+void RateLoanReturn::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RateLoanReturn(";
+  out << "node=" << to_string(node);
+  out << ", " << "process=" << to_string(process);
+  out << ", " << "sent_at_us=" << to_string(sent_at_us);
+  out << ", " << "shards=" << to_string(shards);
+  out << ")";
+}
+
+
 RateEnvelope::~RateEnvelope() noexcept {
 }
 
@@ -3099,6 +3615,21 @@
   this->decision = val;
 __isset.decision = true;
 }
+
+void RateEnvelope::__set_loan_request(const RateLoanRequest& val) {
+  this->loan_request = val;
+__isset.loan_request = true;
+}
+
+void RateEnvelope::__set_loan(const RateLoan& val) {
+  this->loan = val;
+__isset.loan = true;
+}
+
+void RateEnvelope::__set_loan_return(const RateLoanReturn& val) {
+  this->loan_return = val;
+__isset.loan_return = true;
+}
 std::ostream& operator<<(std::ostream& out, const RateEnvelope& obj)
 {
   obj.printTo(out);
@@ -3151,6 +3682,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->loan_request.read(iprot);
+          this->__isset.loan_request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->loan.read(iprot);
+          this->__isset.loan = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->loan_return.read(iprot);
+          this->__isset.loan_return = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3182,6 +3737,21 @@
     xfer += this->decision.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.loan_request) {
+    xfer += oprot->writeFieldBegin("loan_request", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->loan_request.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.loan) {
+    xfer += oprot->writeFieldBegin("loan", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += this->loan.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.loan_return) {
+    xfer += oprot->writeFieldBegin("loan_return", ::apache::thrift::protocol::T_STRUCT, 6);
+    xfer += this->loan_return.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3192,20 +3762,29 @@
   swap(a.protocol_version, b.protocol_version);
   swap(a.request, b.request);
   swap(a.decision, b.decision);
+  swap(a.loan_request, b.loan_request);
+  swap(a.loan, b.loan);
+  swap(a.loan_return, b.loan_return);
   swap(a.__isset, b.__isset);
 }
 
-RateEnvelope::RateEnvelope(const RateEnvelope& other58) {
-  protocol_version = other58.protocol_version;
-  request = other58.request;
-  decision = other58.decision;
-  __isset = other58.__isset;
-}
-RateEnvelope& RateEnvelope::operator=(const RateEnvelope& other59) {
-  protocol_version = other59.protocol_version;
-  request = other59.request;
-  decision = other59.decision;
-  __isset = other59.__isset;
+RateEnvelope::RateEnvelope(const RateEnvelope& other64) {
+  protocol_version = other64.protocol_version;
+  request = other64.request;
+  decision = other64.decision;
+  loan_request = other64.loan_request;
+  loan = other64.loan;
+  loan_return = other64.loan_return;
+  __isset = other64.__isset;
+}
+RateEnvelope& RateEnvelope::operator=(const RateEnvelope& other65) {
+  protocol_version = other65.protocol_version;
+  request = other65.request;
+  decision = other65.decision;
+  loan_request = other65.loan_request;
+  loan = other65.loan;
+  loan_return = other65.loan_return;
+  __isset = other65.__isset;
   return *this;
 }
 void RateEnvelope::printTo(std::ostream& out) const {
@@ -3214,6 +3793,9 @@
   out << "protocol_version=" << to_string(protocol_version);
   out << ", " << "request="; (__isset.request ? (out << to_string(request)) : (out << "<null>"));
   out << ", " << "decision="; (__isset.decision ? (out << to_string(decision)) : (out << "<null>"));
+  out << ", " << "loan_request="; (__isset.loan_request ? (out << to_string(loan_request)) : (out << "<null>"));
+  out << ", " << "loan="; (__isset.loan ? (out << to_string(loan)) : (out << "<null>"));
+  out << ", " << "loan_return="; (__isset.loan_return ? (out << to_string(loan_return)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/connection/gen/wire_types.h
+++ b/src/connection/gen/wire_types.h
@@ -55,6 +55,12 @@
 
 class RateDecision;
 
+class RateLoanRequest;
+
+class RateLoan;
+
+class RateLoanReturn;
+
 class RateEnvelope;
 
 typedef struct _Hello__isset {
@@ -1287,11 +1293,227 @@
 
 std::ostream& operator<<(std::ostream& out, const RateDecision& obj);
 
+typedef struct _RateLoanRequest__isset {
+  _RateLoanRequest__isset() : node(false), process(false), sent_at_us(false), shards(false) {}
+  bool node :1;
+  bool process :1;
+  bool sent_at_us :1;
+  bool shards :1;
+} _RateLoanRequest__isset;
+
+class RateLoanRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  RateLoanRequest(const RateLoanRequest&);
+  RateLoanRequest& operator=(const RateLoanRequest&);
+  RateLoanRequest() noexcept
+                  : node(),
+                    process(0),
+                    sent_at_us(0),
+                    shards(0) {
+  }
+
+  virtual ~RateLoanRequest() noexcept;
+  std::string node;
+  int64_t process;
+  int64_t sent_at_us;
+  int64_t shards;
+
+  _RateLoanRequest__isset __isset;
+
+  void __set_node(const std::string& val);
+
+  void __set_process(const int64_t val);
+
+  void __set_sent_at_us(const int64_t val);
+
+  void __set_shards(const int64_t val);
+
+  bool operator == (const RateLoanRequest & rhs) const
+  {
+    if (!(node == rhs.node))
+      return false;
+    if (!(process == rhs.process))
+      return false;
+    if (!(sent_at_us == rhs.sent_at_us))
+      return false;
+    if (!(shards == rhs.shards))
+      return false;
+    return true;
+  }
+  bool operator != (const RateLoanRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RateLoanRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RateLoanRequest &a, RateLoanRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const RateLoanRequest& obj);
+
+typedef struct _RateLoan__isset {
+  _RateLoan__isset() : node(false), process(false), holder(false), request_sent_at_us(false), duration_ms(false), part(false), shards(false) {}
+  bool node :1;
+  bool process :1;
+  bool holder :1;
+  bool request_sent_at_us :1;
+  bool duration_ms :1;
+  bool part :1;
+  bool shards :1;
+} _RateLoan__isset;
+
+class RateLoan : public virtual ::apache::thrift::TBase {
+ public:
+
+  RateLoan(const RateLoan&);
+  RateLoan& operator=(const RateLoan&);
+  RateLoan() noexcept
+           : node(),
+             process(0),
+             holder(0),
+             request_sent_at_us(0),
+             duration_ms(0),
+             part(0),
+             shards(0) {
+  }
+
+  virtual ~RateLoan() noexcept;
+  std::string node;
+  int64_t process;
+  int64_t holder;
+  int64_t request_sent_at_us;
+  int64_t duration_ms;
+  double part;
+  int64_t shards;
+
+  _RateLoan__isset __isset;
+
+  void __set_node(const std::string& val);
+
+  void __set_process(const int64_t val);
+
+  void __set_holder(const int64_t val);
+
+  void __set_request_sent_at_us(const int64_t val);
+
+  void __set_duration_ms(const int64_t val);
+
+  void __set_part(const double val);
+
+  void __set_shards(const int64_t val);
+
+  bool operator == (const RateLoan & rhs) const
+  {
+    if (!(node == rhs.node))
+      return false;
+    if (!(process == rhs.process))
+      return false;
+    if (!(holder == rhs.holder))
+      return false;
+    if (!(request_sent_at_us == rhs.request_sent_at_us))
+      return false;
+    if (!(duration_ms == rhs.duration_ms))
+      return false;
+    if (!(part == rhs.part))
+      return false;
+    if (!(shards == rhs.shards))
+      return false;
+    return true;
+  }
+  bool operator != (const RateLoan &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RateLoan & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RateLoan &a, RateLoan &b);
+
+std::ostream& operator<<(std::ostream& out, const RateLoan& obj);
+
+typedef struct _RateLoanReturn__isset {
+  _RateLoanReturn__isset() : node(false), process(false), sent_at_us(false), shards(false) {}
+  bool node :1;
+  bool process :1;
+  bool sent_at_us :1;
+  bool shards :1;
+} _RateLoanReturn__isset;
+
+class RateLoanReturn : public virtual ::apache::thrift::TBase {
+ public:
+
+  RateLoanReturn(const RateLoanReturn&);
+  RateLoanReturn& operator=(const RateLoanReturn&);
+  RateLoanReturn() noexcept
+                 : node(),
+                   process(0),
+                   sent_at_us(0),
+                   shards(0) {
+  }
+
+  virtual ~RateLoanReturn() noexcept;
+  std::string node;
+  int64_t process;
+  int64_t sent_at_us;
+  int64_t shards;
+
+  _RateLoanReturn__isset __isset;
+
+  void __set_node(const std::string& val);
+
+  void __set_process(const int64_t val);
+
+  void __set_sent_at_us(const int64_t val);
+
+  void __set_shards(const int64_t val);
+
+  bool operator == (const RateLoanReturn & rhs) const
+  {
+    if (!(node == rhs.node))
+      return false;
+    if (!(process == rhs.process))
+      return false;
+    if (!(sent_at_us == rhs.sent_at_us))
+      return false;
+    if (!(shards == rhs.shards))
+      return false;
+    return true;
+  }
+  bool operator != (const RateLoanReturn &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RateLoanReturn & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RateLoanReturn &a, RateLoanReturn &b);
+
+std::ostream& operator<<(std::ostream& out, const RateLoanReturn& obj);
+
 typedef struct _RateEnvelope__isset {
-  _RateEnvelope__isset() : protocol_version(false), request(false), decision(false) {}
+  _RateEnvelope__isset() : protocol_version(false), request(false), decision(false), loan_request(false), loan(false), loan_return(false) {}
   bool protocol_version :1;
   bool request :1;
   bool decision :1;
+  bool loan_request :1;
+  bool loan :1;
+  bool loan_return :1;
 } _RateEnvelope__isset;
 
 class RateEnvelope : public virtual ::apache::thrift::TBase {
@@ -1307,6 +1529,9 @@
   int32_t protocol_version;
   RateRequest request;
   RateDecision decision;
+  RateLoanRequest loan_request;
+  RateLoan loan;
+  RateLoanReturn loan_return;
 
   _RateEnvelope__isset __isset;
 
@@ -1316,6 +1541,12 @@
 
   void __set_decision(const RateDecision& val);
 
+  void __set_loan_request(const RateLoanRequest& val);
+
+  void __set_loan(const RateLoan& val);
+
+  void __set_loan_return(const RateLoanReturn& val);
+
   bool operator == (const RateEnvelope & rhs) const
   {
     if (!(protocol_version == rhs.protocol_version))
@@ -1328,6 +1559,18 @@
       return false;
     else if (__isset.decision && !(decision == rhs.decision))
       return false;
+    if (__isset.loan_request != rhs.__isset.loan_request)
+      return false;
+    else if (__isset.loan_request && !(loan_request == rhs.loan_request))
+      return false;
+    if (__isset.loan != rhs.__isset.loan)
+      return false;
+    else if (__isset.loan && !(loan == rhs.loan))
+      return false;
+    if (__isset.loan_return != rhs.__isset.loan_return)
+      return false;
+    else if (__isset.loan_return && !(loan_return == rhs.loan_return))
+      return false;
     return true;
   }
   bool operator != (const RateEnvelope &rhs) const {
--- a/src/connection/rate_message.h
+++ b/src/connection/rate_message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <bitset>
 #include <chrono>
 #include <cstdint>
 #include <string>
@@ -34,12 +35,55 @@
   std::chrono::milliseconds retry_after{0};
 };
 
+// Workspaces are divided into shards by a hash of their names. The rates of one
+// shard have the same holder.
+inline constexpr size_t kRateShards = 32;
+using RateShardSet = std::bitset<kRateShards>;
+
+// Identifies one start of a frontend. Drawn at random.
+enum class RateProcessId : std::uint64_t {};
+
+// Asks another frontend to lend its part of the rates of `shards`.
+struct RateLoanRequest {
+  std::string node;  // of the sender
+  RateProcessId process{0};
+  // Time of the sender's clock, since its boot.
+  std::chrono::microseconds sent_at{0};
+  RateShardSet shards;
+};
+
+// Lends the sender's part of the rates of `shards` to the process `holder`.
+struct RateLoan {
+  std::string node;  // of the sender
+  RateProcessId process{0};
+  RateProcessId holder{0};
+  // From the request. The loan ends `duration` after it, on the clock of the
+  // holder, and so before the sender lends its part to anyone else.
+  std::chrono::microseconds request_sent_at{0};
+  std::chrono::milliseconds duration{0};
+  double part = 0;  // of each rate, above 0 and at most 1
+  RateShardSet shards;
+};
+
+// Ends the loans of `shards` that the sender got by requests sent up to
+// `sent_at`. The sender does not use them any more.
+struct RateLoanReturn {
+  std::string node;
+  RateProcessId process{0};
+  std::chrono::microseconds sent_at{0};
+  RateShardSet shards;
+};
+
 // A datagram between two frontends.
-using RateMessage = std::variant<RateRequest, RateDecision>;
+using RateMessage = std::variant<RateRequest,
+                                 RateDecision,
+                                 RateLoanRequest,
+                                 RateLoan,
+                                 RateLoanReturn>;
 
 std::string EncodeRateMessage(const RateMessage& message);
-// Fails with kInvalid when the bytes are malformed, hold no known message, or
-// have another protocol version.
+// Fails with kInvalid when the bytes are malformed, hold no known message or
+// values out of range, or have another protocol version.
 Result<RateMessage> DecodeRateMessage(std::string_view bytes);
 
 }  // namespace carawayrelay
--- a/src/connection/wire.thrift
+++ b/src/connection/wire.thrift
@@ -140,8 +140,35 @@
   3: i64 retry_after_ms
 }
 
+struct RateLoanRequest {
+  1: string node
+  2: i64 process
+  3: i64 sent_at_us
+  4: i64 shards
+}
+
+struct RateLoan {
+  1: string node
+  2: i64 process
+  3: i64 holder
+  4: i64 request_sent_at_us
+  5: i64 duration_ms
+  6: double part
+  7: i64 shards
+}
+
+struct RateLoanReturn {
+  1: string node
+  2: i64 process
+  3: i64 sent_at_us
+  4: i64 shards
+}
+
 struct RateEnvelope {
   1: i32 protocol_version
   2: optional RateRequest request
   3: optional RateDecision decision
+  4: optional RateLoanRequest loan_request
+  5: optional RateLoan loan
+  6: optional RateLoanReturn loan_return
 }
--- a/src/process/limits/rate_admission.cc
+++ b/src/process/limits/rate_admission.cc
@@ -10,24 +10,59 @@
 namespace carawayrelay {
 namespace {
 
+using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
 // How long a holder may take to answer. Much longer than a round trip between
 // zones, because a holder on a small VM may be busy.
 constexpr milliseconds kAnswerTimeout{50};
-// Datagrams may be lost, so a query is sent twice before the next holder is
-// asked.
-constexpr int kSendsToHolder = 2;
-constexpr int kMaxHoldersAsked = 3;
-constexpr milliseconds kMaxRetryAfter{1000};
+// Datagrams may be lost, so a query is sent again.
+constexpr int kMaxSends = 4;
+// An answer that comes later does not count: the holder granted the request in
+// an earlier window than that in which it would run.
+constexpr milliseconds kMaxAnswerAge = kAnswerTimeout * kMaxSends;
+// Between two requests of a holder for loans. It grows with the number of
+// frontends, so that their requests cost each of them the same.
+constexpr milliseconds kMinRequestInterval{200};
+constexpr milliseconds kRequestIntervalPerMember{4};
+// A loan outlasts this many requests, since datagrams may be lost or late.
+constexpr int kRequestsPerLoan = 5;
+constexpr int kRequestsUntilSilent = 4;
+// How often a frontend checks which shards it holds.
+constexpr milliseconds kUpdateInterval{25};
+
+microseconds SinceBoot(TimePoint at) {
+  return std::chrono::duration_cast<microseconds>(at.time_since_epoch());
+}
 
 }  // namespace
 
-void RateAdmission::SetConfig(const ServingConfigPtr& config) {
-  std::erase_if(own_parts_, [&](const auto& item) {
-    return config->FindWorkspace(item.first) == nullptr;
-  });
-  holder_.SetConfig(config);
+RateAdmission::RateAdmission(std::string node,
+                             std::uint64_t seed,
+                             MessageSender send)
+    : node_(std::move(node)),
+      random_(seed),
+      process_(RateProcessId{random_()}),
+      send_(std::move(send)) {}
+
+void RateAdmission::ApplyRows(const std::vector<StoredRow>& rows,
+                              std::uint64_t version,
+                              TimePoint now) {
+  members_.Apply(rows, version, now);
+  const milliseconds interval = std::max(
+      kMinRequestInterval, kRequestIntervalPerMember *
+                               static_cast<int>(members_.peers().size() + 1));
+  holders_.SetTiming({.request_interval = interval,
+                      .silence_limit = interval * kRequestsUntilSilent});
+}
+
+milliseconds RateAdmission::LoanTime() const {
+  return holders_.timing().request_interval * kRequestsPerLoan;
+}
+
+bool RateAdmission::IsReady(TimePoint now) const {
+  return members_.IsKnown() && (lender_.IsLending(now) ||
+                                (heard_at_ && now - *heard_at_ < LoanTime()));
 }
 
 void RateAdmission::Admit(const ServingWorkspace& workspace,
@@ -37,54 +72,35 @@
     done(RateAdmitted{});
     return;
   }
-  if (!members_.IsKnown()) {
-    done(RateUnavailable{});
-    return;
-  }
-  AskNextHolder(RateRequestId{random_()},
-                {.workspace = workspace.name,
-                 .rate_per_second = workspace.rate_per_second,
-                 .burst = workspace.burst,
-                 .done = std::move(done)},
-                now);
-}
-
-void RateAdmission::AskNextHolder(RateRequestId id,
-                                  Query query,
-                                  TimePoint now) {
-  std::optional<RateMembers::Holder> holder =
-      members_.HolderOf(query.workspace, now);
-  if (!holder || query.holders_asked >= kMaxHoldersAsked) {
-    query.done(DecideAlone(query, now));
-    return;
-  }
-  query.holder = *std::move(holder);
-  if (query.holder.node == node_ && !members_.IsSettled()) {
-    query.done(RateUnavailable{});
+  const RateRequestId id{random_()};
+  Query query{
+      .workspace = workspace.name, .done = std::move(done), .started_at = now};
+  const std::optional<std::string> holder =
+      members_.IsKnown() ? holders_.HolderOf(RateShardOf(workspace.name), now)
+                         : std::nullopt;
+  if (holder == node_) {
+    Finish(query, holder_.Decide({.id = id, .workspace = workspace.name}, now));
     return;
   }
-  if (query.holder.node == node_) {
-    Finish(query, holder_.Decide({.id = id, .workspace = query.workspace}, now),
-           now);
+  const std::string* address = holder ? members_.FindAddress(*holder) : nullptr;
+  if (address == nullptr) {
+    Finish(query, {.id = id});
     return;
   }
   ++counters_.asked;
-  ++query.holders_asked;
-  query.sends_to_holder = 0;
+  query.holder = *holder;
+  query.address = *address;
   SendQuery(id, std::move(query), now);
 }
 
 void RateAdmission::SendQuery(RateRequestId id, Query query, TimePoint now) {
-  ++query.sends_to_holder;
+  ++query.sends;
   query.timeout_at = now + kAnswerTimeout;
-  send_(query.holder.address,
-        RateRequest{.id = id, .workspace = query.workspace});
+  send_(query.address, RateRequest{.id = id, .workspace = query.workspace});
   queries_.insert_or_assign(id, std::move(query));
 }
 
-void RateAdmission::Finish(const Query& query,
-                           const RateDecision& decision,
-                           TimePoint now) {
+void RateAdmission::Finish(const Query& query, const RateDecision& decision) {
   switch (decision.outcome) {
     case RateOutcome::kGranted:
       query.done(RateAdmitted{});
@@ -93,7 +109,8 @@
       query.done(RateExceeded{.retry_after = decision.retry_after});
       return;
     case RateOutcome::kUnknown:
-      query.done(DecideAlone(query, now));
+      ++counters_.alone;
+      query.done(RateUnavailable{});
       return;
   }
 }
@@ -101,22 +118,92 @@
 void RateAdmission::HandleMessage(const std::string& address,
                                   const RateMessage& message,
                                   TimePoint now) {
-  std::visit(Overloaded{
-                 [&](const RateRequest& request) {
-                   send_(address, holder_.Decide(request, now));
-                 },
-                 [&](const RateDecision& decision) {
-                   // An answer to a query that was decided meanwhile has no
-                   // effect.
-                   if (auto node = queries_.extract(decision.id)) {
-                     Finish(node.mapped(), decision, now);
-                   }
-                 },
-             },
-             message);
+  std::visit([&](const auto& m) { Handle(address, m, now); }, message);
+}
+
+void RateAdmission::Handle(const std::string& address,
+                           const RateRequest& request,
+                           TimePoint now) {
+  send_(address, holder_.Decide(request, now));
+}
+
+void RateAdmission::Handle(const std::string& /*address*/,
+                           const RateDecision& decision,
+                           TimePoint now) {
+  // An answer to a query that was decided meanwhile has no effect.
+  if (auto node = queries_.extract(decision.id)) {
+    const Query& query = node.mapped();
+    const bool is_late = now - query.started_at > kMaxAnswerAge;
+    Finish(query, is_late ? RateDecision{.id = decision.id} : decision);
+  }
+}
+
+void RateAdmission::Handle(const std::string& address,
+                           const RateLoanRequest& request,
+                           TimePoint now) {
+  // The rank of a frontend whose row was not read yet is not known.
+  if (members_.FindAddress(request.node) == nullptr) {
+    return;
+  }
+  heard_at_ = now;
+  const RateShardSet accepted =
+      holders_.NoteRequest(request.node, request.shards, now);
+  if (const std::optional<RateLoan> loan = Lend(request, accepted, now)) {
+    send_(address, *loan);
+  }
+}
+
+void RateAdmission::Handle(const std::string& /*address*/,
+                           const RateLoan& loan,
+                           TimePoint now) {
+  if (loan.holder != process_) {
+    return;
+  }
+  RateLoan usable = loan;
+  for (size_t shard = 0; shard < kRateShards; ++shard) {
+    usable.shards[shard] =
+        loan.shards[shard] && own_[shard] &&
+        loan.request_sent_at > SinceBoot(returned_at_[shard]);
+  }
+  holder_.AddLoan(usable, now);
+}
+
+void RateAdmission::Handle(const std::string& /*address*/,
+                           const RateLoanReturn& loan_return,
+                           TimePoint now) {
+  lender_.Return(loan_return);
+  holders_.NoteReturn(loan_return.node, loan_return.shards, now);
+}
+
+std::optional<RateLoan> RateAdmission::Lend(const RateLoanRequest& request,
+                                            const RateShardSet& shards,
+                                            TimePoint now) {
+  if (!members_.IsKnown()) {
+    return std::nullopt;
+  }
+  const milliseconds duration = LoanTime();
+  const RateShardSet lent = lender_.Lend(request, shards, duration, now);
+  if (lent.none()) {
+    return std::nullopt;
+  }
+  return RateLoan{.node = node_,
+                  .process = process_,
+                  .holder = request.process,
+                  .request_sent_at = request.sent_at,
+                  .duration = duration,
+                  .part = members_.part(),
+                  .shards = lent};
 }
 
 void RateAdmission::Tick(TimePoint now) {
+  RepeatQueries(now);
+  if (now >= next_update_at_) {
+    next_update_at_ = now + kUpdateInterval;
+    UpdateLoans(now);
+  }
+}
+
+void RateAdmission::RepeatQueries(TimePoint now) {
   std::vector<RateRequestId> due;
   for (const auto& [id, query] : queries_) {
     if (now >= query.timeout_at) {
@@ -125,39 +212,80 @@
   }
   for (const RateRequestId id : due) {
     Query query = std::move(queries_.extract(id).mapped());
-    if (query.sends_to_holder < kSendsToHolder) {
+    if (query.sends < kMaxSends) {
       ++counters_.repeated;
       SendQuery(id, std::move(query), now);
       continue;
     }
-    LogDecision(LogEvent::kRateHolderSilent, "holder", query.holder.node,
+    LogDecision(LogEvent::kRateHolderSilent, "holder", query.holder,
                 "workspace", query.workspace);
-    members_.NoteSilent(query.holder.node, now);
-    AskNextHolder(id, std::move(query), now);
+    holders_.NoteSilent(query.holder, now);
+    Finish(query, {.id = id});
+  }
+}
+
+void RateAdmission::UpdateLoans(TimePoint now) {
+  const RateShardSet own = holders_.Own(now);
+  const RateShardSet lost = own_ & ~own;
+  const bool has_new = (own & ~own_).any();
+  if (lost.any() || has_new) {
+    LogDecision(LogEvent::kRateShardsHeld, "held", own.count(), "before",
+                own_.count(), "members", members_.peers().size() + 1);
+  }
+  own_ = own;
+  if (lost.any()) {
+    ReturnLoans(lost, now);
+  }
+  if (own_.any() && (has_new || now >= next_request_at_)) {
+    RequestLoans(now);
+  }
+}
+
+void RateAdmission::ReturnLoans(const RateShardSet& shards, TimePoint now) {
+  holder_.DropLoans(shards, now);
+  for (size_t shard = 0; shard < kRateShards; ++shard) {
+    if (shards[shard]) {
+      returned_at_[shard] = now;
+    }
+  }
+  const RateLoanReturn loan_return{.node = node_,
+                                   .process = process_,
+                                   .sent_at = SinceBoot(now),
+                                   .shards = shards};
+  lender_.Return(loan_return);
+  for (const RateMembers::Peer& peer : members_.peers()) {
+    send_(peer.address, loan_return);
+  }
+}
+
+void RateAdmission::RequestLoans(TimePoint now) {
+  next_request_at_ = now + holders_.timing().request_interval;
+  const RateLoanRequest request{.node = node_,
+                                .process = process_,
+                                .sent_at = SinceBoot(now),
+                                .shards = own_};
+  if (const std::optional<RateLoan> loan = Lend(request, own_, now)) {
+    Handle(/*address=*/"", *loan, now);
+  }
+  for (const RateMembers::Peer& peer : members_.peers()) {
+    send_(peer.address, request);
   }
 }
 
 std::optional<TimePoint> RateAdmission::NextTimeout() const {
   std::optional<TimePoint> next;
+  if (own_.any()) {
+    next = std::max(next_request_at_, next_update_at_);
+  }
   for (const auto& [id, query] : queries_) {
     next = std::min(next.value_or(query.timeout_at), query.timeout_at);
   }
   return next;
 }
 
-RateVerdict RateAdmission::DecideAlone(const Query& query, TimePoint now) {
-  ++counters_.alone;
-  const double members =
-      static_cast<double>(std::max<size_t>(members_.size(), 1));
-  const double rate = query.rate_per_second / members;
-  const double depth = std::max(query.burst / members, 1.0);
-  TokenBucket& bucket =
-      own_parts_.try_emplace(query.workspace, rate, depth, now).first->second;
-  bucket.SetRate(rate, depth, now);
-  if (bucket.TrySpend(1, now)) {
-    return RateAdmitted{};
-  }
-  return RateExceeded{.retry_after = bucket.WaitFor(1, now, kMaxRetryAfter)};
+void RateAdmission::Leave(TimePoint now) {
+  holders_.Leave();
+  UpdateLoans(now);
 }
 
 }  // namespace carawayrelay
--- a/src/process/limits/rate_admission.h
+++ b/src/process/limits/rate_admission.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -8,11 +9,13 @@
 #include <random>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "connection/rate_message.h"
 #include "process/limits/rate_holder.h"
+#include "process/limits/rate_holders.h"
+#include "process/limits/rate_lender.h"
 #include "process/limits/rate_members.h"
-#include "request/token_bucket.h"
 #include "version/serving_config.h"
 
 namespace carawayrelay {
@@ -23,16 +26,17 @@
 struct RateExceeded {
   std::chrono::milliseconds retry_after{0};
 };
-// This frontend does not know the other frontends yet.
+// No frontend that holds the rate answers.
 struct RateUnavailable {};
 using RateVerdict = std::variant<RateAdmitted, RateExceeded, RateUnavailable>;
 
 // Keeps the rates of workspaces over all frontends together: asks the holder of
 // a workspace's rate about each request, and answers the queries of others.
+// Lends the part of the rates that this frontend owns, and as a holder borrows
+// the parts of the others.
 //
-// A query without an answer is sent once more, and then the next holder in
-// order is asked. When none of them answers, the request counts against this
-// frontend's equal part of the rate.
+// A query without an answer is sent again a few times. Then the request counts
+// as not decided, since its rate may be in use elsewhere.
 //
 // Used on the event loop thread.
 class RateAdmission {
@@ -43,10 +47,16 @@
       std::function<void(const std::string& address, const RateMessage&)>;
 
   // `node` is the name of this frontend.
-  RateAdmission(std::string node, std::uint64_t seed, MessageSender send)
-      : node_(std::move(node)), random_(seed), send_(std::move(send)) {}
+  RateAdmission(std::string node, std::uint64_t seed, MessageSender send);
 
-  void SetConfig(const ServingConfigPtr& config);
+  void SetConfig(const ServingConfigPtr& config) { holder_.SetConfig(config); }
+  // Applies a complete read of the rows of all frontends.
+  void ApplyRows(const std::vector<StoredRow>& rows,
+                 std::uint64_t version,
+                 TimePoint now);
+  // How long the part of this frontend may still be lent by an earlier process.
+  std::chrono::milliseconds LoanTime() const;
+  RateLender& lender() { return lender_; }
   // Decides whether a request of the workspace may run. Calls `done` once, from
   // this call or later.
   void Admit(const ServingWorkspace& workspace,
@@ -56,14 +66,17 @@
   void HandleMessage(const std::string& address,
                      const RateMessage& message,
                      TimePoint now);
-  // Repeats queries that got no answer in time.
+  // Repeats queries that got no answer in time, and asks for loans.
   void Tick(TimePoint now);
   // When Tick() has something to do next.
   std::optional<TimePoint> NextTimeout() const;
+  // Returns all loans to their owners, because this frontend stops.
+  void Leave(TimePoint now);
+  // Whether requests can be decided: this frontend lends its part, or another
+  // one holds rates.
+  bool IsReady(TimePoint now) const;
 
-  RateMembers& members() { return members_; }
   const RateMembers& members() const { return members_; }
-  RateHolder& holder() { return holder_; }
 
   struct Counters {
     std::uint64_t asked = 0;     // requests that another frontend decided
@@ -75,29 +88,56 @@
  private:
   struct Query {
     std::string workspace;
-    double rate_per_second = 0;
-    double burst = 0;
     VerdictCallback done;
-    RateMembers::Holder holder;  // asked last
-    int holders_asked = 0;
-    int sends_to_holder = 0;
+    std::string holder;  // node that is asked
+    std::string address;
+    int sends = 0;
+    TimePoint started_at{};
     TimePoint timeout_at{};
   };
 
-  // Asks the best holder that is not known to be silent.
-  void AskNextHolder(RateRequestId id, Query query, TimePoint now);
   void SendQuery(RateRequestId id, Query query, TimePoint now);
-  void Finish(const Query& query, const RateDecision& decision, TimePoint now);
-  // Decides without a holder, by this frontend's part of the rate.
-  RateVerdict DecideAlone(const Query& query, TimePoint now);
+  void Finish(const Query& query, const RateDecision& decision);
+  void RepeatQueries(TimePoint now);
+  // Returns the loans of shards that this frontend no longer holds, and asks
+  // for loans of those that it holds.
+  void UpdateLoans(TimePoint now);
+  void ReturnLoans(const RateShardSet& shards, TimePoint now);
+  void RequestLoans(TimePoint now);
+  // Lends what the request may have and returns the answer to it, if any.
+  std::optional<RateLoan> Lend(const RateLoanRequest& request,
+                               const RateShardSet& shards,
+                               TimePoint now);
+  void Handle(const std::string& address,
+              const RateRequest& request,
+              TimePoint now);
+  void Handle(const std::string& address,
+              const RateDecision& decision,
+              TimePoint now);
+  void Handle(const std::string& address,
+              const RateLoanRequest& request,
+              TimePoint now);
+  void Handle(const std::string& address, const RateLoan& loan, TimePoint now);
+  void Handle(const std::string& address,
+              const RateLoanReturn& loan_return,
+              TimePoint now);
 
   const std::string node_;
   std::mt19937_64 random_;
+  const RateProcessId process_;
   MessageSender send_;
   RateMembers members_{node_};
-  RateHolder holder_{members_};
+  RateHolders holders_{node_, members_};
+  RateHolder holder_;
+  RateLender lender_;
+  RateShardSet own_;  // shards that this frontend holds
+  // When loans of a shard were returned last. Answers to older requests do not
+  // count any more.
+  std::array<TimePoint, kRateShards> returned_at_{};
+  TimePoint next_request_at_{};
+  TimePoint next_update_at_{};
+  std::optional<TimePoint> heard_at_;  // of the newest request for loans
   std::map<RateRequestId, Query> queries_;
-  std::map<std::string, TokenBucket> own_parts_;
   Counters counters_;
 };
 
--- a/src/process/limits/rate_holder.cc
+++ b/src/process/limits/rate_holder.cc
@@ -1,7 +1,8 @@
 #include "process/limits/rate_holder.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
-#include <chrono>
 #include <utility>
 
 namespace carawayrelay {
@@ -9,17 +10,14 @@
 
 using std::chrono::milliseconds;
 
-// Depth of a bucket beyond the burst: one second of the rate, and at least some
-// requests, because few requests per second vary the most.
-constexpr double kMinExtraDepth = 5;
-// Tokens of a bucket that begins: part of what the window allows, and at least
-// some requests. Small, because a rate may change its holder more than once in
-// a window.
-constexpr double kFirstTokensFraction = 0.05;
-constexpr double kMinFirstTokens = 8;
+// Least depth of a bucket in requests: a shallow one refuses random arrivals of
+// a workspace within its rate.
+constexpr double kMinDepth = 8;
 constexpr milliseconds kMaxRetryAfter{1000};
 // Answers that are kept for queries that come again.
 constexpr size_t kMaxDecided = 1024;
+// Parts are fractions whose sum may be slightly below that of the integers.
+constexpr double kRounding = 1e-6;
 
 double AllowedInWindow(const ServingWorkspace& workspace) {
   const std::chrono::duration<double> window = SlidingWindowCounter::kWindow;
@@ -27,16 +25,129 @@
 }
 
 double DepthOf(const ServingWorkspace& workspace) {
-  return workspace.burst + std::max(workspace.rate_per_second, kMinExtraDepth);
+  return std::max(workspace.burst, kMinDepth);
+}
+
+// Tokens that a bucket may hold beyond the burst. A part that moves to another
+// holder brings a debt of as many, since its former holder may have spent them.
+double ExtraDepthOf(const ServingWorkspace& workspace) {
+  return DepthOf(workspace) - workspace.burst;
+}
+
+double SecondsBetween(TimePoint from, TimePoint to) {
+  return std::chrono::duration<double>(to - from).count();
 }
 
 }  // namespace
 
+size_t RateShardOf(const std::string& workspace) {
+  return XXH3_64bits(workspace.data(), workspace.size()) % kRateShards;
+}
+
 void RateHolder::SetConfig(ServingConfigPtr config) {
   config_ = std::move(config);
-  std::erase_if(usage_, [&](const auto& item) {
-    return config_->FindWorkspace(item.first) == nullptr;
-  });
+  for (Shard& shard : shards_) {
+    std::erase_if(shard.usage, [&](const auto& item) {
+      return config_->FindWorkspace(item.first) == nullptr;
+    });
+  }
+}
+
+void RateHolder::AddLoan(const RateLoan& loan, TimePoint now) {
+  const TimePoint until = TimePoint(loan.request_sent_at) + loan.duration;
+  if (until <= now) {
+    return;
+  }
+  for (size_t i = 0; i < kRateShards; ++i) {
+    if (!loan.shards[i]) {
+      continue;
+    }
+    Shard& shard = shards_[i];
+    ExpireLoans(shard, now);
+    const auto [it, is_new] = shard.loans.try_emplace(loan.node);
+    Loan& known = it->second;
+    known.until = std::max(known.until, until);
+    if (is_new || known.part != loan.part) {
+      known.part = loan.part;
+      known.since = now;
+      UpdatePart(shard, now);
+    }
+  }
+}
+
+void RateHolder::DropLoans(const RateShardSet& shards, TimePoint now) {
+  for (size_t i = 0; i < kRateShards; ++i) {
+    if (shards[i]) {
+      ExpireLoans(shards_[i], now);
+      shards_[i].loans.clear();
+      UpdatePart(shards_[i], now);
+    }
+  }
+}
+
+double RateHolder::PartOf(size_t shard, TimePoint now) {
+  ExpireLoans(shards_[shard], now);
+  return shards_[shard].part;
+}
+
+void RateHolder::ExpireLoans(Shard& shard, TimePoint now) {
+  while (true) {
+    const auto first =
+        std::min_element(shard.loans.begin(), shard.loans.end(),
+                         [](const auto& a, const auto& b) {
+                           return a.second.until < b.second.until;
+                         });
+    if (first == shard.loans.end() || first->second.until > now) {
+      return;
+    }
+    const TimePoint ended_at = first->second.until;
+    shard.loans.erase(first);
+    UpdatePart(shard, ended_at);
+  }
+}
+
+void RateHolder::UpdatePart(Shard& shard, TimePoint at) {
+  double sum = 0;
+  for (const auto& [node, loan] : shard.loans) {
+    sum += loan.part;
+  }
+  const double part = std::min(sum, 1.0);
+  const double gained = std::max(part - shard.part, 0.0);
+  shard.part = part;
+  for (auto& [name, usage] : shard.usage) {
+    const ServingWorkspace& workspace = usage.workspace;
+    usage.bucket.SetRate(workspace.rate_per_second * part,
+                         DepthOf(workspace) * part, at);
+    usage.bucket.Spend(ExtraDepthOf(workspace) * gained, at);
+  }
+}
+
+RateHolder::Usage& RateHolder::UsageOf(Shard& shard,
+                                       const ServingWorkspace& workspace,
+                                       TimePoint now) {
+  const double rate = workspace.rate_per_second * shard.part;
+  const double depth = DepthOf(workspace) * shard.part;
+  const auto known = shard.usage.find(workspace.name);
+  if (known != shard.usage.end()) {
+    Usage& usage = known->second;
+    if (usage.workspace.rate_per_second != workspace.rate_per_second ||
+        usage.workspace.burst != workspace.burst) {
+      usage.workspace = workspace;
+      usage.bucket.SetRate(rate, depth, now);
+    }
+    return usage;
+  }
+  // Nothing was granted from these loans yet.
+  double tokens = 0;
+  for (const auto& [node, loan] : shard.loans) {
+    const double gathered =
+        workspace.rate_per_second * SecondsBetween(loan.since, now) -
+        ExtraDepthOf(workspace);
+    tokens += std::min(gathered, DepthOf(workspace)) * loan.part;
+  }
+  Usage usage{.workspace = workspace, .bucket = TokenBucket(rate, depth, now)};
+  usage.bucket.Spend(depth - std::min(tokens, depth), now);
+  return shard.usage.emplace(workspace.name, std::move(usage)).first->second;
 }
 
 RateDecision RateHolder::Decide(const RateRequest& request, TimePoint now) {
@@ -57,14 +168,15 @@
   RateDecision decision{.id = request.id};
   const ServingWorkspace* workspace =
       config_ ? config_->FindWorkspace(request.workspace) : nullptr;
-  if (workspace == nullptr) {
+  Shard& shard = shards_[RateShardOf(request.workspace)];
+  ExpireLoans(shard, now);
+  if (workspace == nullptr || shard.part <= 0) {
     return decision;
   }
-  Usage& usage = UsageOf(*workspace, now);
-  const double counted = static_cast<double>(usage.granted.Sum(now)) +
-                         members_.GrantedByOthers(workspace->name, now);
-  if (counted + 1 > AllowedInWindow(*workspace) ||
-      !usage.bucket.TrySpend(1, now)) {
+  Usage& usage = UsageOf(shard, *workspace, now);
+  const auto counted = static_cast<double>(usage.granted.Sum(now));
+  if (counted + 1 > AllowedInWindow(*workspace) * shard.part + kRounding ||
+      !usage.bucket.TrySpend(1 - kRounding, now)) {
     decision.outcome = RateOutcome::kExceeded;
     decision.retry_after = usage.bucket.WaitFor(1, now, kMaxRetryAfter);
     return decision;
@@ -74,29 +186,4 @@
   return decision;
 }
 
-RateHolder::Usage& RateHolder::UsageOf(const ServingWorkspace& workspace,
-                                       TimePoint now) {
-  const double depth = DepthOf(workspace);
-  const auto known = usage_.find(workspace.name);
-  if (known != usage_.end()) {
-    known->second.bucket.SetRate(workspace.rate_per_second, depth, now);
-    return known->second;
-  }
-  const double first = std::max(
-      kFirstTokensFraction * AllowedInWindow(workspace), kMinFirstTokens);
-  Usage usage{.bucket = TokenBucket(workspace.rate_per_second, depth, now)};
-  usage.bucket.Spend(std::max(depth - first, 0.0), now);
-  return usage_.emplace(workspace.name, usage).first->second;
-}
-
-std::map<std::string, double> RateHolder::Granted(TimePoint now) {
-  std::map<std::string, double> granted;
-  for (auto& [workspace, usage] : usage_) {
-    if (const std::int64_t count = usage.granted.Sum(now); count > 0) {
-      granted[workspace] = static_cast<double>(count);
-    }
-  }
-  return granted;
-}
-
 }  // namespace carawayrelay
--- a/src/process/limits/rate_holder.h
+++ b/src/process/limits/rate_holder.h
@@ -1,55 +1,76 @@
 #pragma once
 
+#include <array>
+#include <chrono>
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <string>
 
 #include "connection/rate_message.h"
-#include "process/limits/rate_members.h"
 #include "process/limits/sliding_window_counter.h"
 #include "request/token_bucket.h"
 #include "version/serving_config.h"
 
 namespace carawayrelay {
 
-// Counts the requests of the workspaces whose rates this frontend holds.
+// Returns the shard of the workspace.
+size_t RateShardOf(const std::string& workspace);
+
+// Counts the requests of the workspaces whose rates this frontend holds, within
+// the parts of the rates that frontends have lent to it.
 //
 // A request is granted while two conditions hold. In each window, all granted
-// requests are at most the rate times the window plus the burst; this is the
-// limit itself. And the token bucket of the workspace has a token; it spreads
-// the requests of a workspace that is over its rate over the window. The bucket
-// is deeper than the burst, so that random arrivals of a workspace within its
-// rate are not refused.
-//
-// A frontend that begins to hold a rate does not know what the former holder
-// granted right before. Its bucket begins almost empty, and what other
-// frontends reported as granted counts against the window.
+// requests are at most the rate times the window plus the burst, times the sum
+// of the lent parts. And the token bucket of the workspace has a token; its
+// rate and depth are multiplied by the same sum. A part that has just been lent
+// brings no tokens, because its former holder may have spent them. So the
+// grants of all holders together stay within the limit in each window, while
+// parts move between them.
 //
 // Used on the event loop thread.
 class RateHolder {
  public:
-  explicit RateHolder(const RateMembers& members) : members_(members) {}
-
   void SetConfig(ServingConfigPtr config);
+  // Uses the loan, or extends it if its sender has lent the part already.
+  void AddLoan(const RateLoan& loan, TimePoint now);
+  // Uses no loans of `shards` any more.
+  void DropLoans(const RateShardSet& shards, TimePoint now);
+  // Returns the sum of the parts that are lent for the shard, at most 1.
+  double PartOf(size_t shard, TimePoint now);
   // Decides on a request. A query that comes again, because its answer was
-  // lost, gets the same answer and counts once.
+  // lost, gets the same answer and counts once. The outcome is kUnknown if
+  // nothing is lent for the workspace.
   RateDecision Decide(const RateRequest& request, TimePoint now);
-  // Returns the requests that were granted in the last window, by workspace.
-  std::map<std::string, double> Granted(TimePoint now);
 
  private:
+  struct Loan {
+    double part = 0;
+    TimePoint since{};
+    TimePoint until{};
+  };
   struct Usage {
+    ServingWorkspace workspace;
     TokenBucket bucket;
     SlidingWindowCounter granted;
   };
+  struct Shard {
+    std::map<std::string, Loan> loans;   // by node of the lender
+    double part = 0;                     // sum of the loans
+    std::map<std::string, Usage> usage;  // by workspace
+  };
 
   RateDecision DecideOnce(const RateRequest& request, TimePoint now);
-  Usage& UsageOf(const ServingWorkspace& workspace, TimePoint now);
+  // Ends the loans that are over, each at its own time.
+  void ExpireLoans(Shard& shard, TimePoint now);
+  // Changes the buckets of the shard after its loans changed at `at`.
+  static void UpdatePart(Shard& shard, TimePoint at);
+  static Usage& UsageOf(Shard& shard,
+                        const ServingWorkspace& workspace,
+                        TimePoint now);
 
-  const RateMembers& members_;
   ServingConfigPtr config_;
-  std::map<std::string, Usage> usage_;
+  std::array<Shard, kRateShards> shards_;
   // The latest answers, by query, and their order.
   std::map<RateRequestId, RateDecision> decided_;
   std::deque<RateRequestId> decided_order_;
--- a/src/process/limits/rate_members.cc
+++ b/src/process/limits/rate_members.cc
@@ -3,102 +3,142 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <chrono>
 #include <cmath>
 #include <nlohmann/json.hpp>
 
-#include "process/limits/sliding_window_counter.h"
 #include "process/telemetry/decision_log.h"
 
 namespace carawayrelay {
 namespace {
 
 using nlohmann::json;
-using std::chrono::milliseconds;
 
 // A member is absent when its row is unchanged in this many reads in a row.
 constexpr int kReadsUntilAbsent = 3;
 // The row of a member is removed when it is unchanged in this many reads.
-constexpr int kReadsUntilAbandoned = 30;
-// How long a frontend that did not answer is not asked again.
-constexpr milliseconds kSilencePenalty{2000};
+constexpr int kReadsUntilAbandoned = 15;
+// Reads that follow each other sooner count as one. Nearly the interval in
+// which each frontend writes its row.
+constexpr std::chrono::milliseconds kMinReadInterval{1900};
 constexpr double kMinWeight = 0.01;
 
+// Returns the ranks of a member; the highest one for a shard holds it. Over all
+// shards, members rank first in proportion to their weights.
+std::array<double, kRateShards> RanksOf(const std::string& node,
+                                        double weight) {
+  constexpr double kHashRange = 18446744073709551616.0;  // 2^64
+  std::array<double, kRateShards> ranks{};
+  for (size_t shard = 0; shard < kRateShards; ++shard) {
+    const std::uint64_t hash =
+        XXH3_64bits_withSeed(node.data(), node.size(), shard);
+    const double uniform = (static_cast<double>(hash) + 1) / (kHashRange + 2);
+    ranks[shard] = -weight / std::log(uniform);
+  }
+  return ranks;
+}
+
+}  // namespace
+
+std::string EncodeRateMemberReport(const RateMemberReport& report) {
+  return json{{"address", report.address},
+              {"weight", report.weight},
+              {"seen", report.seen_version},
+              {"counted", report.is_counted}}
+      .dump();
+}
+
 std::optional<RateMemberReport> DecodeRateMemberReport(
     const std::string& text) {
   const json root = json::parse(text, nullptr, /*allow_exceptions=*/false);
   if (!root.is_object() || !root.contains("address") ||
-      !root["address"].is_string()) {
+      !root["address"].is_string() || root["address"].empty()) {
     return std::nullopt;
   }
   RateMemberReport report{.address = root["address"].get<std::string>()};
+  if (report.address.empty()) {
+    return std::nullopt;
+  }
   if (const auto it = root.find("weight");
       it != root.end() && it->is_number()) {
     report.weight = std::max(it->get<double>(), kMinWeight);
   }
-  const auto granted = root.find("granted");
-  if (granted == root.end() || !granted->is_object()) {
-    return report;
+  if (const auto it = root.find("seen");
+      it != root.end() && it->is_number_unsigned()) {
+    report.seen_version = it->get<std::uint64_t>();
   }
-  for (const auto& [workspace, count] : granted->items()) {
-    if (count.is_number()) {
-      report.granted[workspace] = count.get<double>();
-    }
+  if (const auto it = root.find("counted");
+      it != root.end() && it->is_boolean()) {
+    report.is_counted = it->get<bool>();
   }
   return report;
 }
 
-std::uint64_t HashOf(const std::string& text, std::uint64_t seed) {
-  return XXH3_64bits_withSeed(text.data(), text.size(), seed);
-}
-
-// Returns the rank of a member for a workspace; the highest one holds it. Over
-// all workspaces, members rank first in proportion to their weights.
-double Rank(std::uint64_t hash, double weight) {
-  constexpr double kHashRange = 18446744073709551616.0;  // 2^64
-  const double uniform = (static_cast<double>(hash) + 1) / (kHashRange + 2);
-  return -weight / std::log(uniform);
-}
-
-}  // namespace
-
-std::string EncodeRateMemberReport(const RateMemberReport& report) {
-  return json{{"address", report.address},
-              {"weight", report.weight},
-              {"granted", report.granted}}
-      .dump();
-}
-
 bool RateMembers::Member::IsPresent() const {
-  return !report.address.empty() && unchanged_reads < kReadsUntilAbsent;
+  return unchanged_reads < kReadsUntilAbsent;
 }
 
-void RateMembers::Apply(const std::vector<StoredRow>& rows, TimePoint now) {
+void RateMembers::Apply(const std::vector<StoredRow>& rows,
+                        std::uint64_t version,
+                        TimePoint now) {
+  const bool is_counted =
+      !counted_read_at_ || now - *counted_read_at_ >= kMinReadInterval;
+  if (is_counted) {
+    counted_read_at_ = now;
+  }
   std::map<std::string, Member> members;
+  own_row_.reset();
+  seen_version_ = version;
   for (const StoredRow& row : rows) {
-    const auto known = members_.find(row.key.key);
-    Member member;
-    if (known != members_.end()) {
-      member = std::move(known->second);
+    const std::string& node = row.key.key;
+    if (node == node_) {
+      own_row_ = row;
     }
-    if (member.version == row.version) {
-      ++member.unchanged_reads;
-    } else {
-      auto report = DecodeRateMemberReport(row.value);
-      if (!report) {
-        LogDecision(LogEvent::kRateReportUnreadable, "member", row.key.key,
-                    "version", row.version);
-      }
-      member.report = std::move(report).value_or(RateMemberReport{});
-      member.version = row.version;
-      member.changed_at = now;
-      member.unchanged_reads = 0;
-      member.has_left = false;
-      member.hash = HashOf(row.key.key, 0);
+    const auto known = members_.find(node);
+    if (known != members_.end() && known->second.version == row.version) {
+      Member member = std::move(known->second);
+      member.unchanged_reads += is_counted ? 1 : 0;
+      members.emplace(node, std::move(member));
+      continue;
     }
-    members.emplace(row.key.key, std::move(member));
+    auto report = DecodeRateMemberReport(row.value);
+    if (!report) {
+      LogDecision(LogEvent::kRateReportUnreadable, "member", node, "version",
+                  row.version);
+      continue;
+    }
+    members.emplace(node, Member{.version = row.version,
+                                 .report = *report,
+                                 .ranks = RanksOf(node, report->weight)});
   }
   members_ = std::move(members);
-  reads_with_own_row_ += IsKnown() ? 1 : 0;
+  CountRanks();
+  peers_.clear();
+  for (const auto& [node, member] : members_) {
+    if (node != node_) {
+      peers_.push_back({.node = node, .address = member.report.address});
+    }
+  }
+}
+
+void RateMembers::CountRanks() {
+  above_.fill(0);
+  const auto own = members_.find(node_);
+  if (own == members_.end()) {
+    return;
+  }
+  for (const auto& [node, member] : members_) {
+    for (size_t shard = 0; shard < kRateShards; ++shard) {
+      above_[shard] += member.ranks[shard] > own->second.ranks[shard] ? 1 : 0;
+    }
+  }
+}
+
+bool RateMembers::HaveAllSeen(std::uint64_t version) const {
+  return std::all_of(members_.begin(), members_.end(), [&](const auto& member) {
+    return member.first == node_ ||
+           member.second.report.seen_version >= version;
+  });
 }
 
 size_t RateMembers::size() const {
@@ -107,47 +147,18 @@
                     [](const auto& item) { return item.second.IsPresent(); }));
 }
 
-std::optional<RateMembers::Holder> RateMembers::HolderOf(
-    const std::string& workspace,
-    TimePoint now) const {
-  std::optional<Holder> best;
-  double best_rank = 0;
-  for (const auto& [node, member] : members_) {
-    if (member.report.address.empty() || member.has_left ||
-        now < member.silent_until) {
-      continue;
-    }
-    const double rank =
-        Rank(HashOf(workspace, member.hash), member.report.weight);
-    if (!best || rank > best_rank) {
-      best = Holder{.node = node, .address = member.report.address};
-      best_rank = rank;
-    }
-  }
-  return best;
+double RateMembers::part() const {
+  return IsKnown() ? 1.0 / static_cast<double>(members_.size()) : 0;
 }
 
-void RateMembers::NoteSilent(const std::string& node, TimePoint now) {
-  if (const auto it = members_.find(node); it != members_.end()) {
-    it->second.silent_until = now + kSilencePenalty;
-    it->second.has_left = !it->second.IsPresent();
-  }
+const std::string* RateMembers::FindAddress(const std::string& node) const {
+  const auto it = members_.find(node);
+  return it == members_.end() ? nullptr : &it->second.report.address;
 }
 
-double RateMembers::GrantedByOthers(const std::string& workspace,
-                                    TimePoint now) const {
-  double sum = 0;
-  for (const auto& [node, member] : members_) {
-    const auto it = member.report.granted.find(workspace);
-    if (node == node_ || it == member.report.granted.end()) {
-      continue;
-    }
-    const std::chrono::duration<double> age = now - member.changed_at;
-    const double left =
-        1 - age / std::chrono::duration<double>(SlidingWindowCounter::kWindow);
-    sum += it->second * std::max(left, 0.0);
-  }
-  return sum;
+double RateMembers::RankOf(const std::string& node, size_t shard) const {
+  const auto it = members_.find(node);
+  return it == members_.end() ? 0 : it->second.ranks[shard];
 }
 
 std::vector<StoredRow> RateMembers::AbandonedRows() const {
--- a/src/process/limits/rate_members.h
+++ b/src/process/limits/rate_members.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <chrono>
+#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "connection/rate_message.h"
 #include "process/store/store_request.h"
 #include "request/boot_clock.h"
 
@@ -16,28 +17,25 @@
 // What one frontend tells the others in its row in the store.
 struct RateMemberReport {
   std::string address;  // for datagrams, "IP:port"
-  // Part of the workspaces that this frontend takes, relative to the others.
+  // Part of the shards that this frontend holds, relative to the others.
   double weight = 1;
-  // Requests that it granted in the last window, by workspace.
-  std::map<std::string, double> granted;
+  // Version of the store that the newest rows that it read reflect.
+  std::uint64_t seen_version = 0;
+  // All other frontends had seen its row when it was written.
+  bool is_counted = false;
 };
 
-// The frontends that hold the rates, according to their rows in the store.
+// The frontends that share the rates, according to their rows in the store.
 //
-// Each workspace has one holder at a time, which counts the requests that all
-// frontends admit. It is chosen by weighted rendezvous hashing, so frontends
-// that know the same members choose the same holder, and a frontend that leaves
-// moves only its own workspaces.
-//
-// A member counts as absent when its row did not change over several reads.
-// Outages of the store do not count: nobody can report then. An absent member
-// that still answers keeps its rates, because it may have lost the store only
-// and goes on to count; once it is silent as well, it has left.
+// Each of them owns an equal part of every rate and may lend it. The parts of
+// all frontends sum up to at most the whole rate: a frontend counts every row
+// that it knows, also of those that are down, and lends nothing before all
+// others have counted it.
 //
 // Used on the event loop thread.
 class RateMembers {
  public:
-  struct Holder {
+  struct Peer {
     std::string node;
     std::string address;
   };
@@ -45,26 +43,35 @@
   // `node` is the name of this frontend.
   explicit RateMembers(std::string node) : node_(std::move(node)) {}
 
-  // Applies a complete read of the rows of all frontends; keys are node names.
-  void Apply(const std::vector<StoredRow>& rows, TimePoint now);
+  // Applies a complete read of the rows of all frontends, which reflects the
+  // store at `version`; keys are node names.
+  void Apply(const std::vector<StoredRow>& rows,
+             std::uint64_t version,
+             TimePoint now);
   // Whether this frontend and therefore the others are known.
   bool IsKnown() const { return members_.contains(node_); }
-  // Whether frontends that started together with this one are known too: its
-  // own row was in two reads. A frontend that knows part of the others must not
-  // take itself for the holder of a rate.
-  bool IsSettled() const { return reads_with_own_row_ >= kReadsUntilSettled; }
-  // Returns the number of frontends that are not absent.
+  // The version of the newest read, or 0 before the first one.
+  std::uint64_t seen_version() const { return seen_version_; }
+  // The row of this frontend in the newest read, or nullptr.
+  const StoredRow* own_row() const { return own_row_ ? &*own_row_ : nullptr; }
+  // Whether all other frontends have read the rows at `version` or later.
+  bool HaveAllSeen(std::uint64_t version) const;
+  // Returns the number of frontends that are not absent: whose rows changed in
+  // the newest reads. Outages of the store do not count, since nobody can
+  // report then.
   size_t size() const;
+  // The part of each rate that this frontend owns, or 0 if it is not known.
+  double part() const;
 
-  // Returns the frontend that holds the rate of the workspace, among those that
-  // did not leave and are not silent, or nullopt when there is none.
-  std::optional<Holder> HolderOf(const std::string& workspace,
-                                 TimePoint now) const;
-  // Leaves the frontend out of HolderOf() for a while.
-  void NoteSilent(const std::string& node, TimePoint now);
-  // Returns how many requests of the workspace the other frontends granted in
-  // the last window, by their reports.
-  double GrantedByOthers(const std::string& workspace, TimePoint now) const;
+  const std::vector<Peer>& peers() const { return peers_; }
+  // Returns the address of the other frontend `node`, or nullptr.
+  const std::string* FindAddress(const std::string& node) const;
+  // Returns the rank of a frontend for a shard, or 0 if it is not known.
+  // Weighted rendezvous hashing: frontends that know the same members agree on
+  // the ranks, and a frontend that leaves moves only its own shards.
+  double RankOf(const std::string& node, size_t shard) const;
+  // Returns how many frontends rank above this one.
+  size_t CountAbove(size_t shard) const { return above_[shard]; }
   // Returns the keys and versions of rows that did not change for long enough
   // to remove them from the store.
   std::vector<StoredRow> AbandonedRows() const;
@@ -72,24 +79,29 @@
  private:
   struct Member {
     std::uint64_t version = 0;
-    TimePoint changed_at{};
-    // Reads since the row changed.
+    // Reads since the row changed, without those that came soon after another:
+    // the owner had no time to write its row in between.
     int unchanged_reads = 0;
-    bool has_left = false;  // absent, and silent since
     RateMemberReport report;
-    std::uint64_t hash = 0;  // of the node name
-    TimePoint silent_until{};
+    std::array<double, kRateShards> ranks{};
 
     bool IsPresent() const;
   };
 
-  static constexpr int kReadsUntilSettled = 2;
+  void CountRanks();
 
   std::string node_;
+  // Without rows that cannot be read.
   std::map<std::string, Member> members_;
-  int reads_with_own_row_ = 0;
+  std::vector<Peer> peers_;
+  // Number of frontends that rank above this one, by shard.
+  std::array<size_t, kRateShards> above_{};
+  std::optional<StoredRow> own_row_;
+  std::uint64_t seen_version_ = 0;
+  std::optional<TimePoint> counted_read_at_;
 };
 
 std::string EncodeRateMemberReport(const RateMemberReport& report);
+std::optional<RateMemberReport> DecodeRateMemberReport(const std::string& text);
 
 }  // namespace carawayrelay
--- a/src/process/serving/frontend_process.cc
+++ b/src/process/serving/frontend_process.cc
@@ -94,7 +94,7 @@
       RateMemberReporter::Options{.node = settings_.node,
                                   .address = settings_.listen_peers,
                                   .weight = settings_.cpu_cores},
-      rates_, core_->store(), core_->clock());
+      rates_, core_->store().sender(), core_->clock());
   job_api_ =
       std::make_unique<JobApi>(core_->jobs(), core_->writer(), core_->store(),
                                core_->clock(), send_response);
@@ -198,6 +198,7 @@
                  },
                  [&](ShutdownRequested&) {
                    stop_.Begin(now);
+                   rates_.Leave(now);
                    last_active_ = now;
                    is_ready_ = false;
                    LogDecision(LogEvent::kServingStopping, "active",
--- a/src/process/serving/frontend_process_monitoring.cc
+++ b/src/process/serving/frontend_process_monitoring.cc
@@ -14,8 +14,7 @@
 
 void FrontendProcess::UpdateReadiness(TimePoint now) {
   const bool is_ready = !stop_.HasBegun() && !RefusalForAnyRequest(now) &&
-                        rates_.members().IsKnown() &&
-                        core_->backends().size() > 0;
+                        rates_.IsReady(now) && core_->backends().size() > 0;
   if (is_ready_.exchange(is_ready) != is_ready) {
     const std::optional<Duration> age = core_->operators().Age(now);
     LogDecision(LogEvent::kServingReadiness, "ready", is_ready, "config_age_ms",
--- a/src/process/telemetry/events.cc
+++ b/src/process/telemetry/events.cc
@@ -32,6 +32,10 @@
       return "rate_report_unreadable";
     case LogEvent::kRateHolderSilent:
       return "rate_holder_silent";
+    case LogEvent::kRateMemberCounted:
+      return "rate_member_counted";
+    case LogEvent::kRateShardsHeld:
+      return "rate_shards_held";
     case LogEvent::kDatagramFailed:
       return "datagram_failed";
     case LogEvent::kBackendChanged:
--- a/tests/connection/rate_message_test.cc
+++ b/tests/connection/rate_message_test.cc
@@ -31,6 +31,62 @@
   CHECK(read.retry_after == milliseconds(250));
 }
 
+// Guards against a part of a rate that is lent with other values than it is
+// used with.
+TEST_CASE_FIXTURE(RateMessageFixture,
+                  "RateMessage, loans written and read, are the same") {
+  RateShardSet shards;
+  shards.set(0).set(kRateShards - 1);
+  const auto request = DecodeRateMessage(EncodeRateMessage(
+      RateLoanRequest{.node = "n",
+                      .process = RateProcessId{0xfedcba9876543210},
+                      .sent_at = std::chrono::microseconds(123456789012),
+                      .shards = shards}));
+  REQUIRE(request);
+  const auto& asked = std::get<RateLoanRequest>(request.value());
+  CHECK(asked.node == "n");
+  CHECK(asked.process == RateProcessId{0xfedcba9876543210});
+  CHECK(asked.sent_at == std::chrono::microseconds(123456789012));
+  CHECK(asked.shards == shards);
+  const RateLoan loan{.node = "m",
+                      .process = RateProcessId{4},
+                      .holder = RateProcessId{5},
+                      .request_sent_at = std::chrono::microseconds(6),
+                      .duration = milliseconds(1000),
+                      .part = 1.0 / 7,
+                      .shards = shards};
+  const auto read = DecodeRateMessage(EncodeRateMessage(loan));
+  REQUIRE(read);
+  const auto& lent = std::get<RateLoan>(read.value());
+  CHECK(lent.node == loan.node);
+  CHECK(lent.process == loan.process);
+  CHECK(lent.holder == loan.holder);
+  CHECK(lent.request_sent_at == loan.request_sent_at);
+  CHECK(lent.duration == loan.duration);
+  CHECK(lent.part == loan.part);
+  CHECK(lent.shards == loan.shards);
+  const auto returned = DecodeRateMessage(
+      EncodeRateMessage(RateLoanReturn{.node = "n",
+                                       .process = RateProcessId{7},
+                                       .sent_at = std::chrono::microseconds(8),
+                                       .shards = shards}));
+  REQUIRE(returned);
+  CHECK(std::get<RateLoanReturn>(returned.value()).shards == shards);
+  CHECK(std::get<RateLoanReturn>(returned.value()).sent_at ==
+        std::chrono::microseconds(8));
+}
+
+// Guards against a damaged loan of more than a whole rate.
+TEST_CASE_FIXTURE(RateMessageFixture,
+                  "RateMessage, loan out of range, is refused") {
+  for (const double part : {-1.0, 0.0, 1.5}) {
+    CHECK_FALSE(DecodeRateMessage(EncodeRateMessage(
+        RateLoan{.duration = milliseconds(1), .part = part})));
+  }
+  CHECK_FALSE(DecodeRateMessage(EncodeRateMessage(
+      RateLoan{.duration = std::chrono::hours(1), .part = 1})));
+}
+
 // Guards against a datagram of another program that ends the process.
 TEST_CASE_FIXTURE(RateMessageFixture,
                   "RateMessage, random bytes, never throws") {
