A response that ends inside its head is not complete

Reported by other operators: a runner stopped in the middle of its answer's head and closed, and clients got a 200 with an empty body, framed as whole.

Cause: libcurl reports such a response as complete, with the status that it read. The role agent passed an answer of a plain service on as whole then, and the blocking client (store, operators' commands) took it for an empty one. OnlineForwarder and ItemWorker wait for the whole head and failed such an attempt, but by chance and without a reason.

Change: all three clients fail the call unless the whole head arrived.

--- a/src/process/transport/async_http_client.cc
+++ b/src/process/transport/async_http_client.cc
@@ -102,6 +102,7 @@
     EasyPtr easy;
     ListPtr headers;
     bool was_sent = false;
+    bool has_head = false;  // the whole head of the response arrived
     size_t head_bytes = 0;
     size_t body_bytes = 0;
     // Why this client ended the call itself; empty if it did not.
@@ -276,6 +277,7 @@
     if (status < 200) {
       return;
     }
+    transfer.has_head = true;
     transfer.head.status = static_cast<int>(status);
     deliver_(std::move(transfer.head));
     transfer.head = {.id = transfer.call.id};
@@ -308,7 +310,7 @@
       const auto transfer =
           RemoveTransfer(static_cast<Transfer*>(user)->call.id);
       deliver_(CallEnd{.id = transfer->call.id,
-                       .is_complete = code == CURLE_OK,
+                       .is_complete = code == CURLE_OK && transfer->has_head,
                        .was_sent = transfer->was_sent,
                        .reason = EndReason(*transfer, code)});
     }
@@ -318,7 +320,11 @@
     if (!transfer.abort_reason.empty()) {
       return transfer.abort_reason;
     }
-    return code == CURLE_OK ? std::string() : curl_easy_strerror(code);
+    if (code != CURLE_OK) {
+      return curl_easy_strerror(code);
+    }
+    // libcurl takes a response that ends inside its head for a complete one.
+    return transfer.has_head ? "" : "the response ended inside its head";
   }
 
   // Removes and returns a transfer, or nullptr if the id is unknown. libcurl
--- a/src/process/transport/http_client.cc
+++ b/src/process/transport/http_client.cc
@@ -26,6 +26,8 @@
 struct Reception {
   HttpResponse& response;
   size_t bytes_left;  // until the limit
+  // The head of the response, or of an interim response, arrived as a whole.
+  bool has_head = false;
 
   // Counts `size` more bytes. Returns false when they exceed the limit.
   bool Take(size_t size) {
@@ -62,6 +64,7 @@
   if (!reception.Take(line.size())) {
     return 0;
   }
+  reception.has_head = line == "\r\n" || line == "\n";
   const size_t colon = line.find(':');
   if (colon != std::string_view::npos) {
     std::string name(line.substr(0, colon));
@@ -119,6 +122,11 @@
       return Error{WasSent() ? ErrorCode::kUnknown : ErrorCode::kUnavailable,
                    options_.base_url + ": " + curl_easy_strerror(code)};
     }
+    // libcurl takes a response that ends inside its head for a complete one.
+    if (!reception.has_head) {
+      return Error{ErrorCode::kUnknown,
+                   options_.base_url + ": the response ended inside its head"};
+    }
     long status = 0;
     long connects = 0;
     curl_easy_getinfo(curl_.get(), CURLINFO_RESPONSE_CODE, &status);
