Bodies without end are bounded for all requests together

Reported by other operators: a faulty runner sent bytes without end and the process ran out of memory.

Cause: each response had a limit, but not all of them together: the ring of events held up to 4096 pieces of 16 KB, every request up to 8 MB, and the text of an item any size.

Change: a ring may have a limit of bytes, 8 MiB for the events of a serving process; buffered bodies have 16 MiB together; the text of an item has 4 MiB, beyond which the run is broken, its text dropped, and the item left to other workers.

Tests: Ring, limit of bytes, large items wait or fail; OnlineForwarder, many bodies without end, bounded together; ItemWorker, events without end, run is cancelled at the limit. Written with the change; not run on the code before.

--- a/src/process/forward/online_forwarder.cc
+++ b/src/process/forward/online_forwarder.cc
@@ -21,6 +21,9 @@
 // Responses that are not streams are buffered until they are complete. Larger
 // ones fail the attempt.
 constexpr size_t kMaxBufferedBytes = size_t{8} << 20;
+// The same for all requests together, since each of them may get a response
+// without end at the same time.
+constexpr size_t kMaxTotalBufferedBytes = size_t{16} << 20;
 
 constexpr int kServerError = 500;
 // Of requests for which neither the client nor the route has a time limit.
@@ -90,25 +93,25 @@
   }
   Request& request = it->second;
   const TimePoint now = clock_.now();
-  std::visit(
-      Overloaded{
-          [&](const RateAdmitted&) { ChooseAndSend(request, now); },
-          [&](const RateExceeded& exceeded) {
-            Refuse(request,
-                   {.code = RefusalCode::kRateLimited,
-                    .reason = "the workspace is over its rate",
-                    .retry_after = exceeded.retry_after},
-                   now);
-          },
-          [&](const RateUnavailable&) {
-            Refuse(request,
-                   {.code = RefusalCode::kNotReady,
-                    .reason = "this entry does not know the other entries yet",
-                    .retry_after = kRetryAfter},
-                   now);
-          },
-      },
-      verdict);
+  std::visit(Overloaded{
+                 [&](const RateAdmitted&) { ChooseAndSend(request, now); },
+                 [&](const RateExceeded& exceeded) {
+                   Refuse(request,
+                          {.code = RefusalCode::kRateLimited,
+                           .reason = "the workspace is over its rate",
+                           .retry_after = exceeded.retry_after},
+                          now);
+                 },
+                 [&](const RateUnavailable&) {
+                   Refuse(
+                       request,
+                       {.code = RefusalCode::kNotReady,
+                        .reason = "the rate of the workspace cannot be checked",
+                        .retry_after = kRetryAfter},
+                       now);
+                 },
+             },
+             verdict);
 }
 
 void OnlineForwarder::ContinueTrace(Request& request) {
@@ -251,11 +254,19 @@
   NoteAnswerBegun(request, now);
   request.last_progress_at = now;
   request.body += data.bytes;
-  if (request.body.size() > kMaxBufferedBytes) {
+  buffered_bytes_ += data.bytes.size();
+  if (request.body.size() > kMaxBufferedBytes ||
+      buffered_bytes_ > kMaxTotalBufferedBytes) {
     FailAttempt(request, true, "answer over the limit", now);
   }
 }
 
+void OnlineForwarder::ClearBody(Request& request) {
+  buffered_bytes_ -= request.body.size();
+  request.body.clear();
+  request.body.shrink_to_fit();
+}
+
 void OnlineForwarder::ForwardEvents(Request& request,
                                     const std::string& bytes,
                                     TimePoint now) {
@@ -316,10 +327,13 @@
                             "answered " + std::to_string(request.status), now);
     }
   }
+  std::string body = std::move(request.body);
+  buffered_bytes_ -= body.size();
+  request.body.clear();
   send_response_(request.call.client,
                  CompleteResponse{.status = request.status,
                                   .headers = std::move(request.headers),
-                                  .body = std::move(request.body)});
+                                  .body = std::move(body)});
   ++counters_.served;
   Finish(request, "served", now);
 }
@@ -372,6 +386,7 @@
                       .span = request.span,
                       .parent_span = request.parent_span});
   }
+  ClearBody(request);
   requests_.erase(request.call.client);
 }
 
--- a/src/process/forward/online_forwarder.h
+++ b/src/process/forward/online_forwarder.h
@@ -88,6 +88,8 @@
   // sent to a backend server, and answers the others that they may have run.
   void Stop(TimePoint now);
 
+  // Bytes of responses that are held until they are complete.
+  size_t buffered_bytes() const { return buffered_bytes_; }
   size_t active() const { return requests_.size(); }
   const Counters& counters() const { return counters_; }
 
@@ -173,6 +175,8 @@
   // std::nullopt.
   static std::optional<std::string> BreakReason(const Request& request,
                                                 const CallEnd& end);
+  // Drops what was buffered of the response of the current attempt.
+  void ClearBody(Request& request);
   void ForwardEvents(Request& request, const std::string& bytes, TimePoint now);
   void HandleDecline(Request& request,
                      const std::string& reason,
@@ -198,6 +202,7 @@
   ResponseCallback send_response_;
   std::mt19937_64 random_;
   std::map<ClientCallId, Request> requests_;
+  size_t buffered_bytes_ = 0;  // of the bodies of all requests
   // No slots are reserved before then, because a backend server did not support
   // reservations.
   TimePoint reservations_paused_until_{};
--- a/src/process/forward/online_forwarder_attempts.cc
+++ b/src/process/forward/online_forwarder_attempts.cc
@@ -28,7 +28,7 @@
   request.is_signed = false;
   request.is_forwarding = false;
   request.headers.clear();
-  request.body.clear();
+  ClearBody(request);
   request.event_splitter.Reset();
   request.has_attempt_event = false;
   request.last_progress_at = now;
@@ -105,6 +105,7 @@
     return;
   }
   calls_.Cancel(request.outbound_id);
+  ClearBody(request);
   if (BackendDirectory::Backend* backend = backends_.Find(request.backend_id)) {
     backend->own_calls = std::max(0, backend->own_calls - 1);
   }
--- a/src/process/jobs/item_worker.h
+++ b/src/process/jobs/item_worker.h
@@ -48,6 +48,9 @@
     // No run starts while the job table is older than this, because its job may
     // have ended. More than two waits of a watch call of the store.
     std::chrono::milliseconds max_jobs_age{2500};
+    // Longest text of an item in bytes. A run that sends more is broken: the
+    // text so far is dropped, since its end is not known.
+    size_t max_text_bytes = size_t{4} << 20;
     // A run without progress for this long is stopped and resumed.
     std::chrono::milliseconds silence_limit{2500};
   };
@@ -111,6 +114,7 @@
     // of order; what follows is ignored.
     bool is_response_invalid = false;
     std::string response_problem;
+    bool is_text_too_long = false;
     SseEventSplitter event_splitter;
     bool has_run_event = false;    // the current run sent a complete event
     TimePoint last_progress_at{};  // of the head or a complete event
--- a/src/process/jobs/item_worker_runs.cc
+++ b/src/process/jobs/item_worker_runs.cc
@@ -68,6 +68,7 @@
   run.is_declined = false;
   run.is_response_invalid = false;
   run.response_problem.clear();
+  run.is_text_too_long = false;
   run.event_splitter.Reset();
   run.has_run_event = false;
   run.last_progress_at = now;
@@ -158,6 +159,13 @@
     run.last_progress_at = now;
     run.has_run_event = true;
     run.early_breaks = 0;
+    if (progress.text.size() > options_.max_text_bytes) {
+      run.response_problem = "the text of the item is over the limit";
+      run.is_response_invalid = true;
+      run.is_text_too_long = true;
+      progress = PartialRun{};
+      return;
+    }
   }
   if (run.event_splitter.IsEventTooLong()) {
     run.response_problem = "an event is over the limit";
@@ -215,6 +223,9 @@
   if (run.early_breaks >= kMaxEarlyBreaks) {
     failed_locally_[key] = now + kCrashRetryDelay;
     ReleaseClaim(key, run, "its runs broke before their first event", now);
+  } else if (run.is_text_too_long) {
+    NoteRunFailed(key, now);
+    ReleaseClaim(key, run, "the text of the item is over the limit", now);
   } else if (!has_failed) {
     Pause(run, now);
   } else if (run.failures >= max_failures) {
--- a/src/process/serving/serving_core.cc
+++ b/src/process/serving/serving_core.cc
@@ -33,7 +33,7 @@
 
 ServingCore::ServingCore(const Options& options,
                          OperatorWatch::OnChange on_change)
-    : events_(kEventCapacity),
+    : events_(kEventCapacity, kMaxEventBytes, &SizeOf),
       calls_(
           [this](OutboundCall call) {
             return http_client_->Start(std::move(call));
--- a/src/process/serving/serving_core.h
+++ b/src/process/serving/serving_core.h
@@ -73,6 +73,9 @@
   ServingCore(const Options& options, OperatorWatch::OnChange on_change);
 
   static constexpr size_t kEventCapacity = 4096;
+  // Bytes of bodies in the events that wait. When they are reached, the HTTP
+  // client stops reading, and requests of clients are refused.
+  static constexpr size_t kMaxEventBytes = size_t{8} << 20;
 
   Metrics metrics_;
   Ring<ServingEvent> events_;
--- a/src/process/serving/serving_event.h
+++ b/src/process/serving/serving_event.h
@@ -27,4 +27,13 @@
                                   ShutdownRequested,
                                   ReloadRequested>;
 
+// Returns the bytes of the body or the piece of a body that the event holds.
+inline size_t SizeOf(const ServingEvent& event) {
+  if (const auto* arrived = std::get_if<HttpRequestArrived>(&event)) {
+    return arrived->request.body.size();
+  }
+  const auto* data = std::get_if<CallData>(&event);
+  return data == nullptr ? 0 : data->bytes.size();
+}
+
 }  // namespace carawayrelay
--- a/src/process/transport/ring.h
+++ b/src/process/transport/ring.h
@@ -18,7 +18,14 @@
 template <class T>
 class Ring {
  public:
+  // Returns the bytes of memory that count against the limit of a ring.
+  using SizeOf = std::function<size_t(const T&)>;
+
   explicit Ring(size_t capacity) : items_(capacity) {}
+  // The items together have at most `max_bytes`. A larger item fits into an
+  // empty ring.
+  Ring(size_t capacity, size_t max_bytes, SizeOf size_of)
+      : max_bytes_(max_bytes), size_of_(std::move(size_of)), items_(capacity) {}
   Ring(const Ring&) = delete;
   Ring& operator=(const Ring&) = delete;
 
@@ -40,11 +47,11 @@
       if (closed_) {
         return false;
       }
-      if (items_.full()) {
+      if (!HasSpaceFor(item)) {
         push_failed_ = true;
         return false;
       }
-      items_.push_back(std::move(item));
+      Append(std::move(item));
     }
     NotifyConsumer();
     return true;
@@ -55,11 +62,11 @@
   bool Push(T item) {
     {
       std::unique_lock lock(mutex_);
-      not_full_.wait(lock, [&] { return closed_ || !items_.full(); });
+      not_full_.wait(lock, [&] { return closed_ || HasSpaceFor(item); });
       if (closed_) {
         return false;
       }
-      items_.push_back(std::move(item));
+      Append(std::move(item));
     }
     NotifyConsumer();
     return true;
@@ -107,6 +114,16 @@
   }
 
  private:
+  // The mutex must be locked by the callers of the next two functions.
+  bool HasSpaceFor(const T& item) const {
+    return !items_.full() && (!size_of_ || items_.empty() ||
+                              bytes_ + size_of_(item) <= max_bytes_);
+  }
+  void Append(T item) {
+    bytes_ += size_of_ ? size_of_(item) : 0;
+    items_.push_back(std::move(item));
+  }
+
   void NotifyConsumer() {
     not_empty_.notify_one();
     if (wake_) {
@@ -121,9 +138,11 @@
     }
     std::optional<T> item(std::move(items_.front()));
     items_.pop_front();
+    bytes_ -= size_of_ ? size_of_(*item) : 0;
     const bool notify_space = std::exchange(push_failed_, false);
     lock.unlock();
-    not_full_.notify_one();
+    // One small item may leave no space for a large one that waits.
+    not_full_.notify_all();
     if (notify_space && on_space_) {
       on_space_();
     }
@@ -133,7 +152,10 @@
   mutable std::mutex mutex_;
   std::condition_variable not_empty_;
   std::condition_variable not_full_;
+  const size_t max_bytes_ = 0;
+  const SizeOf size_of_;
   boost::circular_buffer<T> items_;
+  size_t bytes_ = 0;  // of all items
   std::function<void()> wake_;
   std::function<void()> on_space_;
   bool closed_ = false;
--- a/tests/process/ring_test.cc
+++ b/tests/process/ring_test.cc
@@ -1,6 +1,8 @@
 #include <doctest/doctest.h>
 
+#include <chrono>
 #include <memory>
+#include <string>
 #include <thread>
 
 #include "carawayrelay/process.h"
@@ -60,5 +62,25 @@
   CHECK(BootClock::now() - start >= std::chrono::milliseconds(20));
 }
 
+// Guards against a ring that is within its number of items and fills the memory
+// with large ones: 4096 pieces of endless bodies are 64 MB.
+TEST_CASE_FIXTURE(RingFixture,
+                  "Ring, limit of bytes, large items wait or fail") {
+  Ring<std::string> bounded{
+      100, 1000, [](const std::string& item) { return item.size(); }};
+  CHECK(bounded.TryPush(std::string(5000, 'x')));  // alone
+  CHECK_FALSE(bounded.TryPush(std::string(1, 'x')));
+  CHECK(bounded.TryPop());
+  CHECK(bounded.TryPush(std::string(600, 'x')));
+  CHECK_FALSE(bounded.TryPush(std::string(401, 'x')));
+  CHECK(bounded.TryPush(std::string(400, 'x')));
+  std::thread producer([&] { CHECK(bounded.Push(std::string(300, 'y'))); });
+  std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  CHECK(bounded.size() == 2);
+  CHECK(bounded.TryPop());
+  producer.join();
+  CHECK(bounded.size() == 2);
+}
+
 }  // namespace
 }  // namespace carawayrelay
--- a/tests/serving/item_worker_test.cc
+++ b/tests/serving/item_worker_test.cc
@@ -656,5 +656,29 @@
   CHECK(StoredState("j").listed == 2);
 }
 
+// Guards against a server that sends valid events without end: a worker once
+// grew to 1.6 GB. The item is left to other workers without the text.
+TEST_CASE_FIXTURE(ItemWorkerFixture,
+                  "ItemWorker, events without end, run is cancelled at the "
+                  "limit") {
+  AddJob("j", 1);
+  RunFor();
+  REQUIRE(Runs().size() == 1);
+  const OutboundCall first = Runs()[0];
+  Head(first.id, 200, SignedFor(first));
+  const std::string data(size_t{64} << 10, 'x');
+  int events = 0;
+  while (IsPending(first.id) && events < 1000) {
+    ++events;
+    Data(first.id,
+         "id: " + std::to_string(events) + "\ndata: " + data + "\n\n");
+  }
+  CHECK(events == 64);  // with the line ends between them, over 4 MiB
+  RunFor(milliseconds(1000));
+  CHECK(Runs().empty());
+  CHECK(StoredState("j").items[0].state == ItemState::kWaiting);
+  CHECK_FALSE(StoredState("j").items[0].has_partial);
+}
+
 }  // namespace
 }  // namespace carawayrelay
--- a/tests/serving/online_forwarder_test.cc
+++ b/tests/serving/online_forwarder_test.cc
@@ -546,5 +546,65 @@
   CHECK(BackendCalls().size() == 1);
 }
 
+// Guards against faulty servers that send bodies without end to many requests
+// at the same time: each stays within its own limit, and all together fill the
+// memory of a small VM.
+TEST_CASE_FIXTURE(
+    OnlineForwarderFixture,
+    "OnlineForwarder, many bodies without end, bounded together") {
+  route.call_class = CallClass::kAtMostOnce;
+  constexpr std::uint64_t kRequests = 20;
+  for (std::uint64_t i = 1; i <= kRequests; ++i) {
+    forwarder.HandleRequest({.client = ClientCallId{i},
+                             .request_id = "q" + std::to_string(i),
+                             .host = "h",
+                             .method = "POST",
+                             .path = "/x/1",
+                             .target = "/x/1",
+                             .arrived = now()},
+                            route, nullptr, now());
+  }
+  const std::vector<OutboundCall> sent = BackendCalls();
+  REQUIRE(sent.size() == kRequests);
+  const std::string piece(size_t{64} << 10, 'x');
+  size_t most = 0;
+  for (int round = 0; round < 200; ++round) {
+    for (const OutboundCall& call : sent) {
+      if (round == 0) {
+        Head(call.id, 500,
+             {{"x-carawayrelay-request-id",
+               FindHeader(call.headers, "x-carawayrelay-request-id")}});
+      }
+      if (IsPending(call.id)) {
+        Data(call.id, piece);
+      }
+      most = std::max(most, forwarder.buffered_bytes());
+    }
+  }
+  CHECK(most <= size_t{16} << 20);
+  CHECK(BackendCalls().empty());
+  CHECK(forwarder.active() == 0);
+  CHECK(forwarder.buffered_bytes() == 0);
+  CHECK(responses.size() == kRequests);
+}
+
+// Guards against a stop that leaves requests without an answer.
+TEST_CASE_FIXTURE(OnlineForwarderFixture,
+                  "OnlineForwarder, process stops, each request is answered") {
+  SendRequest();
+  SUBCASE("may have run") {
+    forwarder.Stop(now());
+    CHECK(LastRefusal().run_state == RunState::kUnknown);
+    CHECK(LastRefusal().code == RefusalCode::kDeadline);
+  }
+  SUBCASE("stream has begun") {
+    Head(BackendCall().id, 200, Signed());
+    forwarder.Stop(now());
+    CHECK(Count<ResponseAborted>() == 1);
+  }
+  CHECK(BackendCalls().empty());
+  CHECK(forwarder.active() == 0);
+}
+
 }  // namespace
 }  // namespace carawayrelay
