--- a/tools/harness/soak.cc
+++ b/tools/harness/soak.cc
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "harness/port_block.h"
 #include "harness/soak_fleet.h"
 #include "harness/soak_history.h"
 #include "harness/soak_load.h"
@@ -24,11 +25,6 @@
 constexpr milliseconds kProbeTimeout{6000};
 // Limit of the peak resident memory of each frontend or worker.
 constexpr std::uint64_t kMaxResidentBytes = std::uint64_t{60} << 20;
-// Below the range from which the kernel assigns ports to outgoing connections,
-// so that none of them takes a port of a fleet.
-constexpr std::uint16_t kFirstPort = 21000;
-// Range of ports for each of the concurrent soaks.
-constexpr std::uint16_t kPortsPerLane = 100;
 
 struct SeedReport {
   SoakPlan plan;
@@ -205,14 +201,17 @@
   int passed = 0;
   int failed = 0;
   std::atomic<int> next{0};
-  const auto run_seeds = [&](int index) {
-    const auto first_port =
-        static_cast<std::uint16_t>(kFirstPort + index * kPortsPerLane);
+  const auto run_seeds = [&] {
+    const auto ports = PortBlock::Claim();
+    if (!ports) {
+      fmt::print("{}\n", ports.error().message);
+      return;
+    }
     for (int i = next++; i < options.seeds && !stop.HasArrived(); i = next++) {
       SeedRun run(
           options.program_directory,
           MakeSoakPlan(options.first_seed + static_cast<std::uint64_t>(i)),
-          first_port);
+          ports.value()->first_port());
       const SeedReport report = run.Run();
       std::lock_guard lock(mutex);
       Print(report);
@@ -227,7 +226,7 @@
   std::vector<std::thread> threads;
   threads.reserve(static_cast<size_t>(options.lanes));
   for (int i = 0; i < options.lanes; ++i) {
-    threads.emplace_back(run_seeds, i);
+    threads.emplace_back(run_seeds);
   }
   for (std::thread& thread : threads) {
     thread.join();
