--- a/src/process/jobs/item_worker_give_up.cc
+++ b/src/process/jobs/item_worker_give_up.cc
@@ -17,8 +17,8 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kGiveUpCheckInterval{500};
-// Items that one write gives up: less than a transaction may hold, so that other
-// changes of the job fit beside them.
+// Items that one write gives up: less than a transaction may hold, so that
+// other changes of the job fit beside them.
 constexpr size_t kMaxItemsPerGiveUp =
     RowsTransaction::kMaxEntries / kEntriesPerListing - 10;
 
