Rates: a refusal says when the rate is likely to be held again

Change: RateUnavailable tells when the part of this frontend is free, plus the time of a request for loans; the client gets that as Retry-After, at most 1.5 s. A method of RateHolder that nothing used is removed.

Test: RateAdmission, all frontends restart, refusal says when to come back. Written with the change; not run on the code before.

--- a/src/process/forward/online_forwarder.cc
+++ b/src/process/forward/online_forwarder.cc
@@ -13,8 +13,7 @@
 
 using std::chrono::milliseconds;
 
-// When a client should retry if no backend server had capacity, or this
-// frontend has just started.
+// When a client should retry if no backend server had capacity.
 constexpr milliseconds kRetryAfter{100};
 // Header with the trace context of a request (W3C Trace Context).
 constexpr const char* kTraceHeader = "traceparent";
@@ -102,12 +101,12 @@
                            .retry_after = exceeded.retry_after},
                           now);
                  },
-                 [&](const RateUnavailable&) {
+                 [&](const RateUnavailable& unavailable) {
                    Refuse(
                        request,
                        {.code = RefusalCode::kNotReady,
                         .reason = "the rate of the workspace cannot be checked",
-                        .retry_after = kRetryAfter},
+                        .retry_after = unavailable.retry_after},
                        now);
                  },
              },
--- a/src/process/limits/rate_admission.cc
+++ b/src/process/limits/rate_admission.cc
@@ -28,6 +28,10 @@
 // A loan outlasts this many requests, since datagrams may be lost or late.
 constexpr int kRequestsPerLoan = 5;
 constexpr int kRequestsUntilSilent = 4;
+// Limits of the time after which a client may send a request again that no
+// holder decided.
+constexpr milliseconds kMinRetryAfter{100};
+constexpr milliseconds kMaxRetryAfter{1500};
 // How often a frontend checks which shards it holds.
 constexpr milliseconds kUpdateInterval{25};
 
@@ -79,12 +83,13 @@
       members_.IsKnown() ? holders_.HolderOf(RateShardOf(workspace.name), now)
                          : std::nullopt;
   if (holder == node_) {
-    Finish(query, holder_.Decide({.id = id, .workspace = workspace.name}, now));
+    Finish(query, holder_.Decide({.id = id, .workspace = workspace.name}, now),
+           now);
     return;
   }
   const std::string* address = holder ? members_.FindAddress(*holder) : nullptr;
   if (address == nullptr) {
-    Finish(query, {.id = id});
+    Finish(query, {.id = id}, now);
     return;
   }
   ++counters_.asked;
@@ -100,7 +105,19 @@
   queries_.insert_or_assign(id, std::move(query));
 }
 
-void RateAdmission::Finish(const Query& query, const RateDecision& decision) {
+milliseconds RateAdmission::TimeUntilHeld(const std::string& workspace,
+                                          TimePoint now) const {
+  const TimePoint free_at =
+      std::min(lender_.FreeAt(RateShardOf(workspace)), now + kMaxRetryAfter);
+  const Duration wait =
+      std::max(free_at - now, Duration(0)) + holders_.timing().request_interval;
+  return std::clamp(std::chrono::ceil<milliseconds>(wait), kMinRetryAfter,
+                    kMaxRetryAfter);
+}
+
+void RateAdmission::Finish(const Query& query,
+                           const RateDecision& decision,
+                           TimePoint now) {
   switch (decision.outcome) {
     case RateOutcome::kGranted:
       query.done(RateAdmitted{});
@@ -110,7 +127,8 @@
       return;
     case RateOutcome::kUnknown:
       ++counters_.alone;
-      query.done(RateUnavailable{});
+      query.done(
+          RateUnavailable{.retry_after = TimeUntilHeld(query.workspace, now)});
       return;
   }
 }
@@ -134,7 +152,7 @@
   if (auto node = queries_.extract(decision.id)) {
     const Query& query = node.mapped();
     const bool is_late = now - query.started_at > kMaxAnswerAge;
-    Finish(query, is_late ? RateDecision{.id = decision.id} : decision);
+    Finish(query, is_late ? RateDecision{.id = decision.id} : decision, now);
   }
 }
 
@@ -220,7 +238,7 @@
     LogDecision(LogEvent::kRateHolderSilent, "holder", query.holder,
                 "workspace", query.workspace);
     holders_.NoteSilent(query.holder, now);
-    Finish(query, {.id = id});
+    Finish(query, {.id = id}, now);
   }
 }
 
--- a/src/process/limits/rate_admission.h
+++ b/src/process/limits/rate_admission.h
@@ -27,7 +27,10 @@
   std::chrono::milliseconds retry_after{0};
 };
 // No frontend that holds the rate answers.
-struct RateUnavailable {};
+struct RateUnavailable {
+  // When the rate is likely to be held again.
+  std::chrono::milliseconds retry_after{0};
+};
 using RateVerdict = std::variant<RateAdmitted, RateExceeded, RateUnavailable>;
 
 // Keeps the rates of workspaces over all frontends together: asks the holder of
@@ -97,7 +100,10 @@
   };
 
   void SendQuery(RateRequestId id, Query query, TimePoint now);
-  void Finish(const Query& query, const RateDecision& decision);
+  void Finish(const Query& query, const RateDecision& decision, TimePoint now);
+  // Returns when a holder is likely to have loans of the workspace's rate.
+  std::chrono::milliseconds TimeUntilHeld(const std::string& workspace,
+                                          TimePoint now) const;
   void RepeatQueries(TimePoint now);
   // Returns the loans of shards that this frontend no longer holds, and asks
   // for loans of those that it holds.
--- a/src/process/limits/rate_holder.cc
+++ b/src/process/limits/rate_holder.cc
@@ -85,11 +85,6 @@
   }
 }
 
-double RateHolder::PartOf(size_t shard, TimePoint now) {
-  ExpireLoans(shards_[shard], now);
-  return shards_[shard].part;
-}
-
 void RateHolder::ExpireLoans(Shard& shard, TimePoint now) {
   while (true) {
     const auto first =
--- a/src/process/limits/rate_holder.h
+++ b/src/process/limits/rate_holder.h
@@ -36,8 +36,6 @@
   void AddLoan(const RateLoan& loan, TimePoint now);
   // Uses no loans of `shards` any more.
   void DropLoans(const RateShardSet& shards, TimePoint now);
-  // Returns the sum of the parts that are lent for the shard, at most 1.
-  double PartOf(size_t shard, TimePoint now);
   // Decides on a request. A query that comes again, because its answer was
   // lost, gets the same answer and counts once. The outcome is kUnknown if
   // nothing is lent for the workspace.
--- a/src/process/limits/rate_lender.cc
+++ b/src/process/limits/rate_lender.cc
@@ -4,6 +4,10 @@
 
 namespace carawayrelay {
 
+TimePoint RateLender::FreeAt(size_t shard) const {
+  return std::max(starts_at_, loans_[shard].until);
+}
+
 RateShardSet RateLender::Lend(const RateLoanRequest& request,
                               const RateShardSet& shards,
                               std::chrono::milliseconds duration,
--- a/src/process/limits/rate_lender.h
+++ b/src/process/limits/rate_lender.h
@@ -25,6 +25,10 @@
   bool IsStarted() const { return starts_at_ != TimePoint::max(); }
   bool IsLending(TimePoint now) const { return now >= starts_at_; }
 
+  // Returns when the part of the shard can be lent to a frontend that does not
+  // have it yet.
+  TimePoint FreeAt(size_t shard) const;
+
   // Lends those of `shards` that are free, or lent to the sender of `request`
   // already, to it until `duration` after `now`. Returns them.
   RateShardSet Lend(const RateLoanRequest& request,
--- a/tests/serving/rate_admission_test.cc
+++ b/tests/serving/rate_admission_test.cc
@@ -329,6 +329,32 @@
   CHECK((refused + unavailable) * 100 <= requests);
 }
 
+// Guards against clients that come back before a rate is held again and are
+// refused a second time.
+TEST_CASE_FIXTURE(RateFleetFixture,
+                  "RateAdmission, all frontends restart, refusal says when to "
+                  "come back") {
+  workspaces[0].rate_per_second = 20;
+  workspaces[0].burst = 20;
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    CAPTURE(seed);
+    Reset(7, seed);
+    for (size_t i = 0; i < frontends.size(); ++i) {
+      Start(i);
+    }
+    RunUntil(now() + milliseconds(200));
+    ForgetRequests();
+    Request(2, workspaces[0]);
+    RunUntil(now() + milliseconds(1));
+    REQUIRE(unavailable == 1);
+    RunUntil(now() + last_retry_after);
+    Request(4, workspaces[0]);
+    RunUntil(now() + milliseconds(200));
+    CHECK(unavailable == 1);
+    CHECK(static_cast<int>(admitted["w"].size()) + refused == 1);
+  }
+}
+
 // Guards against requests admitted by a frontend that knows nobody to ask.
 TEST_CASE_FIXTURE(RateFleetFixture,
                   "RateAdmission, members not read yet, unavailable") {
--- a/tests/serving/rate_fleet_fixture.h
+++ b/tests/serving/rate_fleet_fixture.h
@@ -69,6 +69,7 @@
   std::set<RateRequestId> granted_queries;
   int refused = 0;
   int unavailable = 0;
+  std::chrono::milliseconds last_retry_after{0};
 
   // Starts `count` frontends and waits until they share the rates.
   void Reset(int count, std::uint64_t seed) {
@@ -188,7 +189,10 @@
                            }
                          },
                          [&](const RateExceeded&) { ++refused; },
-                         [&](const RateUnavailable&) { ++unavailable; },
+                         [&](const RateUnavailable& u) {
+                           ++unavailable;
+                           last_retry_after = u.retry_after;
+                         },
                      },
                      v);
         });
