Forwarder: reports what each attempt showed about its backend server

Cause: modules that judge backend servers and versions need the result, first event and longest pause of each attempt, and only whole requests were observed. Change: AttemptOutcome, passed to an observer, and a counter of attempts by result. Measured: unit tests of the forwarder.

--- a/src/process/forward/online_forwarder.cc
+++ b/src/process/forward/online_forwarder.cc
@@ -273,7 +273,7 @@
   for (RawSseEvent& event : request.event_splitter.Feed(bytes)) {
     if (event.has_data) {
       NoteAnswerBegun(request, now);
-      request.last_progress_at = now;
+      NoteAttemptEvent(request, now);
     }
     // A resumed stream may repeat events that the client already has.
     if (event.id && *event.id <= request.last_event_number &&
@@ -338,6 +338,10 @@
 }
 
 void OnlineForwarder::Refuse(Request& request, Refusal refusal, TimePoint now) {
+  ReportAttempt(request,
+                now >= request.deadline ? AttemptResult::kTimedOut
+                                        : AttemptResult::kCancelled,
+                now);
   CancelAttempt(request);
   if (refusal.code == RefusalCode::kBackendFailed &&
       refusal.run_state == RunState::kNotRun) {
@@ -359,6 +363,10 @@
 void OnlineForwarder::Finish(Request& request,
                              const char* outcome,
                              TimePoint now) {
+  ReportAttempt(request,
+                request.status >= kServerError ? AttemptResult::kFailed
+                                               : AttemptResult::kAnswered,
+                now);
   if (std::exchange(request.is_attempt_running, false)) {
     if (BackendDirectory::Backend* backend =
             backends_.Find(request.backend_id)) {
@@ -394,6 +402,7 @@
   if (it == requests_.end()) {
     return;
   }
+  ReportAttempt(it->second, AttemptResult::kCancelled, clock_.now());
   CancelAttempt(it->second);
   ++counters_.abandoned;
   Finish(it->second, "client_gone", clock_.now());
--- a/src/process/forward/online_forwarder.h
+++ b/src/process/forward/online_forwarder.h
@@ -9,6 +9,7 @@
 #include <set>
 #include <string>
 
+#include "process/forward/attempt_outcome.h"
 #include "process/forward/backend_directory.h"
 #include "process/limits/rate_admission.h"
 #include "process/quarantine/prompt_quarantine.h"
@@ -45,6 +46,8 @@
     std::chrono::milliseconds silence_limit{500};
     // Called for each request that ended; may be empty.
     std::function<void(const RequestObserved&)> observe;
+    // Called for each attempt that ended; may be empty.
+    std::function<void(const AttemptOutcome&, TimePoint now)> observe_attempt;
   };
   using ResponseCallback =
       std::function<void(ClientCallId, ClientResponseEvent)>;
@@ -128,6 +131,10 @@
     TimePoint last_progress_at{};
     // Whether the silence of this attempt was recorded as a failure.
     bool is_silence_recorded = false;
+    TimePoint attempt_started_at{};
+    std::optional<Duration> attempt_first_event;
+    Duration attempt_longest_pause{0};
+    std::uint64_t attempt_events = 0;
     // State over all attempts.
     int attempts = 0;  // failed after the request was sent
     int sends = 0;     // limited by Options::max_sends
@@ -185,6 +192,12 @@
                    bool was_sent,
                    const std::string& reason,
                    TimePoint now);
+  // Records an event with data of the current attempt.
+  static void NoteAttemptEvent(Request& request, TimePoint now);
+  // Reports the end of the current attempt, if one is running, to the observer.
+  void ReportAttempt(const Request& request,
+                     AttemptResult result,
+                     TimePoint now);
   // Stops the current attempt without counting a failure.
   void CancelAttempt(Request& request);
   void Refuse(Request& request, Refusal refusal, TimePoint now);
--- a/src/process/forward/online_forwarder_attempts.cc
+++ b/src/process/forward/online_forwarder_attempts.cc
@@ -33,6 +33,10 @@
   request.has_attempt_event = false;
   request.last_progress_at = now;
   request.is_silence_recorded = false;
+  request.attempt_started_at = now;
+  request.attempt_first_event.reset();
+  request.attempt_longest_pause = Duration(0);
+  request.attempt_events = 0;
   request.is_attempt_running = true;
   backends_.NoteSent(*backend, now);
   const auto left =
@@ -54,6 +58,7 @@
   request.last_failure = reason;
   LogDecision(LogEvent::kAttemptDeclined, "id", request.call.request_id,
               "runner", request.backend_id, "reason", reason);
+  ReportAttempt(request, AttemptResult::kDeclined, now);
   CancelAttempt(request);
   ChooseAndSend(request, now);
 }
@@ -97,6 +102,36 @@
   return true;
 }
 
+void OnlineForwarder::NoteAttemptEvent(Request& request, TimePoint now) {
+  ++request.attempt_events;
+  if (request.attempt_first_event) {
+    request.attempt_longest_pause =
+        std::max(request.attempt_longest_pause, now - request.last_progress_at);
+  } else {
+    request.attempt_first_event = now - request.attempt_started_at;
+  }
+  request.last_progress_at = now;
+}
+
+void OnlineForwarder::ReportAttempt(const Request& request,
+                                    AttemptResult result,
+                                    TimePoint now) {
+  if (!request.is_attempt_running || !options_.observe_attempt) {
+    return;
+  }
+  options_.observe_attempt({.backend_id = request.backend_id,
+                            .service = request.service,
+                            .route = request.route,
+                            .result = result,
+                            .is_repeatable = request.is_repeatable,
+                            .tokens = request.call.tokens,
+                            .events = request.attempt_events,
+                            .first_event = request.attempt_first_event,
+                            .longest_pause = request.attempt_longest_pause,
+                            .total = now - request.attempt_started_at},
+                           now);
+}
+
 void OnlineForwarder::CancelAttempt(Request& request) {
   if (std::exchange(request.is_reserving, false)) {
     calls_.Cancel(request.outbound_id);
@@ -123,6 +158,7 @@
     is_cold = now < backend->cold_until;
     backends_.NoteFailure(*backend, reason, now);
   }
+  ReportAttempt(request, AttemptResult::kFailed, now);
   CancelAttempt(request);
   const bool may_repeat =
       !request.may_have_run ||
--- a/src/process/serving/frontend_process.cc
+++ b/src/process/serving/frontend_process.cc
@@ -87,7 +87,11 @@
       OnlineForwarder::Options{
           .zone = settings_.zone,
           .seed = seed_,
-          .observe = [this](const RequestObserved& o) { Observe(o); }},
+          .observe = [this](const RequestObserved& o) { Observe(o); },
+          .observe_attempt =
+              [this](const AttemptOutcome& outcome, TimePoint at) {
+                ObserveAttempt(outcome, at);
+              }},
       core_->backends(), rates_, core_->quarantine(), core_->calls(),
       core_->clock(), send_response);
   rate_member_reporter_ = std::make_unique<RateMemberReporter>(
--- a/src/process/serving/frontend_process.h
+++ b/src/process/serving/frontend_process.h
@@ -79,6 +79,8 @@
   // configured limits.
   std::optional<Refusal> RefusalForSize(const HttpRequest& request) const;
   void Observe(const RequestObserved& observed);
+  // Passes what an attempt showed to the modules that judge backend servers.
+  void ObserveAttempt(const AttemptOutcome& outcome, TimePoint now);
   // Serves readiness and metrics. Called on the threads of the HTTP servers.
   void HandleMonitoringRequest(const HttpRequest& request,
                                const HttpExchangePtr& exchange);
--- a/src/process/serving/frontend_process_monitoring.cc
+++ b/src/process/serving/frontend_process_monitoring.cc
@@ -64,6 +64,12 @@
   }
 }
 
+void FrontendProcess::ObserveAttempt(const AttemptOutcome& outcome,
+                                     TimePoint /*now*/) {
+  core_->metrics().Count(serving_metrics::kAttempts,
+                         {{"result", ToString(outcome.result)}});
+}
+
 void FrontendProcess::HandleMonitoringRequest(const HttpRequest& request,
                                               const HttpExchangePtr& exchange) {
   if (request.path == kMetricsPath) {
--- a/src/process/serving/serving_metrics.h
+++ b/src/process/serving/serving_metrics.h
@@ -12,6 +12,10 @@
     "Decisions about online requests of this frontend."};
 inline constexpr MetricDescriptor kRequestsActive{
     "carawayrelay_requests_active", "Online requests that are not answered."};
+// Labels: result (answered, failed, timed_out, declined, cancelled).
+inline constexpr MetricDescriptor kAttempts{
+    "carawayrelay_attempts_total",
+    "Ended attempts to run an online request on a backend server."};
 // Labels: event (completed, given_up, yielded, released).
 inline constexpr MetricDescriptor kItemEvents{
     "carawayrelay_item_events_total",
--- a/tests/serving/online_forwarder_test.cc
+++ b/tests/serving/online_forwarder_test.cc
@@ -15,15 +15,20 @@
                       [](const std::string&, const RateMessage&) {}};
   PromptQuarantine quarantine;
   std::vector<ClientResponseEvent> responses;
-  OnlineForwarder forwarder{{.zone = "zone-1", .max_reservation_attempts = 0},
-                            backends,
-                            rates,
-                            quarantine,
-                            calls,
-                            clock,
-                            [this](ClientCallId, ClientResponseEvent response) {
-                              responses.push_back(std::move(response));
-                            }};
+  std::vector<AttemptOutcome> outcomes;
+  OnlineForwarder forwarder{
+      {.zone = "zone-1",
+       .max_reservation_attempts = 0,
+       .observe_attempt = [this](const AttemptOutcome& o,
+                                 TimePoint) { outcomes.push_back(o); }},
+      backends,
+      rates,
+      quarantine,
+      calls,
+      clock,
+      [this](ClientCallId, ClientResponseEvent response) {
+        responses.push_back(std::move(response));
+      }};
   ServingRoute route{.name = "r",
                      .host = "h",
                      .prefix = "/x/",
@@ -99,6 +104,34 @@
   CHECK(forwarder.active() == 0);
 }
 
+// Guards against judging a backend server by wrong times: each attempt has its
+// own, and a pause is the time between two events.
+TEST_CASE_FIXTURE(OnlineForwarderFixture,
+                  "OnlineForwarder, attempt ends, reports what it showed") {
+  route.can_resume = true;
+  SendRequest();
+  Advance(milliseconds(30));
+  Fail(BackendCall().id, /*was_sent=*/true, "reset");
+  REQUIRE(outcomes.size() == 1);
+  CHECK(outcomes[0].result == AttemptResult::kFailed);
+  CHECK_FALSE(outcomes[0].first_event);
+  const OutboundCall second = BackendCall();
+  Head(second.id, 200, Signed());
+  Advance(milliseconds(40));
+  Data(second.id, "id: 1\ndata: a\n\n");
+  Advance(milliseconds(70));
+  Data(second.id, "id: 2\ndata: b\n\n");
+  End(second.id);
+  REQUIRE(outcomes.size() == 2);
+  CHECK(outcomes[1].result == AttemptResult::kAnswered);
+  CHECK(outcomes[1].backend_id != outcomes[0].backend_id);
+  CHECK(outcomes[1].first_event == milliseconds(40));
+  CHECK(outcomes[1].longest_pause == milliseconds(70));
+  CHECK(outcomes[1].total == milliseconds(110));
+  CHECK(outcomes[1].events == 2);
+  CHECK(outcomes[1].tokens == 700);
+}
+
 // Guards against a second run of a request that may run only once.
 TEST_CASE_FIXTURE(OnlineForwarderFixture,
                   "OnlineForwarder, once-only stream cut, is not sent again") {
