Rates: restarted frontends recall loans, returning clients wait for their rate

Cause: a restarted frontend lent nothing for the time of one loan, so after a restart of all frontends every request with a key was refused for a second; clients that came back were refused again although they have no further try. Change: RateLoanRecall asks the other frontends to give up loans of earlier processes; a part is lent as soon as all have answered.

--- a/src/connection/gen/wire_types.cpp
+++ b/src/connection/gen/wire_types.cpp
@@ -3598,6 +3598,230 @@
 }
 
 
+RateLoanRecall::~RateLoanRecall() noexcept {
+}
+
+
+void RateLoanRecall::__set_node(const std::string& val) {
+  this->node = val;
+}
+
+void RateLoanRecall::__set_process(const int64_t val) {
+  this->process = val;
+}
+std::ostream& operator<<(std::ostream& out, const RateLoanRecall& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RateLoanRecall::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->node);
+          this->__isset.node = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->process);
+          this->__isset.process = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RateLoanRecall::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RateLoanRecall");
+
+  xfer += oprot->writeFieldBegin("node", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->node);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("process", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->process);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RateLoanRecall &a, RateLoanRecall &b) {
+  using ::std::swap;
+  swap(a.node, b.node);
+  swap(a.process, b.process);
+  swap(a.__isset, b.__isset);
+}
+
+RateLoanRecall::RateLoanRecall(const RateLoanRecall& other64) {
+  node = other64.node;
+  process = other64.process;
+  __isset = other64.__isset;
+}
+RateLoanRecall& RateLoanRecall::operator=(const RateLoanRecall& other65) {
+  node = other65.node;
+  process = other65.process;
+  __isset = other65.__isset;
+  return *this;
+}
+void RateLoanRecall::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RateLoanRecall(";
+  out << "node=" << to_string(node);
+  out << ", " << "process=" << to_string(process);
+  out << ")";
+}
+
+
+RateLoanRecalled::~RateLoanRecalled() noexcept {
+}
+
+
+void RateLoanRecalled::__set_node(const std::string& val) {
+  this->node = val;
+}
+
+void RateLoanRecalled::__set_process(const int64_t val) {
+  this->process = val;
+}
+std::ostream& operator<<(std::ostream& out, const RateLoanRecalled& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RateLoanRecalled::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->node);
+          this->__isset.node = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->process);
+          this->__isset.process = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RateLoanRecalled::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RateLoanRecalled");
+
+  xfer += oprot->writeFieldBegin("node", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->node);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("process", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->process);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RateLoanRecalled &a, RateLoanRecalled &b) {
+  using ::std::swap;
+  swap(a.node, b.node);
+  swap(a.process, b.process);
+  swap(a.__isset, b.__isset);
+}
+
+RateLoanRecalled::RateLoanRecalled(const RateLoanRecalled& other66) {
+  node = other66.node;
+  process = other66.process;
+  __isset = other66.__isset;
+}
+RateLoanRecalled& RateLoanRecalled::operator=(const RateLoanRecalled& other67) {
+  node = other67.node;
+  process = other67.process;
+  __isset = other67.__isset;
+  return *this;
+}
+void RateLoanRecalled::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RateLoanRecalled(";
+  out << "node=" << to_string(node);
+  out << ", " << "process=" << to_string(process);
+  out << ")";
+}
+
+
 RateEnvelope::~RateEnvelope() noexcept {
 }
 
@@ -3630,6 +3854,16 @@
   this->loan_return = val;
 __isset.loan_return = true;
 }
+
+void RateEnvelope::__set_loan_recall(const RateLoanRecall& val) {
+  this->loan_recall = val;
+__isset.loan_recall = true;
+}
+
+void RateEnvelope::__set_loan_recalled(const RateLoanRecalled& val) {
+  this->loan_recalled = val;
+__isset.loan_recalled = true;
+}
 std::ostream& operator<<(std::ostream& out, const RateEnvelope& obj)
 {
   obj.printTo(out);
@@ -3706,6 +3940,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->loan_recall.read(iprot);
+          this->__isset.loan_recall = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->loan_recalled.read(iprot);
+          this->__isset.loan_recalled = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3752,6 +4002,16 @@
     xfer += this->loan_return.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.loan_recall) {
+    xfer += oprot->writeFieldBegin("loan_recall", ::apache::thrift::protocol::T_STRUCT, 7);
+    xfer += this->loan_recall.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.loan_recalled) {
+    xfer += oprot->writeFieldBegin("loan_recalled", ::apache::thrift::protocol::T_STRUCT, 8);
+    xfer += this->loan_recalled.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3765,26 +4025,32 @@
   swap(a.loan_request, b.loan_request);
   swap(a.loan, b.loan);
   swap(a.loan_return, b.loan_return);
+  swap(a.loan_recall, b.loan_recall);
+  swap(a.loan_recalled, b.loan_recalled);
   swap(a.__isset, b.__isset);
 }
 
-RateEnvelope::RateEnvelope(const RateEnvelope& other64) {
-  protocol_version = other64.protocol_version;
-  request = other64.request;
-  decision = other64.decision;
-  loan_request = other64.loan_request;
-  loan = other64.loan;
-  loan_return = other64.loan_return;
-  __isset = other64.__isset;
-}
-RateEnvelope& RateEnvelope::operator=(const RateEnvelope& other65) {
-  protocol_version = other65.protocol_version;
-  request = other65.request;
-  decision = other65.decision;
-  loan_request = other65.loan_request;
-  loan = other65.loan;
-  loan_return = other65.loan_return;
-  __isset = other65.__isset;
+RateEnvelope::RateEnvelope(const RateEnvelope& other68) {
+  protocol_version = other68.protocol_version;
+  request = other68.request;
+  decision = other68.decision;
+  loan_request = other68.loan_request;
+  loan = other68.loan;
+  loan_return = other68.loan_return;
+  loan_recall = other68.loan_recall;
+  loan_recalled = other68.loan_recalled;
+  __isset = other68.__isset;
+}
+RateEnvelope& RateEnvelope::operator=(const RateEnvelope& other69) {
+  protocol_version = other69.protocol_version;
+  request = other69.request;
+  decision = other69.decision;
+  loan_request = other69.loan_request;
+  loan = other69.loan;
+  loan_return = other69.loan_return;
+  loan_recall = other69.loan_recall;
+  loan_recalled = other69.loan_recalled;
+  __isset = other69.__isset;
   return *this;
 }
 void RateEnvelope::printTo(std::ostream& out) const {
@@ -3796,6 +4062,8 @@
   out << ", " << "loan_request="; (__isset.loan_request ? (out << to_string(loan_request)) : (out << "<null>"));
   out << ", " << "loan="; (__isset.loan ? (out << to_string(loan)) : (out << "<null>"));
   out << ", " << "loan_return="; (__isset.loan_return ? (out << to_string(loan_return)) : (out << "<null>"));
+  out << ", " << "loan_recall="; (__isset.loan_recall ? (out << to_string(loan_recall)) : (out << "<null>"));
+  out << ", " << "loan_recalled="; (__isset.loan_recalled ? (out << to_string(loan_recalled)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/connection/gen/wire_types.h
+++ b/src/connection/gen/wire_types.h
@@ -61,6 +61,10 @@
 
 class RateLoanReturn;
 
+class RateLoanRecall;
+
+class RateLoanRecalled;
+
 class RateEnvelope;
 
 typedef struct _Hello__isset {
@@ -1506,14 +1510,116 @@
 
 std::ostream& operator<<(std::ostream& out, const RateLoanReturn& obj);
 
+typedef struct _RateLoanRecall__isset {
+  _RateLoanRecall__isset() : node(false), process(false) {}
+  bool node :1;
+  bool process :1;
+} _RateLoanRecall__isset;
+
+class RateLoanRecall : public virtual ::apache::thrift::TBase {
+ public:
+
+  RateLoanRecall(const RateLoanRecall&);
+  RateLoanRecall& operator=(const RateLoanRecall&);
+  RateLoanRecall() noexcept
+                 : node(),
+                   process(0) {
+  }
+
+  virtual ~RateLoanRecall() noexcept;
+  std::string node;
+  int64_t process;
+
+  _RateLoanRecall__isset __isset;
+
+  void __set_node(const std::string& val);
+
+  void __set_process(const int64_t val);
+
+  bool operator == (const RateLoanRecall & rhs) const
+  {
+    if (!(node == rhs.node))
+      return false;
+    if (!(process == rhs.process))
+      return false;
+    return true;
+  }
+  bool operator != (const RateLoanRecall &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RateLoanRecall & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RateLoanRecall &a, RateLoanRecall &b);
+
+std::ostream& operator<<(std::ostream& out, const RateLoanRecall& obj);
+
+typedef struct _RateLoanRecalled__isset {
+  _RateLoanRecalled__isset() : node(false), process(false) {}
+  bool node :1;
+  bool process :1;
+} _RateLoanRecalled__isset;
+
+class RateLoanRecalled : public virtual ::apache::thrift::TBase {
+ public:
+
+  RateLoanRecalled(const RateLoanRecalled&);
+  RateLoanRecalled& operator=(const RateLoanRecalled&);
+  RateLoanRecalled() noexcept
+                   : node(),
+                     process(0) {
+  }
+
+  virtual ~RateLoanRecalled() noexcept;
+  std::string node;
+  int64_t process;
+
+  _RateLoanRecalled__isset __isset;
+
+  void __set_node(const std::string& val);
+
+  void __set_process(const int64_t val);
+
+  bool operator == (const RateLoanRecalled & rhs) const
+  {
+    if (!(node == rhs.node))
+      return false;
+    if (!(process == rhs.process))
+      return false;
+    return true;
+  }
+  bool operator != (const RateLoanRecalled &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RateLoanRecalled & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RateLoanRecalled &a, RateLoanRecalled &b);
+
+std::ostream& operator<<(std::ostream& out, const RateLoanRecalled& obj);
+
 typedef struct _RateEnvelope__isset {
-  _RateEnvelope__isset() : protocol_version(false), request(false), decision(false), loan_request(false), loan(false), loan_return(false) {}
+  _RateEnvelope__isset() : protocol_version(false), request(false), decision(false), loan_request(false), loan(false), loan_return(false), loan_recall(false), loan_recalled(false) {}
   bool protocol_version :1;
   bool request :1;
   bool decision :1;
   bool loan_request :1;
   bool loan :1;
   bool loan_return :1;
+  bool loan_recall :1;
+  bool loan_recalled :1;
 } _RateEnvelope__isset;
 
 class RateEnvelope : public virtual ::apache::thrift::TBase {
@@ -1532,6 +1638,8 @@
   RateLoanRequest loan_request;
   RateLoan loan;
   RateLoanReturn loan_return;
+  RateLoanRecall loan_recall;
+  RateLoanRecalled loan_recalled;
 
   _RateEnvelope__isset __isset;
 
@@ -1547,6 +1655,10 @@
 
   void __set_loan_return(const RateLoanReturn& val);
 
+  void __set_loan_recall(const RateLoanRecall& val);
+
+  void __set_loan_recalled(const RateLoanRecalled& val);
+
   bool operator == (const RateEnvelope & rhs) const
   {
     if (!(protocol_version == rhs.protocol_version))
@@ -1571,6 +1683,14 @@
       return false;
     else if (__isset.loan_return && !(loan_return == rhs.loan_return))
       return false;
+    if (__isset.loan_recall != rhs.__isset.loan_recall)
+      return false;
+    else if (__isset.loan_recall && !(loan_recall == rhs.loan_recall))
+      return false;
+    if (__isset.loan_recalled != rhs.__isset.loan_recalled)
+      return false;
+    else if (__isset.loan_recalled && !(loan_recalled == rhs.loan_recalled))
+      return false;
     return true;
   }
   bool operator != (const RateEnvelope &rhs) const {
--- a/src/connection/rate_message.cc
+++ b/src/connection/rate_message.cc
@@ -90,6 +90,20 @@
   return w;
 }
 
+wire::RateLoanRecall Encode(const RateLoanRecall& recall) {
+  wire::RateLoanRecall w;
+  w.node = recall.node;
+  w.process = ToWire(recall.process);
+  return w;
+}
+
+wire::RateLoanRecalled Encode(const RateLoanRecalled& recalled) {
+  wire::RateLoanRecalled w;
+  w.node = recalled.node;
+  w.process = ToWire(recalled.process);
+  return w;
+}
+
 RateMessage Decode(const wire::RateRequest& w) {
   return RateRequest{.id = FromWire<RateRequestId>(w.id),
                      .workspace = w.workspace};
@@ -133,6 +147,16 @@
                         .shards = ShardsFromWire(w.shards)};
 }
 
+RateMessage Decode(const wire::RateLoanRecall& w) {
+  return RateLoanRecall{.node = w.node,
+                        .process = FromWire<RateProcessId>(w.process)};
+}
+
+RateMessage Decode(const wire::RateLoanRecalled& w) {
+  return RateLoanRecalled{.node = w.node,
+                          .process = FromWire<RateProcessId>(w.process)};
+}
+
 }  // namespace
 
 std::string EncodeRateMessage(const RateMessage& message) {
@@ -153,6 +177,12 @@
           [&](const RateLoanReturn& loan_return) {
             envelope.__set_loan_return(Encode(loan_return));
           },
+          [&](const RateLoanRecall& recall) {
+            envelope.__set_loan_recall(Encode(recall));
+          },
+          [&](const RateLoanRecalled& recalled) {
+            envelope.__set_loan_recalled(Encode(recalled));
+          },
       },
       message);
   return WriteCompactStruct(envelope);
@@ -181,6 +211,12 @@
   if (envelope.__isset.loan_return) {
     return Decode(envelope.loan_return);
   }
+  if (envelope.__isset.loan_recall) {
+    return Decode(envelope.loan_recall);
+  }
+  if (envelope.__isset.loan_recalled) {
+    return Decode(envelope.loan_recalled);
+  }
   return Error{ErrorCode::kInvalid, "datagram holds no known message"};
 }
 
--- a/src/connection/rate_message.h
+++ b/src/connection/rate_message.h
@@ -74,12 +74,28 @@
   RateShardSet shards;
 };
 
+// Ends all loans that earlier processes of the sender's frontend made to the
+// receiver.
+struct RateLoanRecall {
+  std::string node;  // of the sender
+  RateProcessId process{0};
+};
+
+// The response to a RateLoanRecall: the sender grants nothing from loans of
+// earlier processes of the asking frontend, now or later.
+struct RateLoanRecalled {
+  std::string node;          // of the sender
+  RateProcessId process{0};  // that recalled the loans
+};
+
 // A datagram between two frontends.
 using RateMessage = std::variant<RateRequest,
                                  RateDecision,
                                  RateLoanRequest,
                                  RateLoan,
-                                 RateLoanReturn>;
+                                 RateLoanReturn,
+                                 RateLoanRecall,
+                                 RateLoanRecalled>;
 
 std::string EncodeRateMessage(const RateMessage& message);
 // Fails with kInvalid when the bytes are malformed, hold no known message or
--- a/src/connection/wire.thrift
+++ b/src/connection/wire.thrift
@@ -164,6 +164,16 @@
   4: i64 shards
 }
 
+struct RateLoanRecall {
+  1: string node
+  2: i64 process
+}
+
+struct RateLoanRecalled {
+  1: string node
+  2: i64 process
+}
+
 struct RateEnvelope {
   1: i32 protocol_version
   2: optional RateRequest request
@@ -171,4 +181,6 @@
   4: optional RateLoanRequest loan_request
   5: optional RateLoan loan
   6: optional RateLoanReturn loan_return
+  7: optional RateLoanRecall loan_recall
+  8: optional RateLoanRecalled loan_recalled
 }
--- a/src/process/forward/online_forwarder.cc
+++ b/src/process/forward/online_forwarder.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "platform/backend_codec.h"
+#include "process/limits/rate_wait_limit.h"
 #include "process/telemetry/decision_log.h"
 #include "request/overloaded.h"
 
@@ -79,9 +80,17 @@
     return;
   }
   request.workspace = workspace->name;
-  rates_.Admit(*workspace, now, [this, client](const RateVerdict& verdict) {
-    OnRateVerdict(client, verdict);
-  });
+  const TimePoint wait_until =
+      RateWaitLimit({.arrived = request.call.arrived,
+                     .deadline = request.deadline,
+                     .latency_target = route.latency_target,
+                     .is_returning = request.call.time_left &&
+                                     returning_clients_.NoteRequest(
+                                         route.name, *request.call.time_left)});
+  rates_.Admit(*workspace, now, wait_until,
+               [this, client](const RateVerdict& verdict) {
+                 OnRateVerdict(client, verdict);
+               });
 }
 
 void OnlineForwarder::OnRateVerdict(ClientCallId client,
@@ -92,6 +101,7 @@
   }
   Request& request = it->second;
   const TimePoint now = clock_.now();
+  request.rate_wait = now - request.call.arrived;
   std::visit(Overloaded{
                  [&](const RateAdmitted&) { ChooseAndSend(request, now); },
                  [&](const RateExceeded& exceeded) {
@@ -381,7 +391,8 @@
               request.backend_id, "outcome", outcome, "status", request.status,
               "attempts", request.attempts, "offers", request.sends,
               "last_event", request.last_event, "ms",
-              ToMilliseconds(now - request.call.arrived), "reason",
+              ToMilliseconds(now - request.call.arrived), "rate_wait_ms",
+              ToMilliseconds(request.rate_wait), "reason",
               request.last_failure);
   if (options_.observe) {
     options_.observe({.workspace = request.workspace,
--- a/src/process/forward/online_forwarder.h
+++ b/src/process/forward/online_forwarder.h
@@ -11,6 +11,7 @@
 
 #include "process/forward/attempt_outcome.h"
 #include "process/forward/backend_directory.h"
+#include "process/forward/returning_clients.h"
 #include "process/limits/rate_admission.h"
 #include "process/quarantine/prompt_quarantine.h"
 #include "process/serving/event_loop_clock.h"
@@ -147,6 +148,8 @@
     std::string last_failure;
     std::optional<RefusalCode> refused;
     std::optional<Duration> first_part;
+    // From the arrival until the rate of the workspace was decided.
+    Duration rate_wait{0};
     // Span of this frontend, if the client traces the request.
     std::optional<TraceContext> span;
     std::uint64_t parent_span = 0;
@@ -214,6 +217,7 @@
   const EventLoopClock& clock_;
   ResponseCallback send_response_;
   std::mt19937_64 random_;
+  ReturningClients returning_clients_;
   std::map<ClientCallId, Request> requests_;
   size_t buffered_bytes_ = 0;  // of the bodies of all requests
   // No slots are reserved before then, because a backend server did not support
--- a/src/process/limits/rate_admission.cc
+++ b/src/process/limits/rate_admission.cc
@@ -32,6 +32,10 @@
 // holder decided.
 constexpr milliseconds kMinRetryAfter{100};
 constexpr milliseconds kMaxRetryAfter{1500};
+// A request whose rate nobody holds asks again after this long.
+constexpr milliseconds kUndecidedWait{50};
+// Least time until a request over the rate asks again.
+constexpr milliseconds kMinExceededWait{10};
 // How often a frontend checks which shards it holds.
 constexpr milliseconds kUpdateInterval{25};
 
@@ -71,37 +75,48 @@
 
 void RateAdmission::Admit(const ServingWorkspace& workspace,
                           TimePoint now,
-                          VerdictCallback done) {
+                          TimePoint wait_until,
+                          RateVerdictCallback done) {
   if (workspace.rate_per_second <= 0) {
     done(RateAdmitted{});
     return;
   }
+  Ask({.workspace = workspace.name,
+       .wait_until = wait_until,
+       .done = std::move(done)},
+      now);
+}
+
+void RateAdmission::Ask(RateWaiter waiter, TimePoint now) {
   const RateRequestId id{random_()};
-  Query query{
-      .workspace = workspace.name, .done = std::move(done), .started_at = now};
   const std::optional<std::string> holder =
-      members_.IsKnown() ? holders_.HolderOf(RateShardOf(workspace.name), now)
+      members_.IsKnown() ? holders_.HolderOf(RateShardOf(waiter.workspace), now)
                          : std::nullopt;
   if (holder == node_) {
-    Finish(query, holder_.Decide({.id = id, .workspace = workspace.name}, now),
-           now);
+    const RateDecision decision =
+        holder_.Decide({.id = id, .workspace = waiter.workspace}, now);
+    Finish(std::move(waiter), decision, now);
     return;
   }
   const std::string* address = holder ? members_.FindAddress(*holder) : nullptr;
   if (address == nullptr) {
-    Finish(query, {.id = id}, now);
+    Finish(std::move(waiter), {.id = id}, now);
     return;
   }
   ++counters_.asked;
-  query.holder = *holder;
-  query.address = *address;
-  SendQuery(id, std::move(query), now);
+  SendQuery(id,
+            {.waiter = std::move(waiter),
+             .holder = *holder,
+             .address = *address,
+             .started_at = now},
+            now);
 }
 
 void RateAdmission::SendQuery(RateRequestId id, Query query, TimePoint now) {
   ++query.sends;
   query.timeout_at = now + kAnswerTimeout;
-  send_(query.address, RateRequest{.id = id, .workspace = query.workspace});
+  send_(query.address,
+        RateRequest{.id = id, .workspace = query.waiter.workspace});
   queries_.insert_or_assign(id, std::move(query));
 }
 
@@ -115,21 +130,34 @@
                     kMaxRetryAfter);
 }
 
-void RateAdmission::Finish(const Query& query,
+void RateAdmission::Finish(RateWaiter waiter,
                            const RateDecision& decision,
                            TimePoint now) {
-  switch (decision.outcome) {
-    case RateOutcome::kGranted:
-      query.done(RateAdmitted{});
-      return;
-    case RateOutcome::kExceeded:
-      query.done(RateExceeded{.retry_after = decision.retry_after});
-      return;
-    case RateOutcome::kUnknown:
-      ++counters_.alone;
-      query.done(
-          RateUnavailable{.retry_after = TimeUntilHeld(query.workspace, now)});
-      return;
+  if (decision.outcome == RateOutcome::kGranted) {
+    waiter.done(RateAdmitted{});
+    return;
+  }
+  const bool is_exceeded = decision.outcome == RateOutcome::kExceeded;
+  const milliseconds wait =
+      is_exceeded ? std::max(decision.retry_after, kMinExceededWait)
+                  : kUndecidedWait;
+  if (waiting_.HasPlace(waiter, now + wait)) {
+    ++counters_.waited;
+    waiting_.Add(std::move(waiter), now + wait);
+    return;
+  }
+  if (is_exceeded) {
+    waiter.done(RateExceeded{.retry_after = decision.retry_after});
+    return;
+  }
+  ++counters_.alone;
+  waiter.done(
+      RateUnavailable{.retry_after = TimeUntilHeld(waiter.workspace, now)});
+}
+
+void RateAdmission::AskForWaiters(TimePoint now) {
+  for (RateWaiter& waiter : waiting_.TakeDue(now)) {
+    Ask(std::move(waiter), now);
   }
 }
 
@@ -150,9 +178,10 @@
                            TimePoint now) {
   // An answer to a query that was decided meanwhile has no effect.
   if (auto node = queries_.extract(decision.id)) {
-    const Query& query = node.mapped();
+    Query& query = node.mapped();
     const bool is_late = now - query.started_at > kMaxAnswerAge;
-    Finish(query, is_late ? RateDecision{.id = decision.id} : decision, now);
+    Finish(std::move(query.waiter),
+           is_late ? RateDecision{.id = decision.id} : decision, now);
   }
 }
 
@@ -168,13 +197,16 @@
       holders_.NoteRequest(request.node, request.shards, now);
   if (const std::optional<RateLoan> loan = Lend(request, accepted, now)) {
     send_(address, *loan);
+  } else if (!lender_.IsLending(now)) {
+    early_requests_[request.node] = {
+        .address = address, .request = request, .at = now};
   }
 }
 
 void RateAdmission::Handle(const std::string& /*address*/,
                            const RateLoan& loan,
                            TimePoint now) {
-  if (loan.holder != process_) {
+  if (loan.holder != process_ || recalled_.Contains(loan)) {
     return;
   }
   RateLoan usable = loan;
@@ -193,6 +225,55 @@
   holders_.NoteReturn(loan_return.node, loan_return.shards, now);
 }
 
+void RateAdmission::Handle(const std::string& address,
+                           const RateLoanRecall& recall,
+                           TimePoint now) {
+  recalled_.Note(recall.node, recall.process, now);
+  holder_.DropLoansOf(recall.node, recall.process, now);
+  send_(address, RateLoanRecalled{.node = node_, .process = recall.process});
+}
+
+void RateAdmission::Handle(const std::string& /*address*/,
+                           const RateLoanRecalled& recalled,
+                           TimePoint now) {
+  if (recalled.process == process_) {
+    recaller_.NoteAnswer(recalled.node);
+    UpdateRecalls(now);
+  }
+}
+
+void RateAdmission::UpdateRecalls(TimePoint now) {
+  if (!lender_.IsStarted()) {
+    return;
+  }
+  if (recaller_.IsDone() && !lender_.IsLending(now)) {
+    lender_.StartAt(now);
+  }
+  if (lender_.IsLending(now)) {
+    recaller_.Stop();
+    AnswerEarlyRequests(now);
+    return;
+  }
+  for (const std::string& address : recaller_.DueAddresses(now)) {
+    send_(address, RateLoanRecall{.node = node_, .process = process_});
+  }
+}
+
+void RateAdmission::AnswerEarlyRequests(TimePoint now) {
+  for (const auto& [node, early] : early_requests_) {
+    // A later request is on its way otherwise.
+    if (now - early.at >= holders_.timing().request_interval) {
+      continue;
+    }
+    const RateShardSet accepted =
+        holders_.NoteRequest(node, early.request.shards, now);
+    if (const auto loan = Lend(early.request, accepted, now)) {
+      send_(early.address, *loan);
+    }
+  }
+  early_requests_.clear();
+}
+
 std::optional<RateLoan> RateAdmission::Lend(const RateLoanRequest& request,
                                             const RateShardSet& shards,
                                             TimePoint now) {
@@ -215,6 +296,8 @@
 
 void RateAdmission::Tick(TimePoint now) {
   RepeatQueries(now);
+  UpdateRecalls(now);
+  AskForWaiters(now);
   if (now >= next_update_at_) {
     next_update_at_ = now + kUpdateInterval;
     UpdateLoans(now);
@@ -236,9 +319,9 @@
       continue;
     }
     LogDecision(LogEvent::kRateHolderSilent, "holder", query.holder,
-                "workspace", query.workspace);
+                "workspace", query.waiter.workspace);
     holders_.NoteSilent(query.holder, now);
-    Finish(query, {.id = id}, now);
+    Finish(std::move(query.waiter), {.id = id}, now);
   }
 }
 
@@ -295,8 +378,17 @@
   if (own_.any()) {
     next = std::max(next_request_at_, next_update_at_);
   }
+  const auto add = [&next](TimePoint at) {
+    next = std::min(next.value_or(at), at);
+  };
   for (const auto& [id, query] : queries_) {
-    next = std::min(next.value_or(query.timeout_at), query.timeout_at);
+    add(query.timeout_at);
+  }
+  if (const auto due = recaller_.NextDue()) {
+    add(*due);
+  }
+  if (const auto due = waiting_.NextDue()) {
+    add(*due);
   }
   return next;
 }
--- a/src/process/limits/rate_admission.h
+++ b/src/process/limits/rate_admission.h
@@ -8,43 +8,32 @@
 #include <optional>
 #include <random>
 #include <string>
-#include <variant>
 #include <vector>
 
 #include "connection/rate_message.h"
 #include "process/limits/rate_holder.h"
 #include "process/limits/rate_holders.h"
 #include "process/limits/rate_lender.h"
+#include "process/limits/rate_loan_recall.h"
 #include "process/limits/rate_members.h"
+#include "process/limits/rate_verdict.h"
+#include "process/limits/rate_wait_queue.h"
 #include "version/serving_config.h"
 
 namespace carawayrelay {
 
-// The request is within the rate of its workspace.
-struct RateAdmitted {};
-// The workspace is over its rate.
-struct RateExceeded {
-  std::chrono::milliseconds retry_after{0};
-};
-// No frontend that holds the rate answers.
-struct RateUnavailable {
-  // When the rate is likely to be held again.
-  std::chrono::milliseconds retry_after{0};
-};
-using RateVerdict = std::variant<RateAdmitted, RateExceeded, RateUnavailable>;
-
 // Keeps the rates of workspaces over all frontends together: asks the holder of
 // a workspace's rate about each request, and answers the queries of others.
 // Lends the part of the rates that this frontend owns, and as a holder borrows
 // the parts of the others.
 //
 // A query without an answer is sent again a few times. Then the request counts
-// as not decided, since its rate may be in use elsewhere.
+// as not decided, since its rate may be in use elsewhere. A request that is not
+// admitted at once waits and asks again as long as its caller allows.
 //
 // Used on the event loop thread.
 class RateAdmission {
  public:
-  using VerdictCallback = std::function<void(const RateVerdict&)>;
   // Sends a message to the frontend at `address`. It may be lost.
   using MessageSender =
       std::function<void(const std::string& address, const RateMessage&)>;
@@ -60,11 +49,22 @@
   // How long the part of this frontend may still be lent by an earlier process.
   std::chrono::milliseconds LoanTime() const;
   RateLender& lender() { return lender_; }
-  // Decides whether a request of the workspace may run. Calls `done` once, from
-  // this call or later.
+  // Begins to recall the loans of earlier processes of this frontend, so that
+  // its part can be lent before the time of one loan is over. Must be called
+  // after the rows of all frontends were read.
+  void RecallLoans() { recaller_.Begin(members_.peers()); }
+  // Lends nothing until the lender is started again.
+  void SuspendLending() {
+    recaller_.Stop();
+    lender_.Suspend();
+  }
+  // Decides whether a request of the workspace may run. A request that cannot
+  // be admitted yet waits until `wait_until` at most, unless too many wait.
+  // Calls `done` once, from this call or later.
   void Admit(const ServingWorkspace& workspace,
              TimePoint now,
-             VerdictCallback done);
+             TimePoint wait_until,
+             RateVerdictCallback done);
   // Handles a message from the frontend at `address`.
   void HandleMessage(const std::string& address,
                      const RateMessage& message,
@@ -85,13 +85,13 @@
     std::uint64_t asked = 0;     // requests that another frontend decided
     std::uint64_t repeated = 0;  // queries sent again
     std::uint64_t alone = 0;     // requests that no holder decided
+    std::uint64_t waited = 0;    // times that a request waited to ask again
   };
   const Counters& counters() const { return counters_; }
 
  private:
   struct Query {
-    std::string workspace;
-    VerdictCallback done;
+    RateWaiter waiter;
     std::string holder;  // node that is asked
     std::string address;
     int sends = 0;
@@ -99,8 +99,17 @@
     TimePoint timeout_at{};
   };
 
+  // Asks the holder of the workspace's rate.
+  void Ask(RateWaiter waiter, TimePoint now);
   void SendQuery(RateRequestId id, Query query, TimePoint now);
-  void Finish(const Query& query, const RateDecision& decision, TimePoint now);
+  // Passes the decision on, or lets the request wait to ask again.
+  void Finish(RateWaiter waiter, const RateDecision& decision, TimePoint now);
+  void AskForWaiters(TimePoint now);
+  // Sends the recalls that are due, and begins to lend once all frontends have
+  // answered them.
+  void UpdateRecalls(TimePoint now);
+  // Lends to the holders that asked before this frontend began to lend.
+  void AnswerEarlyRequests(TimePoint now);
   // Returns when a holder is likely to have loans of the workspace's rate.
   std::chrono::milliseconds TimeUntilHeld(const std::string& workspace,
                                           TimePoint now) const;
@@ -127,6 +136,12 @@
   void Handle(const std::string& address,
               const RateLoanReturn& loan_return,
               TimePoint now);
+  void Handle(const std::string& address,
+              const RateLoanRecall& recall,
+              TimePoint now);
+  void Handle(const std::string& address,
+              const RateLoanRecalled& recalled,
+              TimePoint now);
 
   const std::string node_;
   std::mt19937_64 random_;
@@ -136,6 +151,15 @@
   RateHolders holders_{node_, members_};
   RateHolder holder_;
   RateLender lender_;
+  RateLoanRecaller recaller_;
+  RecalledLoans recalled_;
+  // The latest request of each holder before this frontend began to lend.
+  struct EarlyRequest {
+    std::string address;
+    RateLoanRequest request;
+    TimePoint at{};
+  };
+  std::map<std::string, EarlyRequest> early_requests_;  // by node
   RateShardSet own_;  // shards that this frontend holds
   // When loans of a shard were returned last. Answers to older requests do not
   // count any more.
@@ -144,6 +168,7 @@
   TimePoint next_update_at_{};
   std::optional<TimePoint> heard_at_;  // of the newest request for loans
   std::map<RateRequestId, Query> queries_;
+  RateWaitQueue waiting_;
   Counters counters_;
 };
 
--- a/src/process/limits/rate_holder.cc
+++ b/src/process/limits/rate_holder.cc
@@ -66,6 +66,7 @@
     ExpireLoans(shard, now);
     const auto [it, is_new] = shard.loans.try_emplace(loan.node);
     Loan& known = it->second;
+    known.process = loan.process;
     known.until = std::max(known.until, until);
     if (is_new || known.part != loan.part) {
       known.part = loan.part;
@@ -85,6 +86,19 @@
   }
 }
 
+void RateHolder::DropLoansOf(const std::string& node,
+                             RateProcessId process,
+                             TimePoint now) {
+  for (Shard& shard : shards_) {
+    const auto it = shard.loans.find(node);
+    if (it != shard.loans.end() && it->second.process != process) {
+      ExpireLoans(shard, now);
+      shard.loans.erase(node);
+      UpdatePart(shard, now);
+    }
+  }
+}
+
 void RateHolder::ExpireLoans(Shard& shard, TimePoint now) {
   while (true) {
     const auto first =
--- a/src/process/limits/rate_holder.h
+++ b/src/process/limits/rate_holder.h
@@ -36,6 +36,11 @@
   void AddLoan(const RateLoan& loan, TimePoint now);
   // Uses no loans of `shards` any more.
   void DropLoans(const RateShardSet& shards, TimePoint now);
+  // Uses no loans of the frontend `node` any more that another process than
+  // `process` made.
+  void DropLoansOf(const std::string& node,
+                   RateProcessId process,
+                   TimePoint now);
   // Decides on a request. A query that comes again, because its answer was
   // lost, gets the same answer and counts once. The outcome is kUnknown if
   // nothing is lent for the workspace.
@@ -43,6 +48,7 @@
 
  private:
   struct Loan {
+    RateProcessId process{0};  // of the lender
     double part = 0;
     TimePoint since{};
     TimePoint until{};
--- a/src/process/limits/rate_member_reporter.cc
+++ b/src/process/limits/rate_member_reporter.cc
@@ -99,7 +99,7 @@
     own_version_ = 0;
     joined_version_ = 0;
     is_counted_ = false;
-    rates_.lender().Suspend();
+    rates_.SuspendLending();
     next_report_at_ = clock_.now();
     return;
   }
@@ -116,8 +116,12 @@
     return;
   }
   if (is_counted_) {
-    // A loan of an earlier process may last until then.
+    // A loan of an earlier process may last until then, unless it is recalled.
     rates_.lender().StartAt(*started_at_ + rates_.LoanTime());
+    if (!has_recalled_) {
+      has_recalled_ = true;
+      rates_.RecallLoans();
+    }
     return;
   }
   if (rates_.members().HaveAllSeen(joined_version_)) {
--- a/src/process/limits/rate_member_reporter.h
+++ b/src/process/limits/rate_member_reporter.h
@@ -64,6 +64,7 @@
   // all others have seen it.
   std::uint64_t joined_version_ = 0;
   bool is_counted_ = false;
+  bool has_recalled_ = false;
   // The rows read so far, and the version that they reflect.
   std::vector<StoredRow> rows_;
   std::uint64_t rows_version_ = 0;
--- a/src/process/serving/frontend_process_monitoring.cc
+++ b/src/process/serving/frontend_process_monitoring.cc
@@ -54,6 +54,7 @@
   count_rates("asked", rates.asked);
   count_rates("repeated", rates.repeated);
   count_rates("alone", rates.alone);
+  count_rates("waited", rates.waited);
   core_->UpdateMetrics(now);
 }
 
--- a/src/process/serving/serving_metrics.h
+++ b/src/process/serving/serving_metrics.h
@@ -38,12 +38,12 @@
     "Time until a call to the store was finished."};
 inline constexpr MetricDescriptor kRateMembers{
     "carawayrelay_rate_members", "Frontends that hold the rates together."};
-// Labels: event (asked, repeated, alone).
+// Labels: event (asked, repeated, alone, waited).
 inline constexpr MetricDescriptor kRateQueries{
     "carawayrelay_rate_queries_total",
-    "Requests that another frontend decided, queries sent again, and "
-    "requests "
-    "that no frontend answered about."};
+    "Requests that another frontend decided, queries sent again, requests that "
+    "no frontend answered about, and times that a request waited for its "
+    "rate."};
 inline constexpr MetricDescriptor kConfigVersion{
     "carawayrelay_config_version", "Version of the configuration in effect."};
 inline constexpr MetricDescriptor kConfigAge{
--- a/tests/connection/rate_message_test.cc
+++ b/tests/connection/rate_message_test.cc
@@ -31,6 +31,23 @@
   CHECK(read.retry_after == milliseconds(250));
 }
 
+// Guards against a recall that ends the loans of the wrong process.
+TEST_CASE_FIXTURE(RateMessageFixture,
+                  "RateMessage, recall written and read, is the same") {
+  const auto recall = DecodeRateMessage(EncodeRateMessage(RateLoanRecall{
+      .node = "n", .process = RateProcessId{0xfedcba9876543210}}));
+  REQUIRE(recall);
+  CHECK(std::get<RateLoanRecall>(recall.value()).node == "n");
+  CHECK(std::get<RateLoanRecall>(recall.value()).process ==
+        RateProcessId{0xfedcba9876543210});
+  const auto recalled = DecodeRateMessage(EncodeRateMessage(
+      RateLoanRecalled{.node = "m", .process = RateProcessId{3}}));
+  REQUIRE(recalled);
+  CHECK(std::get<RateLoanRecalled>(recalled.value()).node == "m");
+  CHECK(std::get<RateLoanRecalled>(recalled.value()).process ==
+        RateProcessId{3});
+}
+
 // Guards against a part of a rate that is lent with other values than it is
 // used with.
 TEST_CASE_FIXTURE(RateMessageFixture,
--- a/tests/serving/rate_admission_test.cc
+++ b/tests/serving/rate_admission_test.cc
@@ -355,6 +355,114 @@
   }
 }
 
+// Guards against rates that stay unused after all frontends were killed: their
+// parts were lent again only after the time of one loan, 1 s here.
+TEST_CASE_FIXTURE(
+    RateFleetFixture,
+    "RateAdmission, all frontends killed and back, rate is in use "
+    "within 0.3 s") {
+  workspaces[0].rate_per_second = 60;
+  workspaces[0].burst = 60;
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    CAPTURE(seed);
+    Reset(28, seed);
+    Run(50, milliseconds(3000));
+    for (Frontend& frontend : frontends) {
+      frontend.is_up = false;
+    }
+    RunUntil(now() + milliseconds(1000));
+    for (size_t i = 0; i < frontends.size(); ++i) {
+      Start(i);
+    }
+    RunUntil(now() + milliseconds(300));
+    ForgetRequests();
+    Run(30, milliseconds(1000));
+    CHECK(unavailable == 0);
+    CHECK(admitted["w"].size() >= 20);
+  }
+}
+
+// Guards against grants beyond the limit when frontends end together and come
+// back while some holders live on with loans of their former processes.
+TEST_CASE_FIXTURE(RateFleetFixture,
+                  "RateAdmission, most frontends end at once and return, limit "
+                  "is kept") {
+  CheckProperty("limit holds over mass failures", [this] {
+    const ServingWorkspace workspace = DrawWorkspace();
+    Reset(*rc::gen::inRange(2, 10), *rc::gen::arbitrary<std::uint64_t>());
+    lost_fraction = *rc::gen::element(0.0, 0.05, 0.3);
+    const double high_rate =
+        workspace.rate_per_second * *rc::gen::inRange(2, 7);
+    Run(high_rate, milliseconds(2000));
+    for (int round = 0; round < 4; ++round) {
+      std::bernoulli_distribution ends(*rc::gen::element(0.5, 0.8, 1.0));
+      std::bernoulli_distribution returns_later(0.3);
+      for (size_t i = 0; i < frontends.size(); ++i) {
+        if (!ends(random)) {
+          frontends[i].is_frozen = !frontends[i].is_frozen && ends(random);
+        } else if (returns_later(random)) {
+          frontends[i].is_up = false;
+        } else {
+          Start(i);
+        }
+      }
+      Run(high_rate,
+          milliseconds(std::uniform_int_distribution(20, 1500)(random)));
+      for (size_t i = 0; i < frontends.size(); ++i) {
+        frontends[i].is_frozen = false;
+        if (!frontends[i].is_up) {
+          Start(i);
+        }
+      }
+      Run(high_rate,
+          milliseconds(std::uniform_int_distribution(20, 2500)(random)));
+    }
+    RC_ASSERT(static_cast<double>(MaxInWindow(granted)) <=
+              AllowedInWindow(workspace));
+  });
+}
+
+// Guards against a second refusal of clients that have no further try: after
+// all frontends were killed their requests wait until the rate is held.
+TEST_CASE_FIXTURE(RateFleetFixture,
+                  "RateAdmission, rate not held yet, request waits and is "
+                  "admitted") {
+  Reset(7, 3);
+  for (size_t i = 0; i < frontends.size(); ++i) {
+    Start(i);
+  }
+  ForgetRequests();
+  Request(2, workspaces[0], milliseconds(1500));
+  Request(3, workspaces[0]);
+  RunUntil(now() + milliseconds(1500));
+  CHECK(admitted["w"].size() == 1);
+  CHECK(unavailable == 1);
+}
+
+// Guards against waiting requests that exceed the rate, and against one
+// workspace that takes all places in the queue.
+TEST_CASE_FIXTURE(RateFleetFixture,
+                  "RateAdmission, workspace far over its rate, few requests "
+                  "wait and the limit is kept") {
+  workspaces[0].rate_per_second = 10;
+  workspaces[0].burst = 10;
+  workspaces.push_back(
+      {.name = "other", .keys = {"k2"}, .rate_per_second = 20, .burst = 20});
+  Reset(3, 9);
+  for (int n = 0; n < 600; ++n) {
+    Request(static_cast<size_t>(n % 3), workspaces[0], milliseconds(1500));
+    if (n % 10 == 0) {
+      Request(1, workspaces[1], milliseconds(1500));
+    }
+    RunUntil(now() + milliseconds(10));
+  }
+  RunUntil(now() + milliseconds(2000));
+  CHECK(static_cast<double>(MaxAdmittedInWindow("w")) <=
+        AllowedInWindow(workspaces[0]));
+  CHECK(admitted["other"].size() == 60);
+  CHECK(refused > 300);
+}
+
 // Guards against requests admitted by a frontend that knows nobody to ask.
 TEST_CASE_FIXTURE(RateFleetFixture,
                   "RateAdmission, members not read yet, unavailable") {
--- a/tests/serving/rate_fleet_fixture.h
+++ b/tests/serving/rate_fleet_fixture.h
@@ -176,10 +176,13 @@
     }
     return {.status = StoreStatus::kDone, .version = version};
   }
-  void Request(size_t i, const ServingWorkspace& workspace) {
+  // The request may wait for its rate for `max_wait`.
+  void Request(size_t i,
+               const ServingWorkspace& workspace,
+               std::chrono::milliseconds max_wait = {}) {
     const auto is_local = std::make_shared<bool>(true);
     frontends[i].rates->Admit(
-        workspace, now(),
+        workspace, now(), now() + max_wait,
         [this, is_local, name = workspace.name](const RateVerdict& v) {
           std::visit(Overloaded{
                          [&](const RateAdmitted&) {
