Footprint: rings and the log queue take memory as they fill

Cause: each process allocated its rings and its log queue for their whole capacity (1.7 MB of log lines, 2.5 MB of commands and events in a frontend), and all of it became resident as items passed through. Change: rings grow and shrink with their items; the log queue holds 1,024 lines.

--- a/src/process/telemetry/decision_log.cc
+++ b/src/process/telemetry/decision_log.cc
@@ -14,7 +14,8 @@
 namespace carawayrelay {
 namespace {
 
-constexpr size_t kMaxQueuedLines = 4096;
+// The queue holds about 400 bytes for each line from the start on.
+constexpr size_t kMaxQueuedLines = 1024;
 // Limit per event. Further lines of that event in the same second are dropped
 // and counted.
 constexpr int kMaxLinesPerSecond = 200;
--- a/src/process/transport/ring.h
+++ b/src/process/transport/ring.h
@@ -154,7 +154,9 @@
   std::condition_variable not_full_;
   const size_t max_bytes_ = 0;
   const SizeOf size_of_;
-  boost::circular_buffer<T> items_;
+  // Grows and shrinks with the items. A buffer of the whole capacity would
+  // become resident as the items pass through it.
+  boost::circular_buffer_space_optimized<T> items_;
   size_t bytes_ = 0;  // of all items
   std::function<void()> wake_;
   std::function<void()> on_space_;
--- a/tests/process/ring_test.cc
+++ b/tests/process/ring_test.cc
@@ -1,5 +1,7 @@
 #include <doctest/doctest.h>
+#include <malloc.h>
 
+#include <array>
 #include <chrono>
 #include <memory>
 #include <string>
@@ -15,6 +17,24 @@
   Ring<std::unique_ptr<int>> ring{2};
 };
 
+// Guards against rings whose whole capacity becomes resident: 3 MB of each
+// process, with a few items in them at a time.
+TEST_CASE_FIXTURE(RingFixture,
+                  "Ring, items pass through a large ring, memory stays small") {
+  const auto allocated = [] {
+    const struct mallinfo2 info = mallinfo2();
+    return info.uordblks + info.hblkhd;
+  };
+  const size_t before = allocated();
+  constexpr size_t kCapacity = 65536;
+  Ring<std::array<char, 200>> large(kCapacity);
+  for (size_t i = 0; i < 2 * kCapacity; ++i) {
+    REQUIRE(large.TryPush({}));
+    REQUIRE(large.TryPop());
+  }
+  CHECK(allocated() < before + 64 * 1024);
+}
+
 // Guards against losing the item of a failed push, which would drop a message
 // of a connection.
 TEST_CASE_FIXTURE(RingFixture,
