--- a/src/connection/backend_registration.h
+++ b/src/connection/backend_registration.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace carawayrelay {
@@ -31,6 +32,9 @@
   int running = 0;
   int waiting = 0;
   int slots = 1;
+  // How long work takes at this moment, relative to the usual time: 1.7 means
+  // 1.7 times as long. std::nullopt if the backend server does not say.
+  std::optional<double> pace;
 };
 
 }  // namespace carawayrelay
--- a/src/process/forward/backend_directory.cc
+++ b/src/process/forward/backend_directory.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "platform/desired_state.h"
+#include "process/pace/candidate_cost.h"
 #include "process/telemetry/decision_log.h"
 
 namespace carawayrelay {
@@ -20,16 +21,12 @@
 constexpr std::chrono::milliseconds kFullAvoidance{60};
 // Time in which a load report loses half of its weight.
 constexpr std::chrono::duration<double> kLoadHalfLife{0.4};
-// Penalties and the range of the random tie-break. They are added to the share
-// of slots in use.
-constexpr double kRemoteZonePenalty = 0.03;
-constexpr double kColdPenalty = 0.5;
 // Part of what a cold backend server bears that online requests may use. The
 // rest is for batch items, which its own worker sends.
 constexpr double kColdOnlineFraction = 0.8;
 // Burst of requests that a frontend may send to a cold backend server.
 constexpr double kColdBurst = 1;
-constexpr double kAvoidPenalty = 100;
+// Range of the random tie-break, added to the cost of a candidate.
 constexpr double kTieBreakRange = 0.02;
 
 }  // namespace
@@ -186,16 +183,13 @@
   const std::chrono::duration<double> age = now - backend.other_load_at;
   const double other_load =
       backend.other_load * std::exp2(-(age / kLoadHalfLife));
-  double cost = (backend.own_calls + other_load) / backend.registration.slots;
-  if (backend.registration.zone != query.zone) {
-    cost += kRemoteZonePenalty;
-  }
-  if (now < backend.cold_until) {
-    cost += kColdPenalty;
-  }
-  if (now < backend.avoid_until) {
-    cost += kAvoidPenalty;
-  }
+  const double cost = CandidateCost(
+      {.load = backend.own_calls + other_load,
+       .slots = backend.registration.slots,
+       .pace = backend.pace.Estimate(now),
+       .is_in_other_zone = backend.registration.zone != query.zone,
+       .is_cold = now < backend.cold_until,
+       .is_avoided = now < backend.avoid_until});
   std::uniform_real_distribution<double> tie(0, kTieBreakRange);
   return cost + tie(random_);
 }
@@ -277,6 +271,9 @@
   backend.other_load =
       std::max(0, load.running + load.waiting - std::max(1, backend.own_calls));
   backend.other_load_at = now;
+  if (load.pace) {
+    backend.pace.AddFigure(*load.pace, now);
+  }
 }
 
 void BackendDirectory::NoteSuccess(Backend& backend) {
--- a/src/process/forward/backend_directory.h
+++ b/src/process/forward/backend_directory.h
@@ -11,6 +11,7 @@
 
 #include "connection/backend_registration.h"
 #include "process/forward/leaving_backends.h"
+#include "process/pace/server_pace.h"
 #include "process/store/store_request.h"
 #include "request/boot_clock.h"
 #include "request/token_bucket.h"
@@ -36,6 +37,7 @@
     // the newest load report.
     double other_load = 0;
     TimePoint other_load_at{};
+    ServerPace pace;
     // Until then the backend server is chosen only if there is no other.
     TimePoint avoid_until{};
     int consecutive_failures = 0;
@@ -127,7 +129,7 @@
   // Registrations of crashed backend servers stay in the store for some
   // seconds, and only the backend server with the newest one can be listening.
   void MarkOlderReplaced(Backend& backend);
-  // Returns the share of slots in use plus penalties; lower is better.
+  // Returns CandidateCost() plus a random tie-break; lower is better.
   double Cost(const Backend& backend, const Query& query, TimePoint now);
 
   std::mt19937_64 random_;
