Pace: probes before a request, slow start, and own observations

A frontend gets a response of the same backend server every 6 to 7 s, so the pace in a response is too old for the next request. Where backend servers send a pace figure and the configuration names a health path, PaceProber asks the four best candidates before a request is sent; the selection uses what they answer. Without figures, ObservedPace compares the durations of attempts with the median of the service, with a dead band of 25%.

SlowStart limits the requests of one frontend to a backend server that registered, failed or came back. The limit begins with a quarter of the slots, divided among the frontends, and is not applied when more than half of the candidates are at theirs. The cold limit goes first, as before.

--- a/src/process/forward/backend_directory.cc
+++ b/src/process/forward/backend_directory.cc
@@ -28,6 +28,9 @@
 constexpr double kColdBurst = 1;
 // Range of the random tie-break, added to the cost of a candidate.
 constexpr double kTieBreakRange = 0.02;
+// A response that took this many times the median does not let the limit of a
+// slow start grow.
+constexpr double kSlowResponse = 2;
 
 }  // namespace
 
@@ -57,6 +60,7 @@
       Put(row, now);
     }
   }
+  has_list_ |= is_full;
 }
 
 void BackendDirectory::Put(const StoredRow& row, TimePoint now) {
@@ -75,6 +79,11 @@
       is_new || backend.expires_at ||
       backend.registration.is_draining != registration.value().is_draining ||
       backend.registration.address != registration.value().address;
+  const bool has_come_back =
+      has_list_ && !registration.value().is_draining &&
+      (is_new || backend.registration.is_draining ||
+       backend.registration.started_at != registration.value().started_at ||
+       backend.registration.address != registration.value().address);
   const bool is_newer = is_new || row.version > backend.registration.version;
   backend.registration = std::move(registration).value();
   backend.registration.version = row.version;
@@ -87,6 +96,9 @@
                 backend.registration.remaining_cold_time.count(), "version",
                 row.version);
   }
+  if (has_come_back || (is_new && now < backend.cold_until)) {
+    BeginSlowStart(backend, "registered");
+  }
   if (is_newer) {
     backend.is_replaced = false;
     MarkOlderReplaced(backend);
@@ -173,12 +185,15 @@
     counts.lapsed += backend.expires_at ? 1 : 0;
     counts.avoided += now < backend.avoid_until ? 1 : 0;
     counts.cold += now < backend.cold_until ? 1 : 0;
+    counts.slow_start += backend.slow_start.IsActive() ? 1 : 0;
+    counts.with_pace += backend.pace.HasFigures(now) ? 1 : 0;
   }
   return counts;
 }
 
 double BackendDirectory::Cost(const Backend& backend,
                               const Query& query,
+                              bool is_limited,
                               TimePoint now) {
   const std::chrono::duration<double> age = now - backend.other_load_at;
   const double other_load =
@@ -189,23 +204,40 @@
        .pace = backend.pace.Estimate(now),
        .is_in_other_zone = backend.registration.zone != query.zone,
        .is_cold = now < backend.cold_until,
-       .is_avoided = now < backend.avoid_until});
+       .is_avoided = now < backend.avoid_until,
+       .is_limited = is_limited});
   std::uniform_real_distribution<double> tie(0, kTieBreakRange);
   return cost + tie(random_);
 }
 
 BackendDirectory::Backend* BackendDirectory::Choose(const Query& query,
                                                     TimePoint now) {
-  Backend* best = nullptr;
-  double lowest_cost = 0;
+  struct Candidate {
+    Backend* backend;
+    bool is_limited;
+  };
+  std::vector<Candidate> candidates;
+  size_t limited_count = 0;
   for (auto& [id, backend] : backends_) {
     if (backend.registration.service != query.service || !IsUsable(backend) ||
         query.excluded.contains(id) || !HasColdCapacity(backend, now)) {
       continue;
     }
-    const double cost = Cost(backend, query, now);
+    const bool is_limited =
+        !backend.slow_start.HasCapacity(backend.own_calls, now, random_);
+    limited_count += is_limited ? 1 : 0;
+    candidates.push_back({&backend, is_limited});
+  }
+  // When most are limited, as after the loss of an availability zone, the
+  // limits would send all requests to the few others.
+  const bool applies_limits = 2 * limited_count <= candidates.size();
+  Backend* best = nullptr;
+  double lowest_cost = 0;
+  for (const auto& [backend, is_limited] : candidates) {
+    const double cost =
+        Cost(*backend, query, applies_limits && is_limited, now);
     if (best == nullptr || cost < lowest_cost) {
-      best = &backend;
+      best = backend;
       lowest_cost = cost;
     }
   }
@@ -232,6 +264,7 @@
 void BackendDirectory::SetColdLimits(std::map<std::string, double> per_second,
                                      size_t members) {
   cold_per_second_ = std::move(per_second);
+  members_ = members;
   for (auto& [service, limit] : cold_per_second_) {
     limit *=
         kColdOnlineFraction / static_cast<double>(std::max<size_t>(members, 1));
@@ -260,6 +293,7 @@
 
 void BackendDirectory::NoteSent(Backend& backend, TimePoint now) {
   ++backend.own_calls;
+  backend.slow_start.NoteSent();
   if (backend.cold_tokens) {
     backend.cold_tokens->Spend(1, now);
   }
@@ -276,6 +310,53 @@
   }
 }
 
+void BackendDirectory::SetEvacuated(std::set<std::string> zones) {
+  for (auto& [id, backend] : backends_) {
+    const std::string& zone = backend.registration.zone;
+    if (evacuated_.contains(zone) && !zones.contains(zone)) {
+      BeginSlowStart(backend, "its availability zone is in service again");
+    }
+  }
+  evacuated_ = std::move(zones);
+}
+
+bool BackendDirectory::HasPaceFigures(const std::string& service,
+                                      TimePoint now) const {
+  return std::ranges::any_of(backends_, [&](const auto& item) {
+    return item.second.registration.service == service &&
+           item.second.pace.HasFigures(now);
+  });
+}
+
+void BackendDirectory::BeginSlowStart(Backend& backend,
+                                      const std::string& reason) {
+  const bool is_change = !backend.slow_start.IsActive();
+  backend.slow_start.Begin(backend.registration.slots, members_);
+  if (is_change) {
+    LogDecision(LogEvent::kSlowStartBegan, "runner", backend.registration.id,
+                "limit", backend.slow_start.limit(), "reason", reason);
+  }
+}
+
+void BackendDirectory::NoteAttempt(const AttemptOutcome& outcome,
+                                   TimePoint now) {
+  const std::optional<double> pace = observed_pace_.Add(outcome);
+  Backend* backend = Find(outcome.backend_id);
+  if (backend == nullptr) {
+    return;
+  }
+  if (pace) {
+    backend->pace.AddObservation(*pace, now);
+  }
+  const bool is_good = outcome.result == AttemptResult::kAnswered &&
+                       pace.value_or(1) < kSlowResponse;
+  if (!is_good && outcome.result != AttemptResult::kCancelled) {
+    backend->slow_start.NoteBadResponse();
+  } else if (is_good && backend->slow_start.NoteGoodResponse()) {
+    LogDecision(LogEvent::kSlowStartEnded, "runner", outcome.backend_id);
+  }
+}
+
 void BackendDirectory::NoteSuccess(Backend& backend) {
   backend.consecutive_failures = 0;
   backend.avoid_until = TimePoint{};
@@ -289,6 +370,7 @@
       (1 << std::min(backend.consecutive_failures, kMaxAvoidanceDoublings));
   ++backend.consecutive_failures;
   backend.avoid_until = now + avoidance;
+  BeginSlowStart(backend, reason);
   LogDecision(LogEvent::kBackendAvoided, "runner", backend.registration.id,
               "failures", backend.consecutive_failures, "avoid_ms",
               avoidance.count(), "reason", reason);
--- a/src/process/forward/backend_directory.h
+++ b/src/process/forward/backend_directory.h
@@ -11,7 +11,9 @@
 
 #include "connection/backend_registration.h"
 #include "process/forward/leaving_backends.h"
+#include "process/pace/observed_pace.h"
 #include "process/pace/server_pace.h"
+#include "process/pace/slow_start.h"
 #include "process/store/store_request.h"
 #include "request/boot_clock.h"
 #include "request/token_bucket.h"
@@ -38,6 +40,7 @@
     double other_load = 0;
     TimePoint other_load_at{};
     ServerPace pace;
+    SlowStart slow_start;
     // Until then the backend server is chosen only if there is no other.
     TimePoint avoid_until{};
     int consecutive_failures = 0;
@@ -62,6 +65,8 @@
     int lapsed = 0;  // missing from the store, removed after a grace period
     int avoided = 0;
     int cold = 0;
+    int slow_start = 0;
+    int with_pace = 0;  // sent a pace figure recently
   };
 
   explicit BackendDirectory(std::uint64_t seed) : random_(seed) {}
@@ -82,9 +87,7 @@
   void SetColdLimits(std::map<std::string, double> per_second, size_t members);
   // Sets the availability zones that are out of service: their backend servers
   // get no new requests.
-  void SetEvacuated(std::set<std::string> zones) {
-    evacuated_ = std::move(zones);
-  }
+  void SetEvacuated(std::set<std::string> zones);
   // Removes registrations whose grace period ended before they were written
   // again.
   void Tick(TimePoint now);
@@ -98,12 +101,16 @@
   // one, or nullptr.
   Backend* FindByAddress(const std::string& address);
   bool IsUsable(const Backend& backend) const;
+  // Whether a backend server of the service sent a pace figure recently.
+  bool HasPaceFigures(const std::string& service, TimePoint now) const;
   size_t size() const { return backends_.size(); }
   Counts CountStates(TimePoint now) const;
 
   // Records that a request is sent to the backend server.
   void NoteSent(Backend& backend, TimePoint now);
   void NoteLoad(Backend& backend, const BackendLoad& load, TimePoint now);
+  // Records how long an attempt took and whether it ended well.
+  void NoteAttempt(const AttemptOutcome& outcome, TimePoint now);
   void NoteSuccess(Backend& backend);
   // Records that the backend server failed or stopped responding. The time for
   // which it is avoided doubles with each consecutive failure, up to a limit.
@@ -130,7 +137,11 @@
   // seconds, and only the backend server with the newest one can be listening.
   void MarkOlderReplaced(Backend& backend);
   // Returns CandidateCost() plus a random tie-break; lower is better.
-  double Cost(const Backend& backend, const Query& query, TimePoint now);
+  double Cost(const Backend& backend,
+              const Query& query,
+              bool is_limited,
+              TimePoint now);
+  void BeginSlowStart(Backend& backend, const std::string& reason);
 
   std::mt19937_64 random_;
   std::map<std::string, Backend> backends_;
@@ -139,6 +150,11 @@
   // Requests per second to one cold backend server, by service; this
   // frontend's part only.
   std::map<std::string, double> cold_per_second_;
+  size_t members_ = 1;  // frontends
+  // Whether the registrations were read once. Backend servers in the first list
+  // have not just started.
+  bool has_list_ = false;
+  ObservedPace observed_pace_;
 };
 
 }  // namespace carawayrelay
--- a/src/process/forward/online_forwarder.cc
+++ b/src/process/forward/online_forwarder.cc
@@ -75,7 +75,7 @@
   request.service = ChooseService(route);
   ContinueTrace(request);
   if (workspace == nullptr) {
-    ChooseAndSend(request, now);
+    ProbeAndSend(request, now);
     return;
   }
   request.workspace = workspace->name;
@@ -93,7 +93,7 @@
   Request& request = it->second;
   const TimePoint now = clock_.now();
   std::visit(Overloaded{
-                 [&](const RateAdmitted&) { ChooseAndSend(request, now); },
+                 [&](const RateAdmitted&) { ProbeAndSend(request, now); },
                  [&](const RateExceeded& exceeded) {
                    Refuse(request,
                           {.code = RefusalCode::kRateLimited,
--- a/src/process/forward/online_forwarder.h
+++ b/src/process/forward/online_forwarder.h
@@ -11,6 +11,7 @@
 
 #include "process/forward/attempt_outcome.h"
 #include "process/forward/backend_directory.h"
+#include "process/forward/pace_prober.h"
 #include "process/limits/rate_admission.h"
 #include "process/quarantine/prompt_quarantine.h"
 #include "process/serving/event_loop_clock.h"
@@ -93,6 +94,7 @@
 
   // Bytes of responses that are held until they are complete.
   size_t buffered_bytes() const { return buffered_bytes_; }
+  PaceProber& prober() { return prober_; }
   size_t active() const { return requests_.size(); }
   const Counters& counters() const { return counters_; }
 
@@ -153,6 +155,9 @@
   };
 
   void OnRateVerdict(ClientCallId client, const RateVerdict& verdict);
+  // Asks backend servers for their pace first where that helps, then calls
+  // ChooseAndSend().
+  void ProbeAndSend(Request& request, TimePoint now);
   // Chooses a backend server and sends the request to it. For a stream with a
   // known number of tokens, a slot is reserved first, unless reservations are
   // paused or failed at max_reservation_attempts backend servers. Refuses the
@@ -213,6 +218,7 @@
   OutboundCalls& calls_;
   const EventLoopClock& clock_;
   ResponseCallback send_response_;
+  PaceProber prober_{backends_, calls_, clock_};
   std::mt19937_64 random_;
   std::map<ClientCallId, Request> requests_;
   size_t buffered_bytes_ = 0;  // of the bodies of all requests
--- a/src/process/forward/online_forwarder_attempts.cc
+++ b/src/process/forward/online_forwarder_attempts.cc
@@ -16,6 +16,22 @@
 
 }  // namespace
 
+void OnlineForwarder::ProbeAndSend(Request& request, TimePoint now) {
+  const ClientCallId client = request.call.client;
+  const bool is_probing = prober_.Start(
+      {.service = request.service, .zone = options_.zone},
+      [this, client] {
+        const auto it = requests_.find(client);
+        if (it != requests_.end()) {
+          ChooseAndSend(it->second, clock_.now());
+        }
+      },
+      now);
+  if (!is_probing) {
+    ChooseAndSend(request, now);
+  }
+}
+
 void OnlineForwarder::SendTo(Request& request,
                              BackendDirectory::Backend& chosen,
                              TimePoint now) {
--- a/src/process/pace/candidate_cost.cc
+++ b/src/process/pace/candidate_cost.cc
@@ -7,7 +7,7 @@
 
 // Time to the first event of an idle backend server relative to what a full
 // batch adds to it: each step takes longer the more requests run.
-constexpr double kIdleTime = 1;
+constexpr double kIdleTime = 2;
 // Above this share of slots, a request waits until another one ends. This takes
 // longer than a slower step by this factor.
 constexpr double kFullShare = 1;
--- a/src/process/pace/server_pace.cc
+++ b/src/process/pace/server_pace.cc
@@ -9,10 +9,12 @@
 using Seconds = std::chrono::duration<double>;
 
 // Time in which the newest figure loses half of its weight against the mean.
-constexpr Seconds kNewestHalfLife{0.1};
+// Paces last 100 to 400 ms; with 100 ms, figures that arrive late cost more
+// than fresh ones gain (pace_selection_test).
+constexpr Seconds kNewestHalfLife{0.06};
 // Weight of the usual pace against the samples, in samples. It makes few or old
 // samples count little.
-constexpr double kUsualPaceWeight = 1;
+constexpr double kUsualPaceWeight = 3;
 // Observations vary with the prompts. Several are needed before they count.
 constexpr double kMinObservations = 3;
 // Differences of the observed mean below this are taken for noise.
--- a/src/process/serving/frontend_process.cc
+++ b/src/process/serving/frontend_process.cc
@@ -293,9 +293,14 @@
   cold_limits_version_ = config->version();
   cold_limits_members_ = rates_.members().size();
   std::map<std::string, double> per_second;
+  std::map<std::string, std::string> health_paths;
   for (const ServingService& service : config->services()) {
     per_second[service.name] = service.cold_start_requests_per_second;
+    if (!service.health_path.empty()) {
+      health_paths[service.name] = service.health_path;
+    }
   }
+  forwarder_->prober().SetHealthPaths(std::move(health_paths));
   core_->backends().SetColdLimits(std::move(per_second), cold_limits_members_);
 }
 
--- a/src/process/serving/frontend_process_monitoring.cc
+++ b/src/process/serving/frontend_process_monitoring.cc
@@ -54,6 +54,11 @@
   count_rates("asked", rates.asked);
   count_rates("repeated", rates.repeated);
   count_rates("alone", rates.alone);
+  const PaceProber::Counters& probes = forwarder_->prober().counters();
+  metrics.SetCounter(names::kPaceProbes, {{"result", "answered"}},
+                     probes.answered);
+  metrics.SetCounter(names::kPaceProbes, {{"result", "unanswered"}},
+                     probes.unanswered);
   core_->UpdateMetrics(now);
 }
 
@@ -65,7 +70,8 @@
 }
 
 void FrontendProcess::ObserveAttempt(const AttemptOutcome& outcome,
-                                     TimePoint /*now*/) {
+                                     TimePoint now) {
+  core_->backends().NoteAttempt(outcome, now);
   core_->metrics().Count(serving_metrics::kAttempts,
                          {{"result", ToString(outcome.result)}});
 }
--- a/src/process/serving/serving_core.cc
+++ b/src/process/serving/serving_core.cc
@@ -93,6 +93,8 @@
   set_backends("lapsed", backends.lapsed);
   set_backends("avoided", backends.avoided);
   set_backends("cold", backends.cold);
+  set_backends("slow_start", backends.slow_start);
+  set_backends("with_pace", backends.with_pace);
   const auto set = [&](const MetricDescriptor& metric, double value) {
     metrics_.SetGauge(metric, {}, value);
   };
--- a/src/process/serving/serving_metrics.h
+++ b/src/process/serving/serving_metrics.h
@@ -20,7 +20,12 @@
 inline constexpr MetricDescriptor kItemEvents{
     "carawayrelay_item_events_total",
     "Decisions about batch items of this worker."};
-// Labels: state (usable, draining, leaving, replaced, lapsed, avoided, cold).
+// Labels: result (answered, unanswered).
+inline constexpr MetricDescriptor kPaceProbes{
+    "carawayrelay_pace_probes_total",
+    "Calls to the health path for the pace of backend servers."};
+// Labels: state (usable, draining, leaving, replaced, lapsed, avoided, cold,
+// slow_start, with_pace).
 inline constexpr MetricDescriptor kBackends{
     "carawayrelay_runners", "Known entries of backend servers by state."};
 inline constexpr MetricDescriptor kQuarantinedParts{
--- a/src/process/telemetry/events.cc
+++ b/src/process/telemetry/events.cc
@@ -90,6 +90,14 @@
       return "item_returned";
     case LogEvent::kItemDropped:
       return "item_dropped";
+    case LogEvent::kSlowStartBegan:
+      return "slow_start_began";
+    case LogEvent::kSlowStartEnded:
+      return "slow_start_ended";
+    case LogEvent::kPaceFiguresChanged:
+      return "pace_figures_changed";
+    case LogEvent::kItemsLeftToOthers:
+      return "items_left_to_others";
     default:
       return "event";
   }
--- a/src/process/telemetry/log_timeline.cc
+++ b/src/process/telemetry/log_timeline.cc
@@ -58,6 +58,12 @@
        "{failures}"},
       {"item_returned", "released the claim on item {item}: {reason}"},
       {"item_dropped", "stopped running item {item}: {reason}"},
+      {"slow_start_began",
+       "slow start of backend server {runner}, limit {limit}: {reason}"},
+      {"slow_start_ended", "slow start of backend server {runner} ended"},
+      {"items_left_to_others",
+       "left the items to other workers for {for_ms} ms: the local backend "
+       "server has pace {pace}, time left {left_ms} ms"},
       {"serving_started", "process started as {role}"},
       {"serving_stopping",
        "process is stopping, requests or calls in progress: {active}"},
--- a/src/version/serving_config.h
+++ b/src/version/serving_config.h
@@ -73,6 +73,9 @@
   int max_connections = 0;
   // Requests per second that a backend server can handle during its cold start.
   double cold_start_requests_per_second = 0;
+  // Path at which a backend server tells its health and load; empty if the
+  // configuration names none.
+  std::string health_path;
 };
 
 // Size limits of client requests.
