ItemWorker: the pace of the local backend server decides what starts

A backend server that takes 1.7 times as long ran as many items as one of the usual pace, which made them and the online requests beside them late. The worker reads the pace from load reports and item streams and starts and claims items only in the slots divided by it. Items that would end in time at the usual pace but not at this one are left or handed back to other workers for 0.8 s, once for each job. Without figures nothing changes.

--- a/src/process/jobs/item_worker.cc
+++ b/src/process/jobs/item_worker.cc
@@ -5,6 +5,7 @@
 
 #include "platform/backend_codec.h"
 #include "process/jobs/job_api.h"
+#include "process/pace/item_pace.h"
 #include "process/telemetry/decision_log.h"
 #include "request/overloaded.h"
 
@@ -141,6 +142,7 @@
 
 void ItemWorker::OnReportHead(const CallHead& head) {
   const BackendDirectory::Backend* backend = LocalBackend();
+  NoteLocalPace(platform::DecodeBackendResponseHead(head).load, clock_.now());
   if (backend != nullptr && platform::AnnouncesLeaving(head.headers)) {
     backends_.NoteLeaving(backend->registration.id, clock_.now());
   }
@@ -160,6 +162,9 @@
     PreemptRuns(-free_slots, now);
     return;
   }
+  free_slots = std::min(
+      free_slots, SlotsAtPace(backend->registration.slots, LocalPace(now)) -
+                      load.running - load.waiting);
   if (now < backend->cold_until) {
     free_slots = std::min(free_slots, kMaxColdRuns - CountRunning());
   }
--- a/src/process/jobs/item_worker.h
+++ b/src/process/jobs/item_worker.h
@@ -51,6 +51,10 @@
     // Longest text of an item in bytes. A run that sends more is broken: the
     // text so far is dropped, since its end is not known.
     size_t max_text_bytes = size_t{4} << 20;
+    // How long the items of a job are left to workers with a faster backend
+    // server. Longer than the random delay before a claim, so that one of them
+    // can claim.
+    std::chrono::milliseconds leave_time{800};
     // A run without progress for this long is stopped and resumed.
     std::chrono::milliseconds silence_limit{2500};
   };
@@ -155,6 +159,15 @@
   bool IsClaimDelayOver(const std::string& job,
                         std::uint64_t version,
                         TimePoint now);
+  // Pace of the local backend server for runs, 1 if it sends no figures.
+  double LocalPace(TimePoint now);
+  void NoteLocalPace(const std::optional<BackendLoad>& load, TimePoint now);
+  // Whether items of the job are left to other workers, because they would end
+  // in time on a backend server of the usual pace but not on the local one.
+  // This applies for a limited time and once for each job.
+  bool IsLeftToOthers(const std::string& job,
+                      std::chrono::milliseconds time_left,
+                      TimePoint now);
   bool IsClaimable(const std::string& job,
                    size_t index,
                    const JobItemState& item,
@@ -213,6 +226,8 @@
   // Items that failed on the local backend server, and until when they are left
   // to the other workers.
   std::map<ItemKey, TimePoint> failed_locally_;
+  // Until when the items of a job are left to other workers.
+  std::map<std::string, TimePoint> left_until_;
   int consecutive_failures_ = 0;
   bool is_claiming_ = false;
   bool is_stopping_ = false;
--- a/src/process/jobs/item_worker_claims.cc
+++ b/src/process/jobs/item_worker_claims.cc
@@ -4,6 +4,7 @@
 #include "platform/prompt_codec.h"
 #include "process/jobs/item_worker.h"
 #include "process/jobs/job_api.h"
+#include "process/pace/item_pace.h"
 #include "process/telemetry/decision_log.h"
 
 namespace carawayrelay {
@@ -53,6 +54,40 @@
                      [](const auto& item) { return item.second.job.IsOpen(); });
 }
 
+double ItemWorker::LocalPace(TimePoint now) {
+  const BackendDirectory::Backend* backend = LocalBackend();
+  // A run that starts now is slow at first if the pace is slow now, and later
+  // if it was slow most of the time.
+  return backend == nullptr ? 1
+                            : std::max(backend->pace.Estimate(now).pace,
+                                       backend->pace.RecentMean(now));
+}
+
+void ItemWorker::NoteLocalPace(const std::optional<BackendLoad>& load,
+                               TimePoint now) {
+  BackendDirectory::Backend* backend = LocalBackend();
+  if (backend != nullptr && load && load->pace) {
+    backend->pace.AddFigure(*load->pace, now);
+  }
+}
+
+bool ItemWorker::IsLeftToOthers(const std::string& job,
+                                milliseconds time_left,
+                                TimePoint now) {
+  const auto known = left_until_.find(job);
+  if (known != left_until_.end()) {
+    return now < known->second;
+  }
+  const double pace = LocalPace(now);
+  if (!FitsOnlyElsewhere(options_.run_time, pace, time_left)) {
+    return false;
+  }
+  left_until_[job] = now + options_.leave_time;
+  LogDecision(LogEvent::kItemsLeftToOthers, "job", job, "pace", pace, "left_ms",
+              time_left.count(), "for_ms", options_.leave_time.count());
+  return true;
+}
+
 std::optional<std::string> ItemWorker::ChooseJob(TimePoint now) {
   if (LocalBackend() == nullptr || !config_) {
     return std::nullopt;
@@ -79,6 +114,9 @@
       if (IsClaimable(id, i, entry.job.items[i], store_now)) {
         const milliseconds due =
             entry.job.accepted + route->bulk.completion_target;
+        if (IsLeftToOthers(id, due - store_now, now)) {
+          break;
+        }
         found.push_back({.is_late = due - store_now < options_.run_time,
                          .due = due,
                          .job = id});
--- a/src/process/jobs/item_worker_give_up.cc
+++ b/src/process/jobs/item_worker_give_up.cc
@@ -52,10 +52,12 @@
   next_give_up_check_ = now + kGiveUpCheckInterval;
   std::erase_if(failed_locally_,
                 [&](const auto& item) { return now >= item.second; });
-  std::erase_if(claim_times_, [&](const auto& item) {
+  const auto is_of_closed_job = [&](const auto& item) {
     const JobTable::Entry* entry = jobs_.Find(item.first);
     return entry == nullptr || !entry->job.IsOpen();
-  });
+  };
+  std::erase_if(claim_times_, is_of_closed_job);
+  std::erase_if(left_until_, is_of_closed_job);
   for (const auto& [id, entry] : jobs_.jobs()) {
     const std::optional<std::string> reason =
         entry.job.IsOpen() ? GiveUpReason(entry, now) : std::nullopt;
--- a/src/process/jobs/item_worker_runs.cc
+++ b/src/process/jobs/item_worker_runs.cc
@@ -62,6 +62,11 @@
     ReleaseClaim(key, run, *reason, now);
     return;
   }
+  const milliseconds due = entry->job.accepted + route->bulk.completion_target;
+  if (IsLeftToOthers(key.first, due - store_.StoreTime(now), now)) {
+    ReleaseClaim(key, run, "the local backend server is too slow", now);
+    return;
+  }
   run.state = RunState::kRunning;
   run.state_since = now;
   run.status = 0;
@@ -103,6 +108,7 @@
                    run.last_progress_at = now;
                    const platform::BackendResponseHead response =
                        platform::DecodeBackendResponseHead(head);
+                   NoteLocalPace(response.load, now);
                    if (response.is_leaving && !response.is_misdirected) {
                      backends_.NoteLeaving(run.backend_id, now);
                    }
