--- a/src/process/forward/online_forwarder.cc
+++ b/src/process/forward/online_forwarder.cc
@@ -76,7 +76,7 @@
   request.service = ChooseService(route);
   ContinueTrace(request);
   if (workspace == nullptr) {
-    ChooseAndSend(request, now);
+    ProbeAndSend(request, now);
     return;
   }
   request.workspace = workspace->name;
@@ -103,7 +103,7 @@
   const TimePoint now = clock_.now();
   request.rate_wait = now - request.call.arrived;
   std::visit(Overloaded{
-                 [&](const RateAdmitted&) { ChooseAndSend(request, now); },
+                 [&](const RateAdmitted&) { ProbeAndSend(request, now); },
                  [&](const RateExceeded& exceeded) {
                    Refuse(request,
                           {.code = RefusalCode::kRateLimited,
--- a/src/process/serving/frontend_process_monitoring.cc
+++ b/src/process/serving/frontend_process_monitoring.cc
@@ -55,6 +55,11 @@
   count_rates("repeated", rates.repeated);
   count_rates("alone", rates.alone);
   count_rates("waited", rates.waited);
+  const PaceProber::Counters& probes = forwarder_->prober().counters();
+  metrics.SetCounter(names::kPaceProbes, {{"result", "answered"}},
+                     probes.answered);
+  metrics.SetCounter(names::kPaceProbes, {{"result", "unanswered"}},
+                     probes.unanswered);
   core_->UpdateMetrics(now);
 }
 
@@ -66,7 +71,8 @@
 }
 
 void FrontendProcess::ObserveAttempt(const AttemptOutcome& outcome,
-                                     TimePoint /*now*/) {
+                                     TimePoint now) {
+  core_->backends().NoteAttempt(outcome, now);
   core_->metrics().Count(serving_metrics::kAttempts,
                          {{"result", ToString(outcome.result)}});
 }
