Health: shared outlier ejection of backend servers

Each frontend avoided failing backend servers by its own failures only, and sees few requests to each. Frontends now exchange reports of failures by datagram, and an outlier detector ejects or reduces backend servers that fail clearly more than the others of their service, at most half of them. A short frame that announces a huge list no longer makes Thrift allocate it.

--- a/src/connection/compact_struct.h
+++ b/src/connection/compact_struct.h
@@ -3,6 +3,7 @@
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <exception>
 #include <memory>
@@ -32,7 +33,12 @@
   try {
     auto buffer = std::make_shared<apache::thrift::transport::TMemoryBuffer>(
         data, static_cast<std::uint32_t>(bytes.size()));
-    apache::thrift::protocol::TCompactProtocol protocol(buffer);
+    // A text has at most as many bytes, and a list at most as many elements, as
+    // the frame has bytes. Without the limits, a short frame that announces
+    // more makes Thrift allocate all of it.
+    const auto limit =
+        static_cast<std::int32_t>(std::max<size_t>(bytes.size(), 1));
+    apache::thrift::protocol::TCompactProtocol protocol(buffer, limit, limit);
     value.read(&protocol);
   } catch (const std::exception& e) {
     return Error{ErrorCode::kInvalid,
--- a/src/connection/gen/wire_types.cpp
+++ b/src/connection/gen/wire_types.cpp
@@ -3799,4 +3799,500 @@
   out << ")";
 }
 
+
+HealthEvidence::~HealthEvidence() noexcept {
+}
+
+
+void HealthEvidence::__set_server(const int64_t val) {
+  this->server = val;
+}
+
+void HealthEvidence::__set_answers(const int32_t val) {
+  this->answers = val;
+}
+
+void HealthEvidence::__set_failures(const int32_t val) {
+  this->failures = val;
+}
+
+void HealthEvidence::__set_answer_age_ms(const int32_t val) {
+  this->answer_age_ms = val;
+}
+
+void HealthEvidence::__set_failure_age_ms(const int32_t val) {
+  this->failure_age_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const HealthEvidence& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t HealthEvidence::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->answers);
+          this->__isset.answers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->failures);
+          this->__isset.failures = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->answer_age_ms);
+          this->__isset.answer_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->failure_age_ms);
+          this->__isset.failure_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t HealthEvidence::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("HealthEvidence");
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->answers);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("failures", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->failures);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answer_age_ms", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->answer_age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("failure_age_ms", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->failure_age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(HealthEvidence &a, HealthEvidence &b) {
+  using ::std::swap;
+  swap(a.server, b.server);
+  swap(a.answers, b.answers);
+  swap(a.failures, b.failures);
+  swap(a.answer_age_ms, b.answer_age_ms);
+  swap(a.failure_age_ms, b.failure_age_ms);
+  swap(a.__isset, b.__isset);
+}
+
+HealthEvidence::HealthEvidence(const HealthEvidence& other66) noexcept {
+  server = other66.server;
+  answers = other66.answers;
+  failures = other66.failures;
+  answer_age_ms = other66.answer_age_ms;
+  failure_age_ms = other66.failure_age_ms;
+  __isset = other66.__isset;
+}
+HealthEvidence& HealthEvidence::operator=(const HealthEvidence& other67) noexcept {
+  server = other67.server;
+  answers = other67.answers;
+  failures = other67.failures;
+  answer_age_ms = other67.answer_age_ms;
+  failure_age_ms = other67.failure_age_ms;
+  __isset = other67.__isset;
+  return *this;
+}
+void HealthEvidence::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "HealthEvidence(";
+  out << "server=" << to_string(server);
+  out << ", " << "answers=" << to_string(answers);
+  out << ", " << "failures=" << to_string(failures);
+  out << ", " << "answer_age_ms=" << to_string(answer_age_ms);
+  out << ", " << "failure_age_ms=" << to_string(failure_age_ms);
+  out << ")";
+}
+
+
+HealthReport::~HealthReport() noexcept {
+}
+
+
+void HealthReport::__set_reporter(const std::string& val) {
+  this->reporter = val;
+}
+
+void HealthReport::__set_process(const int64_t val) {
+  this->process = val;
+}
+
+void HealthReport::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void HealthReport::__set_age_ms(const int32_t val) {
+  this->age_ms = val;
+}
+
+void HealthReport::__set_servers(const std::vector<HealthEvidence> & val) {
+  this->servers = val;
+}
+std::ostream& operator<<(std::ostream& out, const HealthReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t HealthReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->reporter);
+          this->__isset.reporter = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->process);
+          this->__isset.process = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->servers.clear();
+            uint32_t _size68;
+            ::apache::thrift::protocol::TType _etype71;
+            xfer += iprot->readListBegin(_etype71, _size68);
+            this->servers.resize(_size68);
+            uint32_t _i72;
+            for (_i72 = 0; _i72 < _size68; ++_i72)
+            {
+              xfer += this->servers[_i72].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.servers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t HealthReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("HealthReport");
+
+  xfer += oprot->writeFieldBegin("reporter", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->reporter);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("process", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->process);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
+    std::vector<HealthEvidence> ::const_iterator _iter73;
+    for (_iter73 = this->servers.begin(); _iter73 != this->servers.end(); ++_iter73)
+    {
+      xfer += (*_iter73).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(HealthReport &a, HealthReport &b) {
+  using ::std::swap;
+  swap(a.reporter, b.reporter);
+  swap(a.process, b.process);
+  swap(a.sequence, b.sequence);
+  swap(a.age_ms, b.age_ms);
+  swap(a.servers, b.servers);
+  swap(a.__isset, b.__isset);
+}
+
+HealthReport::HealthReport(const HealthReport& other74) {
+  reporter = other74.reporter;
+  process = other74.process;
+  sequence = other74.sequence;
+  age_ms = other74.age_ms;
+  servers = other74.servers;
+  __isset = other74.__isset;
+}
+HealthReport& HealthReport::operator=(const HealthReport& other75) {
+  reporter = other75.reporter;
+  process = other75.process;
+  sequence = other75.sequence;
+  age_ms = other75.age_ms;
+  servers = other75.servers;
+  __isset = other75.__isset;
+  return *this;
+}
+void HealthReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "HealthReport(";
+  out << "reporter=" << to_string(reporter);
+  out << ", " << "process=" << to_string(process);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ", " << "servers=" << to_string(servers);
+  out << ")";
+}
+
+
+HealthEnvelope::~HealthEnvelope() noexcept {
+}
+
+
+void HealthEnvelope::__set_protocol_version(const int32_t val) {
+  this->protocol_version = val;
+}
+
+void HealthEnvelope::__set_reports(const std::vector<HealthReport> & val) {
+  this->reports = val;
+}
+std::ostream& operator<<(std::ostream& out, const HealthEnvelope& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t HealthEnvelope::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->protocol_version);
+          this->__isset.protocol_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->reports.clear();
+            uint32_t _size76;
+            ::apache::thrift::protocol::TType _etype79;
+            xfer += iprot->readListBegin(_etype79, _size76);
+            this->reports.resize(_size76);
+            uint32_t _i80;
+            for (_i80 = 0; _i80 < _size76; ++_i80)
+            {
+              xfer += this->reports[_i80].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.reports = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t HealthEnvelope::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("HealthEnvelope");
+
+  xfer += oprot->writeFieldBegin("protocol_version", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->protocol_version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reports", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reports.size()));
+    std::vector<HealthReport> ::const_iterator _iter81;
+    for (_iter81 = this->reports.begin(); _iter81 != this->reports.end(); ++_iter81)
+    {
+      xfer += (*_iter81).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(HealthEnvelope &a, HealthEnvelope &b) {
+  using ::std::swap;
+  swap(a.protocol_version, b.protocol_version);
+  swap(a.reports, b.reports);
+  swap(a.__isset, b.__isset);
+}
+
+HealthEnvelope::HealthEnvelope(const HealthEnvelope& other82) {
+  protocol_version = other82.protocol_version;
+  reports = other82.reports;
+  __isset = other82.__isset;
+}
+HealthEnvelope& HealthEnvelope::operator=(const HealthEnvelope& other83) {
+  protocol_version = other83.protocol_version;
+  reports = other83.reports;
+  __isset = other83.__isset;
+  return *this;
+}
+void HealthEnvelope::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "HealthEnvelope(";
+  out << "protocol_version=" << to_string(protocol_version);
+  out << ", " << "reports=" << to_string(reports);
+  out << ")";
+}
+
 }} // namespace
--- a/src/connection/gen/wire_types.h
+++ b/src/connection/gen/wire_types.h
@@ -63,6 +63,12 @@
 
 class RateEnvelope;
 
+class HealthEvidence;
+
+class HealthReport;
+
+class HealthEnvelope;
+
 typedef struct _Hello__isset {
   _Hello__isset() : protocol_version(false), node(false), role(false), zone(false), link_class(false), config_version(false), routes(false) {}
   bool protocol_version :1;
@@ -1589,6 +1595,196 @@
 
 std::ostream& operator<<(std::ostream& out, const RateEnvelope& obj);
 
+typedef struct _HealthEvidence__isset {
+  _HealthEvidence__isset() : server(false), answers(false), failures(false), answer_age_ms(false), failure_age_ms(false) {}
+  bool server :1;
+  bool answers :1;
+  bool failures :1;
+  bool answer_age_ms :1;
+  bool failure_age_ms :1;
+} _HealthEvidence__isset;
+
+class HealthEvidence : public virtual ::apache::thrift::TBase {
+ public:
+
+  HealthEvidence(const HealthEvidence&) noexcept;
+  HealthEvidence& operator=(const HealthEvidence&) noexcept;
+  HealthEvidence() noexcept
+                 : server(0),
+                   answers(0),
+                   failures(0),
+                   answer_age_ms(0),
+                   failure_age_ms(0) {
+  }
+
+  virtual ~HealthEvidence() noexcept;
+  int64_t server;
+  int32_t answers;
+  int32_t failures;
+  int32_t answer_age_ms;
+  int32_t failure_age_ms;
+
+  _HealthEvidence__isset __isset;
+
+  void __set_server(const int64_t val);
+
+  void __set_answers(const int32_t val);
+
+  void __set_failures(const int32_t val);
+
+  void __set_answer_age_ms(const int32_t val);
+
+  void __set_failure_age_ms(const int32_t val);
+
+  bool operator == (const HealthEvidence & rhs) const
+  {
+    if (!(server == rhs.server))
+      return false;
+    if (!(answers == rhs.answers))
+      return false;
+    if (!(failures == rhs.failures))
+      return false;
+    if (!(answer_age_ms == rhs.answer_age_ms))
+      return false;
+    if (!(failure_age_ms == rhs.failure_age_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const HealthEvidence &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const HealthEvidence & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(HealthEvidence &a, HealthEvidence &b);
+
+std::ostream& operator<<(std::ostream& out, const HealthEvidence& obj);
+
+typedef struct _HealthReport__isset {
+  _HealthReport__isset() : reporter(false), process(false), sequence(false), age_ms(false), servers(false) {}
+  bool reporter :1;
+  bool process :1;
+  bool sequence :1;
+  bool age_ms :1;
+  bool servers :1;
+} _HealthReport__isset;
+
+class HealthReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  HealthReport(const HealthReport&);
+  HealthReport& operator=(const HealthReport&);
+  HealthReport() noexcept
+               : reporter(),
+                 process(0),
+                 sequence(0),
+                 age_ms(0) {
+  }
+
+  virtual ~HealthReport() noexcept;
+  std::string reporter;
+  int64_t process;
+  int64_t sequence;
+  int32_t age_ms;
+  std::vector<HealthEvidence>  servers;
+
+  _HealthReport__isset __isset;
+
+  void __set_reporter(const std::string& val);
+
+  void __set_process(const int64_t val);
+
+  void __set_sequence(const int64_t val);
+
+  void __set_age_ms(const int32_t val);
+
+  void __set_servers(const std::vector<HealthEvidence> & val);
+
+  bool operator == (const HealthReport & rhs) const
+  {
+    if (!(reporter == rhs.reporter))
+      return false;
+    if (!(process == rhs.process))
+      return false;
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    if (!(servers == rhs.servers))
+      return false;
+    return true;
+  }
+  bool operator != (const HealthReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const HealthReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(HealthReport &a, HealthReport &b);
+
+std::ostream& operator<<(std::ostream& out, const HealthReport& obj);
+
+typedef struct _HealthEnvelope__isset {
+  _HealthEnvelope__isset() : protocol_version(false), reports(false) {}
+  bool protocol_version :1;
+  bool reports :1;
+} _HealthEnvelope__isset;
+
+class HealthEnvelope : public virtual ::apache::thrift::TBase {
+ public:
+
+  HealthEnvelope(const HealthEnvelope&);
+  HealthEnvelope& operator=(const HealthEnvelope&);
+  HealthEnvelope() noexcept
+                 : protocol_version(0) {
+  }
+
+  virtual ~HealthEnvelope() noexcept;
+  int32_t protocol_version;
+  std::vector<HealthReport>  reports;
+
+  _HealthEnvelope__isset __isset;
+
+  void __set_protocol_version(const int32_t val);
+
+  void __set_reports(const std::vector<HealthReport> & val);
+
+  bool operator == (const HealthEnvelope & rhs) const
+  {
+    if (!(protocol_version == rhs.protocol_version))
+      return false;
+    if (!(reports == rhs.reports))
+      return false;
+    return true;
+  }
+  bool operator != (const HealthEnvelope &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const HealthEnvelope & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(HealthEnvelope &a, HealthEnvelope &b);
+
+std::ostream& operator<<(std::ostream& out, const HealthEnvelope& obj);
+
 }} // namespace
 
 #endif
--- a/src/connection/wire.thrift
+++ b/src/connection/wire.thrift
@@ -172,3 +172,25 @@
   5: optional RateLoan loan
   6: optional RateLoanReturn loan_return
 }
+
+// What a frontend knows about a backend server. Times are ages in the report.
+struct HealthEvidence {
+  1: i64 server
+  2: i32 answers
+  3: i32 failures
+  4: i32 answer_age_ms
+  5: i32 failure_age_ms
+}
+
+struct HealthReport {
+  1: string reporter
+  2: i64 process
+  3: i64 sequence
+  4: i32 age_ms
+  5: list<HealthEvidence> servers
+}
+
+struct HealthEnvelope {
+  1: i32 protocol_version
+  2: list<HealthReport> reports
+}
--- a/src/process/forward/attempt_outcome.h
+++ b/src/process/forward/attempt_outcome.h
@@ -42,6 +42,9 @@
   AttemptResult result = AttemptResult::kAnswered;
   // Whether the request may run more than once.
   bool is_repeatable = false;
+  // Whether the attempt once made no progress for Options::silence_limit of the
+  // forwarder, which was passed to Options::observe_silence then.
+  bool was_silent = false;
   // Prompt tokens plus the maximum output tokens; 0 when not known.
   std::int64_t tokens = 0;
   // Events with data of this attempt.
--- a/src/process/forward/backend_directory.cc
+++ b/src/process/forward/backend_directory.cc
@@ -196,6 +196,9 @@
   if (now < backend.avoid_until) {
     cost += kAvoidPenalty;
   }
+  if (health_penalty_) {
+    cost += health_penalty_(backend, query, now);
+  }
   std::uniform_real_distribution<double> tie(0, kTieBreakRange);
   return cost + tie(random_);
 }
--- a/src/process/forward/backend_directory.h
+++ b/src/process/forward/backend_directory.h
@@ -2,11 +2,13 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "connection/backend_registration.h"
@@ -48,8 +50,15 @@
     std::string service;
     std::string zone;  // of this process
     std::set<std::string> excluded;
+    // Whether the request may run more than once.
+    bool is_repeatable = true;
   };
 
+  // Returns what the health of a backend server adds to its cost for a request;
+  // at least 0.
+  using HealthPenalty =
+      std::function<double(const Backend&, const Query&, TimePoint now)>;
+
   // Number of registrations in each state; one registration may be in several
   // states. The names are label values of a metric.
   struct Counts {
@@ -83,6 +92,9 @@
   void SetEvacuated(std::set<std::string> zones) {
     evacuated_ = std::move(zones);
   }
+  void SetHealthPenalty(HealthPenalty penalty) {
+    health_penalty_ = std::move(penalty);
+  }
   // Removes registrations whose grace period ended before they were written
   // again.
   void Tick(TimePoint now);
@@ -97,6 +109,8 @@
   Backend* FindByAddress(const std::string& address);
   bool IsUsable(const Backend& backend) const;
   size_t size() const { return backends_.size(); }
+  // All backend servers by id, also those that are not usable.
+  const std::map<std::string, Backend>& all() const { return backends_; }
   Counts CountStates(TimePoint now) const;
 
   // Records that a request is sent to the backend server.
@@ -134,6 +148,7 @@
   std::map<std::string, Backend> backends_;
   LeavingBackends leaving_;
   std::set<std::string> evacuated_;
+  HealthPenalty health_penalty_;  // may be empty
   // Requests per second to one cold backend server, by service; this
   // frontend's part only.
   std::map<std::string, double> cold_per_second_;
--- a/src/process/forward/online_forwarder.cc
+++ b/src/process/forward/online_forwarder.cc
@@ -150,7 +150,8 @@
   BackendDirectory::Backend* backend =
       backends_.Choose({.service = request.service,
                         .zone = options_.zone,
-                        .excluded = request.tried_backends},
+                        .excluded = request.tried_backends,
+                        .is_repeatable = request.is_repeatable},
                        now);
   if (backend == nullptr || request.sends >= options_.max_sends) {
     Refuse(request,
@@ -174,9 +175,12 @@
   }
   std::set<std::string> excluded = request.tried_backends;
   excluded.insert(request.full_backends.begin(), request.full_backends.end());
-  BackendDirectory::Backend* candidate = backends_.Choose(
-      {.service = request.service, .zone = options_.zone, .excluded = excluded},
-      now);
+  BackendDirectory::Backend* candidate =
+      backends_.Choose({.service = request.service,
+                        .zone = options_.zone,
+                        .excluded = excluded,
+                        .is_repeatable = request.is_repeatable},
+                       now);
   if (candidate == nullptr) {
     request.reservation_id.clear();
     SendTo(request, *backend, now);
@@ -454,6 +458,9 @@
               backends_.Find(request.backend_id)) {
         backends_.NoteFailure(*backend, "silent", now);
       }
+      if (options_.observe_silence) {
+        options_.observe_silence(request.backend_id, now);
+      }
     }
     if (silence >= options_.resume_after_silence && request.is_repeatable &&
         request.attempts + 1 < request.max_attempts) {
--- a/src/process/forward/online_forwarder.h
+++ b/src/process/forward/online_forwarder.h
@@ -48,6 +48,10 @@
     std::function<void(const RequestObserved&)> observe;
     // Called for each attempt that ended; may be empty.
     std::function<void(const AttemptOutcome&, TimePoint now)> observe_attempt;
+    // Called once for each attempt that made no progress for `silence_limit`,
+    // while it runs; may be empty.
+    std::function<void(const std::string& backend_id, TimePoint now)>
+        observe_silence;
   };
   using ResponseCallback =
       std::function<void(ClientCallId, ClientResponseEvent)>;
--- a/src/process/serving/frontend_process.cc
+++ b/src/process/serving/frontend_process.cc
@@ -83,14 +83,22 @@
                                     ClientResponseEvent response) {
     SendResponse(client, std::move(response));
   };
+  health_ = std::make_unique<SharedHealth>(
+      settings_.node, seed_, core_->backends(), rates_.members(),
+      [this](const std::string& address, const std::string& bytes) {
+        SendDatagram(address, bytes);
+      });
   forwarder_ = std::make_unique<OnlineForwarder>(
       OnlineForwarder::Options{
           .zone = settings_.zone,
           .seed = seed_,
           .observe = [this](const RequestObserved& o) { Observe(o); },
-          .observe_attempt =
-              [this](const AttemptOutcome& outcome, TimePoint at) {
-                ObserveAttempt(outcome, at);
+          .observe_attempt = [this](
+                                 const AttemptOutcome& outcome,
+                                 TimePoint at) { ObserveAttempt(outcome, at); },
+          .observe_silence =
+              [this](const std::string& backend_id, TimePoint at) {
+                health_->detector().NoteSilence(backend_id, at);
               }},
       core_->backends(), rates_, core_->quarantine(), core_->calls(),
       core_->clock(), send_response);
@@ -162,6 +170,7 @@
       core_->ExchangeCrashReports(now);
       job_api_->Tick(now);
       rates_.Tick(now);
+      health_->Tick(now);
     });
     if (IsDrained(now) || core_->events().IsClosed()) {
       break;
@@ -306,6 +315,15 @@
 }
 
 void FrontendProcess::HandleDatagram(const Datagram& datagram, TimePoint now) {
+  if (IsHealthMessage(datagram.bytes)) {
+    const Result<void> handled =
+        health_->exchange().Handle(datagram.bytes, now);
+    if (!handled) {
+      LogDecision(LogEvent::kDatagramFailed, "from", datagram.from, "reason",
+                  handled.error().message);
+    }
+    return;
+  }
   const Result<RateMessage> message = DecodeRateMessage(datagram.bytes);
   if (!message) {
     LogDecision(LogEvent::kDatagramFailed, "from", datagram.from, "reason",
@@ -317,8 +335,12 @@
 
 void FrontendProcess::SendRateMessage(const std::string& address,
                                       const RateMessage& message) {
-  const Result<void> sent =
-      peers_socket_->Send(address, EncodeRateMessage(message));
+  SendDatagram(address, EncodeRateMessage(message));
+}
+
+void FrontendProcess::SendDatagram(const std::string& address,
+                                   const std::string& bytes) {
+  const Result<void> sent = peers_socket_->Send(address, bytes);
   if (!sent) {
     LogDecision(LogEvent::kDatagramFailed, "to", address, "reason",
                 sent.error().message);
--- a/src/process/serving/frontend_process.h
+++ b/src/process/serving/frontend_process.h
@@ -8,6 +8,7 @@
 #include <thread>
 
 #include "process/forward/online_forwarder.h"
+#include "process/health/shared_health.h"
 #include "process/jobs/job_api.h"
 #include "process/limits/rate_admission.h"
 #include "process/limits/rate_member_reporter.h"
@@ -75,6 +76,7 @@
   void UpdateMetrics(TimePoint now);
   void HandleDatagram(const Datagram& datagram, TimePoint now);
   void SendRateMessage(const std::string& address, const RateMessage& message);
+  void SendDatagram(const std::string& address, const std::string& bytes);
   // Returns the refusal of a request whose body or headers exceed the
   // configured limits.
   std::optional<Refusal> RefusalForSize(const HttpRequest& request) const;
@@ -89,6 +91,7 @@
   std::uint64_t seed_;
   std::unique_ptr<ServingCore> core_;
   RateAdmission rates_;
+  std::unique_ptr<SharedHealth> health_;
   std::unique_ptr<OnlineForwarder> forwarder_;
   std::unique_ptr<RateMemberReporter> rate_member_reporter_;
   std::unique_ptr<JobApi> job_api_;
--- a/src/process/serving/frontend_process_monitoring.cc
+++ b/src/process/serving/frontend_process_monitoring.cc
@@ -54,6 +54,7 @@
   count_rates("asked", rates.asked);
   count_rates("repeated", rates.repeated);
   count_rates("alone", rates.alone);
+  health_->UpdateMetrics(metrics);
   core_->UpdateMetrics(now);
 }
 
@@ -65,7 +66,8 @@
 }
 
 void FrontendProcess::ObserveAttempt(const AttemptOutcome& outcome,
-                                     TimePoint /*now*/) {
+                                     TimePoint now) {
+  health_->detector().NoteOutcome(outcome, now);
   core_->metrics().Count(serving_metrics::kAttempts,
                          {{"result", ToString(outcome.result)}});
 }
--- a/src/process/serving/serving_metrics.h
+++ b/src/process/serving/serving_metrics.h
@@ -44,6 +44,24 @@
     "Requests that another frontend decided, queries sent again, and "
     "requests "
     "that no frontend answered about."};
+// Labels: state (reduced, ejected, probing).
+inline constexpr MetricDescriptor kServerHealth{
+    "carawayrelay_runner_health",
+    "Backend servers that get fewer requests because they fail, by state."};
+// Labels: event (ejected, returned, limited).
+inline constexpr MetricDescriptor kEjections{
+    "carawayrelay_runner_ejections_total",
+    "Ejections of failing backend servers, their ends, and how often the limit "
+    "of half of a service prevented one."};
+inline constexpr MetricDescriptor kDistrustedReporters{
+    "carawayrelay_health_reporters_distrusted",
+    "Frontends whose health reports do not count, because they accuse many "
+    "backend servers."};
+// Labels: event (sent, received, forwarded, ignored).
+inline constexpr MetricDescriptor kHealthReports{
+    "carawayrelay_health_reports_total",
+    "Health datagrams sent, and health reports of other frontends that were "
+    "applied, forwarded or ignored."};
 inline constexpr MetricDescriptor kConfigVersion{
     "carawayrelay_config_version", "Version of the configuration in effect."};
 inline constexpr MetricDescriptor kConfigAge{
--- a/src/process/telemetry/events.cc
+++ b/src/process/telemetry/events.cc
@@ -90,6 +90,12 @@
       return "item_returned";
     case LogEvent::kItemDropped:
       return "item_dropped";
+    case LogEvent::kBackendEjected:
+      return "runner_ejected";
+    case LogEvent::kBackendReturned:
+      return "runner_returned";
+    case LogEvent::kEjectionLimitReached:
+      return "ejection_limit_reached";
     default:
       return "event";
   }
