--- a/src/process/health/health_judgement.cc
+++ b/src/process/health/health_judgement.cc
@@ -31,6 +31,10 @@
 constexpr int kMaxStreak = 8;
 constexpr int kStreakWithFailures = 3;
 constexpr int kStreakWithManyFailures = 4;
+// With fewer known answers of the service, there is little to compare with.
+// Soon after the start of 28 frontends, the first two failures in a row of a
+// backend server that loses 5% of its answers looked like a dark one.
+constexpr int kMinComparedAnswers = 8;
 // Fraction of the backend servers with failures among answers above which
 // failures are common.
 constexpr double kCommonFraction = 0.1;
@@ -75,7 +79,9 @@
 ServiceBackground BackgroundOf(const std::vector<ServerSummary>& servers) {
   std::vector<double> shares;
   std::vector<double> common;
+  int answers = 0;
   for (const ServerSummary& server : servers) {
+    answers += server.answers;
     if (server.IsFailing()) {
       continue;
     }
@@ -85,10 +91,12 @@
     }
   }
   ServiceBackground background{.failure_share = MedianOf(shares)};
+  if (!common.empty() || answers < kMinComparedAnswers) {
+    background.min_streak = kStreakWithFailures;
+  }
   if (common.empty()) {
     return background;
   }
-  background.min_streak = kStreakWithFailures;
   if (static_cast<double>(common.size()) >=
       kCommonFraction * static_cast<double>(servers.size())) {
     const double share =
@@ -111,8 +119,9 @@
   if (!IsConfirmed(server)) {
     return verdict;
   }
-  if (server.streak >= std::max(background.min_streak, kMinStreak) &&
-      server.streak_sources >= 2) {
+  // Failed probes of two frontends suffice.
+  const int min_streak = server.is_out ? kMinStreak : background.min_streak;
+  if (server.streak >= min_streak && server.streak_sources >= 2) {
     verdict.should_eject = true;
     // Above all shares: a server without answers is the worst.
     verdict.badness = 1 + lower;
--- a/src/process/health/health_judgement.h
+++ b/src/process/health/health_judgement.h
@@ -19,6 +19,8 @@
   // frontends that saw them, including this one.
   int streak = 0;
   int streak_sources = 0;
+  // Ejected or probed now.
+  bool is_out = false;
   std::optional<TimePoint> last_answer;
   std::optional<TimePoint> last_failure;
 
--- a/src/process/health/health_report_exchange.cc
+++ b/src/process/health/health_report_exchange.cc
@@ -10,6 +10,8 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kMinSendInterval{200};
+// How often the evidence is checked for something to send.
+constexpr milliseconds kCheckInterval{20};
 // An entry without a new failure is told again after this long: because of new
 // answers, or because a datagram may have been lost.
 constexpr milliseconds kRepeatInterval{1000};
@@ -186,9 +188,11 @@
 }
 
 void HealthReportExchange::Tick(TimePoint now) {
-  if (now < next_send_ || peers_.empty()) {
+  if (now < next_send_ || peers_.empty() ||
+      (now < next_check_ && forwards_.empty())) {
     return;
   }
+  next_check_ = now + kCheckInterval;
   std::vector<ServerEvidence> due = DueEvidence(now);
   if (due.empty() && forwards_.empty()) {
     return;
--- a/src/process/health/health_report_exchange.h
+++ b/src/process/health/health_report_exchange.h
@@ -95,6 +95,7 @@
   std::map<ServerKey, Told> told_;
   std::deque<PendingForward> forwards_;
   TimePoint next_send_{};
+  TimePoint next_check_{};  // of the own evidence
   Counters counters_;
 };
 
--- a/src/process/health/outlier_detector.cc
+++ b/src/process/health/outlier_detector.cc
@@ -12,7 +12,9 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds kUpdateInterval{40};
+constexpr milliseconds kUpdateInterval{100};
+// When others have reported something new.
+constexpr milliseconds kMinUpdateInterval{20};
 constexpr milliseconds kFirstEjection{1000};
 constexpr milliseconds kMaxEjection{4000};
 // The ejection of each frontend ends at a random time up to this much later.
@@ -151,9 +153,8 @@
       last_failure_ = std::max(last_failure_, now - report.age);
     }
   }
-  // News is judged in the next iteration of the event loop, not 40 ms later.
   if (!learned.empty()) {
-    next_update_ = now;
+    next_update_ = std::min(next_update_, updated_at_ + kMinUpdateInterval);
   }
   return learned;
 }
@@ -170,8 +171,10 @@
   if (now < next_update_) {
     return;
   }
+  updated_at_ = now;
   next_update_ = now + kUpdateInterval;
-  if (IsQuiet(now)) {
+  has_findings_ = !IsQuiet(now);
+  if (!has_findings_) {
     return;
   }
   reported_.Tick(now);
@@ -199,7 +202,8 @@
                                          TimePoint now) const {
   const EvidenceWindow& own = entry.own;
   const bool counts_own = !is_own_link_suspect_;
-  ServerSummary summary{.own_answers = own.answers(now)};
+  ServerSummary summary{.own_answers = own.answers(now),
+                        .is_out = IsOut(entry.health)};
   const int own_failures = counts_own ? own.failures(now) : 0;
   summary.answers = summary.own_answers;
   summary.failures = own_failures;
@@ -213,8 +217,8 @@
   }
   const ReportedEvidence::Records* records = reported_.Find(entry.key);
   if (records != nullptr) {
-    for (const auto& [reporter, record] : *records) {
-      if (!reported_.IsTrusted(reporter)) {
+    for (const auto& [name, record] : *records) {
+      if (!record.reporter->is_trusted) {
         continue;
       }
       summary.answers += record.answers;
@@ -234,9 +238,9 @@
     summary.streak_sources += failures > 0 ? 1 : 0;
   }
   if (records != nullptr) {
-    for (const auto& [reporter, record] : *records) {
+    for (const auto& [name, record] : *records) {
       // How many of the reporter's failures are later is not known.
-      if (reported_.IsTrusted(reporter) && record.last_failure > streak_from) {
+      if (record.reporter->is_trusted && record.last_failure > streak_from) {
         ++summary.streak;
         ++summary.streak_sources;
       }
--- a/src/process/health/outlier_detector.h
+++ b/src/process/health/outlier_detector.h
@@ -30,6 +30,8 @@
     std::string id;
     std::string service;
     ServerKey key{0};
+
+    bool operator==(const Server&) const = default;
   };
 
   struct Counts {
@@ -64,8 +66,11 @@
   std::optional<std::vector<ServerEvidence>> Apply(const HealthReport& report,
                                                    TimePoint now);
   // Updates all states. Must be called often; does nothing when it was called
-  // less than 40 ms ago.
+  // less than 100 ms ago, or 20 ms if something new was reported since.
   void Tick(TimePoint now);
+  // Whether there were failures or states other than in use at the latest
+  // Tick().
+  bool has_findings() const { return has_findings_; }
 
   ServerHealth Find(const std::string& id) const;
   // Whether any backend server of the service failed in the window.
@@ -134,7 +139,9 @@
   bool is_own_link_suspect_ = false;
   // Of the latest failure, own or reported.
   TimePoint last_failure_{};
+  TimePoint updated_at_{};
   TimePoint next_update_{};
+  bool has_findings_ = false;
   std::mt19937_64 random_;
   Counters counters_;
 };
--- a/src/process/health/reported_evidence.cc
+++ b/src/process/health/reported_evidence.cc
@@ -22,7 +22,7 @@
   }
   reporter.process = report.process;
   reporter.sequence = report.sequence;
-  reporter.reported_at = now - report.age;
+  reporter.reported_at = std::max(reporter.reported_at, now - report.age);
   return true;
 }
 
@@ -30,7 +30,8 @@
                            const ServerEvidence& evidence,
                            TimePoint now) {
   const TimePoint reported_at = now - report.age;
-  Record record{.reported_at = reported_at,
+  Record record{.reporter = &reporters_.at(report.reporter),
+                .reported_at = reported_at,
                 .answers = evidence.answers,
                 .failures = evidence.failures};
   if (evidence.answers > 0) {
@@ -65,15 +66,17 @@
 void ReportedEvidence::JudgeReporters(size_t floor,
                                       size_t peers,
                                       size_t own_accused) {
-  std::map<std::string, size_t> accused;
+  for (auto& [name, reporter] : reporters_) {
+    reporter.accused = 0;
+  }
   for (const auto& [server, records] : servers_) {
     for (const auto& [name, record] : records) {
-      accused[name] += record.Accuses() ? 1 : 0;
+      record.reporter->accused += record.Accuses() ? 1 : 0;
     }
   }
   std::vector<size_t> counts{own_accused};
-  for (const auto& [name, count] : accused) {
-    counts.push_back(count);
+  for (const auto& [name, reporter] : reporters_) {
+    counts.push_back(reporter.accused);
   }
   // Frontends that reported nothing accuse no backend server.
   counts.resize(std::max(counts.size(), peers + 1), 0);
@@ -82,8 +85,7 @@
   std::nth_element(counts.begin(), median, counts.end());
   max_accused_ = std::max(floor, kMaxAccusedFactor * *median);
   for (auto& [name, reporter] : reporters_) {
-    const auto it = accused.find(name);
-    reporter.is_trusted = it == accused.end() || it->second <= max_accused_;
+    reporter.is_trusted = reporter.accused <= max_accused_;
   }
 }
 
@@ -93,11 +95,6 @@
   return it == servers_.end() ? nullptr : &it->second;
 }
 
-bool ReportedEvidence::IsTrusted(const std::string& reporter) const {
-  const auto it = reporters_.find(reporter);
-  return it != reporters_.end() && it->second.is_trusted;
-}
-
 size_t ReportedEvidence::CountDistrusted() const {
   return static_cast<size_t>(
       std::count_if(reporters_.begin(), reporters_.end(),
--- a/src/process/health/reported_evidence.h
+++ b/src/process/health/reported_evidence.h
@@ -15,7 +15,16 @@
 // `kHealthEvidenceWindow`, by backend server and reporter.
 class ReportedEvidence {
  public:
+  struct Reporter {
+    std::uint64_t process = 0;
+    std::uint64_t sequence = 0;
+    TimePoint reported_at{};
+    bool is_trusted = true;
+    size_t accused = 0;  // as of the last JudgeReporters()
+  };
   struct Record {
+    // Outlives the record: it has the time of its newest report.
+    Reporter* reporter = nullptr;
     TimePoint reported_at{};
     int answers = 0;
     int failures = 0;
@@ -49,18 +58,10 @@
 
   // Returns nullptr if nobody reported about the backend server.
   const Records* Find(ServerKey server) const;
-  bool IsTrusted(const std::string& reporter) const;
   size_t CountDistrusted() const;
   bool IsEmpty() const { return servers_.empty(); }
 
  private:
-  struct Reporter {
-    std::uint64_t process = 0;
-    std::uint64_t sequence = 0;
-    TimePoint reported_at{};
-    bool is_trusted = true;
-  };
-
   std::map<ServerKey, Records> servers_;
   std::map<std::string, Reporter> reporters_;
   size_t max_accused_ = 0;
--- a/src/process/health/shared_health.cc
+++ b/src/process/health/shared_health.cc
@@ -33,6 +33,9 @@
 double SharedHealth::PenaltyOf(const BackendDirectory::Backend& backend,
                                const BackendDirectory::Query& query,
                                TimePoint now) {
+  if (!detector_.has_findings()) {
+    return 0;
+  }
   const std::string& id = backend.registration.id;
   const ServerHealth health = detector_.Find(id);
   double draw = 0;
@@ -57,7 +60,10 @@
                          .key = ServerKeyOf(backend.registration)});
     }
   }
-  detector_.SetServers(servers, now);
+  if (servers != servers_) {
+    servers_ = std::move(servers);
+    detector_.SetServers(servers_, now);
+  }
   std::vector<HealthReportExchange::Peer> peers;
   for (const RateMembers::Peer& peer : members_.peers()) {
     peers.push_back({.node = peer.node, .address = peer.address});
--- a/src/process/health/shared_health.h
+++ b/src/process/health/shared_health.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <random>
 #include <string>
+#include <vector>
 
 #include "process/forward/backend_directory.h"
 #include "process/health/health_report_exchange.h"
@@ -44,6 +45,7 @@
   std::mt19937_64 random_;
   OutlierDetector detector_;
   HealthReportExchange exchange_;
+  std::vector<OutlierDetector::Server> servers_;  // as the detector knows them
   TimePoint next_synchronize_{};
 };
 
--- a/tests/health/outlier_detector_test.cc
+++ b/tests/health/outlier_detector_test.cc
@@ -27,10 +27,15 @@
     }
     detector.SetServers(servers, now);
     detector.SetPeers(27);
+    // Answers to compare failures with.
+    for (int i = 0; i < 8 && count > 0; ++i) {
+      Own(count - 1, AttemptResult::kAnswered);
+    }
   }
   void Advance(milliseconds time) {
-    for (milliseconds step{0}; step < time; step += milliseconds(50)) {
-      now += milliseconds(50);
+    constexpr milliseconds kStep{100};
+    for (milliseconds passed{0}; passed < time; passed += kStep) {
+      now += kStep;
       detector.Tick(now);
     }
   }
@@ -53,6 +58,7 @@
           {.server = KeyOf(server), .answers = answers, .failures = failures});
     }
     detector.Apply(report, now);
+    now += milliseconds(20);
     detector.Tick(now);
   }
   bool IsEjected(size_t server) const {
@@ -86,12 +92,28 @@
                   "OutlierDetector, one reporter and own failure, is ejected") {
   SetServers(10);
   Own(3, AttemptResult::kFailed);
-  Advance(milliseconds(50));
+  Advance(milliseconds(100));
   CHECK(IsInUse(3));
   Report("f1", {3});
   CHECK(IsEjected(3));
 }
 
+// Guards against ejections soon after a start, when nothing is known of the
+// other servers.
+TEST_CASE_FIXTURE(OutlierDetectorFixture,
+                  "OutlierDetector, no answers to compare with, needs three "
+                  "failures") {
+  detector.SetServers({{.id = IdOf(0), .service = "llm", .key = KeyOf(0)},
+                       {.id = IdOf(1), .service = "llm", .key = KeyOf(1)}},
+                      now);
+  detector.SetPeers(27);
+  Report("f1", {0});
+  Report("f2", {0});
+  CHECK(IsInUse(0));
+  Report("f3", {0});
+  CHECK(IsEjected(0));
+}
+
 // Guards against ejections for what clients do: they go away, set short time
 // limits, or compete for slots.
 TEST_CASE_FIXTURE(OutlierDetectorFixture,
@@ -102,7 +124,7 @@
     Own(0, AttemptResult::kDeclined);
     Own(1, AttemptResult::kCancelled);
     Own(2, AttemptResult::kTimedOut, /*events=*/3);
-    Advance(milliseconds(50));
+    Advance(milliseconds(100));
   }
   CHECK(detector.EvidenceToReport(now).empty());
   detector.NoteOutcome({.backend_id = IdOf(0),
@@ -158,12 +180,12 @@
   for (size_t i = 0; i < 5; ++i) {
     Own(i, AttemptResult::kFailed);
   }
-  Advance(milliseconds(50));
+  Advance(milliseconds(100));
   CHECK(detector.EvidenceToReport(now).size() == 5);
   for (size_t i = 5; i < 20; ++i) {
     Own(i, AttemptResult::kFailed);
   }
-  Advance(milliseconds(50));
+  Advance(milliseconds(100));
   CHECK(detector.EvidenceToReport(now).empty());
   CHECK(detector.CountStates().ejected == 0);
 }
@@ -200,7 +222,7 @@
     Advance(milliseconds(200));
   }
   Report("f1", {2}, 4, 6);
-  Advance(milliseconds(50));
+  Advance(milliseconds(100));
   CHECK(Weight(2) < 0.5);
   CHECK(Weight(2) > 0.1);
   CHECK(IsInUse(1));
@@ -221,7 +243,7 @@
   CHECK(std::holds_alternative<ServerProbing>(detector.Find(IdOf(3))));
   // Two failed probes eject again, one does not.
   Own(3, AttemptResult::kFailed);
-  Advance(milliseconds(50));
+  Advance(milliseconds(100));
   CHECK(std::holds_alternative<ServerProbing>(detector.Find(IdOf(3))));
   Report("f1", {3});
   REQUIRE(IsEjected(3));
@@ -230,7 +252,7 @@
   Advance(milliseconds(1200));
   CHECK(std::holds_alternative<ServerProbing>(detector.Find(IdOf(3))));
   Own(3, AttemptResult::kAnswered);
-  Advance(milliseconds(50));
+  Advance(milliseconds(100));
   CHECK(IsInUse(3));
   CHECK(detector.counters().returned == 1);
 }
@@ -265,7 +287,7 @@
                        .key = i == 3 ? ServerKey{1} : KeyOf(i)});
   }
   detector.SetServers(servers, now);
-  Advance(milliseconds(50));
+  Advance(milliseconds(100));
   CHECK(IsInUse(3));
   Report("f4", {3});  // about the earlier process
   CHECK(IsInUse(3));
--- a/tests/serving/frontend_process_test.cc
+++ b/tests/serving/frontend_process_test.cc
@@ -14,7 +14,9 @@
 #include <utility>
 #include <vector>
 
+#include "connection/health_report.h"
 #include "process/fake_store.h"
+#include "process/transport/datagram_socket.h"
 #include "process/transport/http_client.h"
 #include "standins/row_store.h"
 
@@ -83,12 +85,15 @@
 
   std::atomic<milliseconds> work{milliseconds(0)};
   std::atomic<int> runs = 0;
+  std::atomic<int> status = 200;  // of the backend server's answers
   std::mutex threads_mutex;
   std::vector<std::thread> threads;
   LoopbackStore store;
   std::unique_ptr<HttpServer> backend;
   std::unique_ptr<FrontendProcess> frontend;
   std::string clients_url;
+  std::string ready_url;
+  std::string peers_address = FreeAddress();
   json config = json::parse(R"({
     "version": 1,
     "routes": [
@@ -108,7 +113,7 @@
           threads.emplace_back([this, request, exchange] {
             std::this_thread::sleep_for(work.load());
             exchange->Respond(
-                200,
+                status.load(),
                 {{"x-carawayrelay-server-stamp", "s"},
                  {"x-carawayrelay-request-id",
                   request.headers.at("x-carawayrelay-request-id")}},
@@ -127,11 +132,13 @@
                {"sequence", 1}});
     const std::string clients = FreeAddress();
     clients_url = "http://" + clients;
+    const std::string ready = FreeAddress();
+    ready_url = "http://" + ready;
     FrontendSettings settings{.node = "edge-1",
                               .zone = "z",
                               .listen_clients = clients,
-                              .listen_ready = FreeAddress(),
-                              .listen_peers = FreeAddress(),
+                              .listen_ready = ready,
+                              .listen_peers = peers_address,
                               .store_address = store.address(),
                               .stop_grace = kStopGrace};
     auto made = FrontendProcess::Make(std::move(settings), 1);
@@ -207,6 +214,66 @@
   CHECK(long_before == 504);
 }
 
+// Guards against health reports that are not sent, not read, or end the
+// process: another frontend hears of a failing backend server, and whatever it
+// sends, requests are served.
+TEST_CASE_FIXTURE(FrontendProcessFixture,
+                  "FrontendProcess, backend server fails, other frontend gets "
+                  "a health report") {
+  std::mutex mutex;
+  std::vector<HealthReport> reports;
+  const std::string peer_address = FreeAddress();
+  const auto socket =
+      DatagramSocket::Make(peer_address, [&](const Datagram& datagram) {
+        const auto message = DecodeHealthMessage(datagram.bytes);
+        const std::lock_guard lock(mutex);
+        if (message && !message.value().reports.empty()) {
+          reports.push_back(message.value().reports[0]);
+        }
+      });
+  REQUIRE(socket);
+  store.Put("rate_parts", "edge-2",
+            {{"address", peer_address}, {"seen", 1000000}, {"counted", true}});
+  const HealthMessage unknown{{{.reporter = "edge-9", .sequence = 1}}};
+  const HealthMessage known{{{.reporter = "edge-2", .sequence = 1}}};
+  const auto has_metric = [&](const std::string& line) {
+    const Result<HttpResponse> response =
+        HttpClient::Make({.base_url = ready_url})
+            .value()
+            ->Send({.method = "GET", .target = "/metrics"});
+    return response && response.value().body.find(line) != std::string::npos;
+  };
+  status = 500;
+  const TimePoint end = BootClock::now() + milliseconds(10000);
+  bool is_received = false;
+  bool is_ignored = false;
+  bool is_reported = false;
+  std::uint64_t sequence = 0;
+  while (!(is_received && is_ignored && is_reported) &&
+         BootClock::now() < end) {
+    HealthMessage next = known;
+    next.reports[0].sequence = ++sequence;
+    CHECK((*socket.value()).Send(peers_address, EncodeHealthMessage(next)));
+    CHECK((*socket.value()).Send(peers_address, EncodeHealthMessage(unknown)));
+    CHECK((*socket.value()).Send(peers_address, std::string(64, '\0')));
+    Send("failing-" + std::to_string(sequence), milliseconds(1000));
+    std::this_thread::sleep_for(milliseconds(200));
+    is_received = has_metric("health_reports_total{event=\"received\"} ") &&
+                  !has_metric("health_reports_total{event=\"received\"} 0\n");
+    is_ignored = has_metric("health_reports_total{event=\"ignored\"} ") &&
+                 !has_metric("health_reports_total{event=\"ignored\"} 0\n");
+    const std::lock_guard lock(mutex);
+    is_reported = !reports.empty();
+  }
+  CHECK(is_received);
+  CHECK(is_ignored);
+  REQUIRE(is_reported);
+  const std::lock_guard lock(mutex);
+  CHECK(reports[0].reporter == "edge-1");
+  REQUIRE(reports[0].servers.size() == 1);
+  CHECK(reports[0].servers[0].failures > 0);
+}
+
 // Guards against a 404 for an accepted job whose route is the last one for
 // batch jobs of its host and is removed.
 TEST_CASE_FIXTURE(FrontendProcessFixture,
