Tests: a distrusted reporter would eject servers if it counted

The check of the states also passed without the judgement of reporters, because the answers came before the second report. With the judgement taken out, it now fails (two servers ejected); with it, 26 cases pass.

--- a/tests/health/outlier_detector_test.cc
+++ b/tests/health/outlier_detector_test.cc
@@ -164,9 +164,12 @@
   for (size_t i = 0; i < 40; ++i) {
     Own(i, AttemptResult::kAnswered);
   }
+  Advance(milliseconds(100));
   Own(5, AttemptResult::kFailed);
   Advance(milliseconds(100));
   Report("f2", {7});
+  Report("bad", all);
+  Advance(milliseconds(100));
   CHECK(detector.CountStates().ejected == 0);
   CHECK(IsInUse(5));
   CHECK(IsInUse(7));
