--- a/src/process/forward/backend_directory.cc
+++ b/src/process/forward/backend_directory.cc
@@ -198,7 +198,7 @@
   const std::chrono::duration<double> age = now - backend.other_load_at;
   const double other_load =
       backend.other_load * std::exp2(-(age / kLoadHalfLife));
-  const double cost = CandidateCost(
+  double cost = CandidateCost(
       {.load = backend.own_calls + other_load,
        .slots = backend.registration.slots,
        .pace = backend.pace.Estimate(now),
@@ -206,6 +206,9 @@
        .is_cold = now < backend.cold_until,
        .is_avoided = now < backend.avoid_until,
        .is_limited = is_limited});
+  if (health_penalty_) {
+    cost += health_penalty_(backend, query, now);
+  }
   std::uniform_real_distribution<double> tie(0, kTieBreakRange);
   return cost + tie(random_);
 }
--- a/src/process/serving/frontend_process_monitoring.cc
+++ b/src/process/serving/frontend_process_monitoring.cc
@@ -60,6 +60,7 @@
                      probes.answered);
   metrics.SetCounter(names::kPaceProbes, {{"result", "unanswered"}},
                      probes.unanswered);
+  health_->UpdateMetrics(metrics);
   core_->UpdateMetrics(now);
 }
 
@@ -73,6 +74,7 @@
 void FrontendProcess::ObserveAttempt(const AttemptOutcome& outcome,
                                      TimePoint now) {
   core_->backends().NoteAttempt(outcome, now);
+  health_->detector().NoteOutcome(outcome, now);
   core_->metrics().Count(serving_metrics::kAttempts,
                          {{"result", ToString(outcome.result)}});
 }
--- a/src/process/telemetry/events.cc
+++ b/src/process/telemetry/events.cc
@@ -98,6 +98,12 @@
       return "pace_figures_changed";
     case LogEvent::kItemsLeftToOthers:
       return "items_left_to_others";
+    case LogEvent::kBackendEjected:
+      return "runner_ejected";
+    case LogEvent::kBackendReturned:
+      return "runner_returned";
+    case LogEvent::kEjectionLimitReached:
+      return "ejection_limit_reached";
     default:
       return "event";
   }
--- a/src/process/telemetry/events.h
+++ b/src/process/telemetry/events.h
@@ -10,7 +10,7 @@
   // and VM list, 18xx telemetry.
   // Frontends and workers only: 190x process, 191x configuration and store,
   // 192x backend servers, 193x online requests, 194x batch jobs, 195x batch
-  // items, 196x pace of backend servers.
+  // items, 196x pace of backend servers, 197x shared health.
   kLinkUp = 1101,
   kLinkDown = 1102,
   kConfigAdopted = 1201,
@@ -93,6 +93,9 @@
   kSlowStartEnded = 1962,
   kPaceFiguresChanged = 1963,
   kItemsLeftToOthers = 1964,
+  kBackendEjected = 1971,
+  kBackendReturned = 1972,
+  kEjectionLimitReached = 1973,
 };
 
 // The name of the event in the structured log, such as "request_ended", or
