--- a/tools/harness/process_group.cc
+++ b/tools/harness/process_group.cc
@@ -165,6 +165,27 @@
   return 0;
 }
 
+std::uint64_t ProcessGroup::ResidentBytes(const std::string& name) {
+  if (!IsRunning(name)) {
+    return 0;
+  }
+  std::ifstream statm("/proc/" + std::to_string(running_.at(name)) + "/statm");
+  std::uint64_t size_pages = 0;
+  std::uint64_t resident_pages = 0;
+  statm >> size_pages >> resident_pages;
+  return resident_pages * static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE));
+}
+
+size_t ProcessGroup::OpenDescriptors(const std::string& name) {
+  if (!IsRunning(name)) {
+    return 0;
+  }
+  std::error_code error;
+  const std::filesystem::directory_iterator entries(
+      "/proc/" + std::to_string(running_.at(name)) + "/fd", error);
+  return static_cast<size_t>(std::distance(begin(entries), end(entries)));
+}
+
 std::vector<std::string> ProcessGroup::RunningNames() const {
   std::vector<std::string> names;
   for (const auto& [name, pid] : running_) {
--- a/tools/harness/process_group.h
+++ b/tools/harness/process_group.h
@@ -40,6 +40,11 @@
   // Peak resident memory of a running process in bytes; 0 when it is not
   // running.
   std::uint64_t PeakResidentBytes(const std::string& name);
+  // Resident memory of a running process in bytes; 0 when it is not running.
+  std::uint64_t ResidentBytes(const std::string& name);
+  // Number of open file descriptors of a running process; 0 when it is not
+  // running.
+  size_t OpenDescriptors(const std::string& name);
   // Names of the processes that were running when they were last checked.
   std::vector<std::string> RunningNames() const;
 
