HttpServer: limits memory and connections of untrusted clients

RESTinio keeps up to 24 MB for each connection without a limit on their sum, and a 16-byte entry for each chunk. Its hooks see neither the bytes of an unfinished request nor its chunks, and it stops accepting for good after the first failed accept. The server now uses Asio and http_parser directly. All requests of a process are charged to one RequestMemoryBudget; when it is exhausted, the largest unfinished request is refused as not run. There are time limits for heads and for bodies without progress, and a limit on connections that leaves descriptors for the store and backend servers.

The test of untrusted clients now sets memory_mb to 88; its crowds and bounds are unchanged.

--- a/src/process/entry/entry_process.cc
+++ b/src/process/entry/entry_process.cc
@@ -13,6 +13,7 @@
 
 // Time to write the last responses; HttpServer::Stop() discards the rest.
 constexpr std::chrono::milliseconds kFlushTime{200};
+constexpr size_t kMaxAdminConnections = 64;
 
 ConnectionId ConnectionOf(const LinkEvent& event) {
   return std::visit([](const auto& e) { return e.connection; }, event);
@@ -69,17 +70,23 @@
                  MakeDeliver()));
   dispatch_.Start(*link_);
   SetNodes({}, {});
+  const auto request_memory =
+      RequestMemoryBudget::Make(settings_.memory.request_bytes);
   if (hooks_.admin_api) {
     BOOST_OUTCOME_TRY(
         admin_server_,
         HttpServer::Make({.listen_address = settings_.listen_admin,
-                          .max_body_bytes = settings_.max_body_bytes},
+                          .max_body_bytes = settings_.max_body_bytes,
+                          .max_connections = kMaxAdminConnections,
+                          .request_memory = request_memory},
                          hooks_.admin_api));
   }
   BOOST_OUTCOME_TRY(
       client_server_,
       HttpServer::Make({.listen_address = settings_.listen_callers,
-                        .max_body_bytes = settings_.max_body_bytes},
+                        .max_body_bytes = settings_.max_body_bytes,
+                        .max_connections = MaxConnections(settings_.memory),
+                        .request_memory = request_memory},
                        [this](HttpRequest request, HttpExchangePtr exchange) {
                          HandleClientRequest(std::move(request),
                                              std::move(exchange));
--- a/src/process/entry/entry_settings.cc
+++ b/src/process/entry/entry_settings.cc
@@ -74,10 +74,13 @@
   }
 }
 
-void ReadLimits(JsonReader& reader, EntrySettings& settings) {
+void ReadLimits(JsonReader& reader,
+                EntrySettings& settings,
+                Findings& findings) {
   Dispatcher::Options& options = settings.dispatcher;
   settings.max_body_bytes =
       ReadSize(reader, "max_body_bytes", kMaxBytes, settings.max_body_bytes);
+  settings.memory = ReadMemoryLimits(reader, settings.max_body_bytes, findings);
   options.queue_capacity =
       ReadSize(reader, "queue_capacity", kMaxCount, options.queue_capacity);
   options.max_total_body_bytes = ReadSize(reader, "max_held_bytes", kMaxBytes,
@@ -145,8 +148,9 @@
   settings.log_level = static_cast<LogLevel>(
       reader.OptionalChoice("log_level", {"debug", "info", "warning", "error"},
                             static_cast<size_t>(LogLevel::kInfo)));
-  ReadObject(reader, "limits", findings,
-             [&](JsonReader& limits) { ReadLimits(limits, settings); });
+  ReadObject(reader, "limits", findings, [&](JsonReader& limits) {
+    ReadLimits(limits, settings, findings);
+  });
   ReadObject(reader, "policies", findings,
              [&](JsonReader& policies) { ReadPolicies(policies, settings); });
   reader.CheckUnknownFields();
--- a/src/process/entry/entry_settings.h
+++ b/src/process/entry/entry_settings.h
@@ -8,6 +8,7 @@
 #include "carawayrelay/version.h"
 #include "process/dispatch/dispatcher.h"
 #include "process/telemetry/log.h"
+#include "process/transport/memory_limits.h"
 
 namespace carawayrelay {
 
@@ -30,6 +31,7 @@
   LogLevel log_level = LogLevel::kInfo;
   // Limit for the body of an HTTP request, on the client and the admin port.
   size_t max_body_bytes = size_t{8} << 20;
+  MemoryLimits memory = DefaultMemoryLimits(size_t{8} << 20);
   Dispatcher::Options dispatcher;
 };
 
--- a/src/process/serving/frontend_process.cc
+++ b/src/process/serving/frontend_process.cc
@@ -22,7 +22,6 @@
 // How long the responses to open requests may take to leave the process at the
 // stop.
 constexpr milliseconds kLastResponsesDelay{100};
-constexpr size_t kMaxBodyBytes = size_t{8} << 20;
 
 }  // namespace
 
@@ -70,15 +69,16 @@
 
 Result<void> FrontendProcess::Start() {
   BOOST_OUTCOME_TRY(
-      core_,
-      ServingCore::Make({.node = settings_.node,
-                         .store_address = settings_.store_address,
-                         .seed = seed_},
-                        [this](TimePoint) {
-                          if (core_->operators().config()) {
-                            rates_.SetConfig(core_->operators().config());
-                          }
-                        }));
+      core_, ServingCore::Make(
+                 {.node = settings_.node,
+                  .store_address = settings_.store_address,
+                  .seed = seed_,
+                  .request_memory_bytes = settings_.memory.request_bytes},
+                 [this](TimePoint) {
+                   if (core_->operators().config()) {
+                     rates_.SetConfig(core_->operators().config());
+                   }
+                 }));
   const auto send_response = [this](ClientCallId client,
                                     ClientResponseEvent response) {
     SendResponse(client, std::move(response));
@@ -113,7 +113,8 @@
   if (!settings_.listen_metrics.empty()) {
     BOOST_OUTCOME_TRY(
         metrics_server_,
-        HttpServer::Make({.listen_address = settings_.listen_metrics},
+        HttpServer::Make(MonitoringServerOptions(settings_.listen_metrics,
+                                                 core_->request_memory()),
                          [this](const HttpRequest& request,
                                 const HttpExchangePtr& exchange) {
                            HandleMonitoringRequest(request, exchange);
@@ -129,7 +130,8 @@
   BOOST_OUTCOME_TRY(
       ready_server_,
       HttpServer::Make(
-          {.listen_address = settings_.listen_ready},
+          MonitoringServerOptions(settings_.listen_ready,
+                                  core_->request_memory()),
           [this](const HttpRequest& request, const HttpExchangePtr& exchange) {
             HandleMonitoringRequest(request, exchange);
           }));
@@ -137,7 +139,9 @@
   BOOST_OUTCOME_TRY(
       clients_server_,
       HttpServer::Make({.listen_address = settings_.listen_clients,
-                        .max_body_bytes = kMaxBodyBytes},
+                        .max_body_bytes = kMaxClientBodyBytes,
+                        .max_connections = MaxConnections(settings_.memory),
+                        .request_memory = core_->request_memory()},
                        [this](HttpRequest request, HttpExchangePtr exchange) {
                          intake_->Accept(std::move(request),
                                          std::move(exchange));
--- a/src/process/serving/serving_core.cc
+++ b/src/process/serving/serving_core.cc
@@ -33,7 +33,8 @@
 
 ServingCore::ServingCore(const Options& options,
                          OperatorWatch::OnChange on_change)
-    : events_(kEventCapacity, kMaxEventBytes, &SizeOf),
+    : request_memory_(RequestMemoryBudget::Make(options.request_memory_bytes)),
+      events_(kEventCapacity, kMaxEventBytes, &SizeOf),
       calls_(
           [this](OutboundCall call) {
             return http_client_->Start(std::move(call));
@@ -109,6 +110,29 @@
   metrics_.SetGauge(names::kRingLength, {{"ring", "events"}},
                     static_cast<double>(events_.size()));
   metrics_.SetCounter(names::kLogLinesDropped, {}, DroppedLogLines());
+  UpdateRequestMemory();
+}
+
+void ServingCore::UpdateRequestMemory() {
+  namespace names = serving_metrics;
+  const RequestMemoryBudget::Counters c = request_memory_->counters();
+  metrics_.SetGauge(names::kRequestMemory, {},
+                    static_cast<double>(c.held_bytes));
+  metrics_.SetCounter(names::kInputLimited, {{"limit", "memory"}},
+                      c.refused_requests);
+  metrics_.SetCounter(names::kInputLimited, {{"limit", "connections"}},
+                      c.closed_connections);
+  metrics_.SetCounter(names::kInputLimited, {{"limit", "request"}},
+                      c.rejected_requests);
+  if (c.refused_requests != logged_.refused_requests ||
+      c.closed_connections != logged_.closed_connections ||
+      c.rejected_requests != logged_.rejected_requests) {
+    LogDecision(LogEvent::kInputLimited, "held_bytes", c.held_bytes, "memory",
+                c.refused_requests - logged_.refused_requests, "connections",
+                c.closed_connections - logged_.closed_connections, "request",
+                c.rejected_requests - logged_.rejected_requests);
+  }
+  logged_ = c;
 }
 
 void ServingCore::Deliver(CallEvent event) {
--- a/src/process/serving/serving_core.h
+++ b/src/process/serving/serving_core.h
@@ -16,6 +16,7 @@
 #include "process/telemetry/metrics.h"
 #include "process/transport/async_http_client.h"
 #include "process/transport/outbound_calls.h"
+#include "process/transport/request_memory_budget.h"
 #include "process/transport/ring.h"
 
 namespace carawayrelay {
@@ -35,6 +36,8 @@
     std::chrono::milliseconds operators_wait{1000};
     // Minimum time between two reads of changes to batch jobs.
     std::chrono::milliseconds jobs_interval{500};
+    // Memory of all requests of clients.
+    size_t request_memory_bytes = size_t{256} << 20;
   };
 
   // Fails with kInternal if the HTTP client thread cannot be started.
@@ -66,6 +69,10 @@
   // Stops the HTTP client thread.
   void Stop();
   Metrics& metrics() { return metrics_; }
+  // For the HTTP servers of the process.
+  const std::shared_ptr<RequestMemoryBudget>& request_memory() const {
+    return request_memory_;
+  }
   // Updates the metrics that both roles export.
   void UpdateMetrics(TimePoint now);
 
@@ -77,7 +84,13 @@
   // client stops reading, and requests of clients are refused.
   static constexpr size_t kMaxEventBytes = size_t{8} << 20;
 
+  // Sets the metrics of the request memory, and logs what was refused since the
+  // last call.
+  void UpdateRequestMemory();
+
   Metrics metrics_;
+  std::shared_ptr<RequestMemoryBudget> request_memory_;
+  RequestMemoryBudget::Counters logged_;
   Ring<ServingEvent> events_;
   EventLoopClock clock_;
   std::unique_ptr<AsyncHttpClient> http_client_;
--- a/src/process/serving/serving_metrics.h
+++ b/src/process/serving/serving_metrics.h
@@ -51,6 +51,14 @@
     "Time since it was last certain that there is no newer configuration."};
 inline constexpr MetricDescriptor kCallsRunning{
     "carawayrelay_calls_running", "Calls to the store and backend servers."};
+inline constexpr MetricDescriptor kRequestMemory{
+    "carawayrelay_request_memory_bytes",
+    "Memory of the requests of clients that this process holds."};
+// Labels: limit (memory, connections, request).
+inline constexpr MetricDescriptor kInputLimited{
+    "carawayrelay_input_limited_total",
+    "Requests and connections of clients that were refused or closed by a "
+    "limit before a handler had them."};
 // Labels: ring.
 inline constexpr MetricDescriptor kRingLength{"carawayrelay_ring_length",
                                               "Entries that wait in a ring."};
--- a/src/process/serving/serving_settings.cc
+++ b/src/process/serving/serving_settings.cc
@@ -64,6 +64,7 @@
   settings.listen_peers = ReadAddress(reader, "listen_peers", findings);
   settings.cpu_cores = reader.OptionalNumber("cpu_cores", kMinCpuCores,
                                              kMaxCpuCores, settings.cpu_cores);
+  settings.memory = ReadMemoryLimits(reader, kMaxClientBodyBytes, findings);
   settings.store_address = ReadAddress(reader, "store_address", findings);
   settings.listen_metrics =
       ReadOptionalAddress(reader, "listen_metrics", findings);
@@ -89,6 +90,7 @@
   settings.store_address = ReadAddress(reader, "store_address", findings);
   settings.listen_metrics =
       ReadOptionalAddress(reader, "listen_metrics", findings);
+  settings.memory = ReadMemoryLimits(reader, 0, findings);
   settings.reserved_slots = static_cast<int>(reader.OptionalNumber(
       "reserved_slots", 0, kMaxSlots, settings.reserved_slots));
   settings.stop_grace = ReadTime(reader, "stop_grace_ms", settings.stop_grace);
--- a/src/process/serving/serving_settings.h
+++ b/src/process/serving/serving_settings.h
@@ -4,10 +4,14 @@
 #include <optional>
 #include <string>
 
+#include "process/transport/memory_limits.h"
 #include "version/findings.h"
 
 namespace carawayrelay {
 
+// Largest body that the client port of a frontend accepts.
+inline constexpr size_t kMaxClientBodyBytes = size_t{8} << 20;
+
 // Settings of the frontend role, which serves online requests and the batch job
 // API to clients.
 struct FrontendSettings {
@@ -25,6 +29,7 @@
   std::string store_address;  // "IP:port"
   // Processor cores of this VM. Frontends hold rates in proportion to them.
   double cpu_cores = 1;
+  MemoryLimits memory = DefaultMemoryLimits(kMaxClientBodyBytes);
   // Time after which every frontend must refuse a revoked API key.
   std::chrono::milliseconds key_revocation{5000};
   // Time between the stop signal and the kill of the process.
@@ -42,6 +47,7 @@
   // Slots of the backend server that batch items leave free while it is busy
   // with online requests.
   int reserved_slots = 1;
+  MemoryLimits memory = DefaultMemoryLimits(0);
   std::chrono::milliseconds stop_grace{8000};
 };
 
--- a/src/process/serving/worker_process.cc
+++ b/src/process/serving/worker_process.cc
@@ -58,15 +58,16 @@
 
 Result<void> WorkerProcess::Start() {
   BOOST_OUTCOME_TRY(
-      core_,
-      ServingCore::Make({.node = settings_.node,
-                         .store_address = settings_.store_address,
-                         .seed = seed_,
-                         .operators_wait = kOperatorsWait,
-                         .jobs_interval = kJobsInterval},
-                        [this](TimePoint) {
-                          worker_->SetConfig(core_->operators().config());
-                        }));
+      core_, ServingCore::Make(
+                 {.node = settings_.node,
+                  .store_address = settings_.store_address,
+                  .seed = seed_,
+                  .operators_wait = kOperatorsWait,
+                  .jobs_interval = kJobsInterval,
+                  .request_memory_bytes = settings_.memory.request_bytes},
+                 [this](TimePoint) {
+                   worker_->SetConfig(core_->operators().config());
+                 }));
   worker_ = std::make_unique<ItemWorker>(
       ItemWorker::Options{.node = settings_.node,
                           .backend_address = settings_.backend_address,
@@ -78,7 +79,8 @@
     BOOST_OUTCOME_TRY(
         metrics_server_,
         HttpServer::Make(
-            {.listen_address = settings_.listen_metrics},
+            MonitoringServerOptions(settings_.listen_metrics,
+                                    core_->request_memory()),
             [this](const HttpRequest&, const HttpExchangePtr& exchange) {
               exchange->Respond(200, {{"Content-Type", kMetricsType}},
                                 core_->metrics().ToPrometheusText());
--- a/src/process/telemetry/events.cc
+++ b/src/process/telemetry/events.cc
@@ -16,6 +16,8 @@
       return "serving_failed";
     case LogEvent::kServingReadiness:
       return "serving_readiness";
+    case LogEvent::kInputLimited:
+      return "input_limited";
     case LogEvent::kServingConfigAdopted:
       return "serving_config_adopted";
     case LogEvent::kServingConfigUnreadable:
--- a/src/process/telemetry/events.h
+++ b/src/process/telemetry/events.h
@@ -53,6 +53,7 @@
   kServingFailed = 1905,
   kServingReadiness = 1906,
   kEventFailed = 1907,
+  kInputLimited = 1908,
   kServingConfigAdopted = 1911,
   kServingConfigUnreadable = 1912,
   kZonesOutChanged = 1913,
--- /dev/null
+++ b/src/process/transport/http_request_parser.cc
@@ -0,0 +1,152 @@
+#include "process/transport/http_request_parser.h"
+
+#include <algorithm>
+#include <cctype>
+#include <limits>
+#include <utility>
+
+namespace carawayrelay {
+namespace {
+
+// Memory of a header field besides its characters: a node of the map, two
+// strings and the overhead of the allocator.
+constexpr size_t kFieldOverheadBytes = 192;
+
+HttpRequestParser& ParserOf(http_parser* parser) {
+  return *static_cast<HttpRequestParser*>(parser->data);
+}
+
+std::string LowerCase(std::string text) {
+  std::transform(text.begin(), text.end(), text.begin(),
+                 [](unsigned char c) { return std::tolower(c); });
+  return text;
+}
+
+}  // namespace
+
+const http_parser_settings& HttpRequestParser::Callbacks() {
+  static const http_parser_settings kCallbacks = [] {
+    http_parser_settings callbacks;
+    http_parser_settings_init(&callbacks);
+    callbacks.on_url = [](http_parser* parser, const char* at, size_t length) {
+      ParserOf(parser).target_.append(at, length);
+      ParserOf(parser).stored_bytes_ += length;
+      return 0;
+    };
+    callbacks.on_header_field = [](http_parser* parser, const char* at,
+                                   size_t length) {
+      ParserOf(parser).AppendField({at, length});
+      return 0;
+    };
+    callbacks.on_header_value = [](http_parser* parser, const char* at,
+                                   size_t length) {
+      ParserOf(parser).AppendValue({at, length});
+      return 0;
+    };
+    callbacks.on_headers_complete = [](http_parser* parser) {
+      return ParserOf(parser).OnHeadEnd();
+    };
+    callbacks.on_body = [](http_parser* parser, const char* at, size_t length) {
+      return ParserOf(parser).OnBody({at, length});
+    };
+    callbacks.on_message_complete = [](http_parser* parser) {
+      ParserOf(parser).OnEnd();
+      return 0;
+    };
+    return callbacks;
+  }();
+  return kCallbacks;
+}
+
+HttpRequestParser::HttpRequestParser(Limits limits) : limits_(limits) {
+  http_parser_init(&parser_, HTTP_REQUEST);
+  parser_.data = this;
+}
+
+size_t HttpRequestParser::Parse(std::string_view data) {
+  const size_t parsed =
+      http_parser_execute(&parser_, &Callbacks(), data.data(), data.size());
+  if (!has_head_) {
+    head_bytes_ += data.size();
+    if (head_bytes_ > limits_.head_bytes) {
+      problem_ = Problem::kHeadTooLarge;
+    }
+  }
+  const auto error = static_cast<http_errno>(parser_.http_errno);
+  if (error != HPE_OK && error != HPE_PAUSED && problem_ == Problem::kNone) {
+    problem_ = error == HPE_HEADER_OVERFLOW ? Problem::kHeadTooLarge
+                                            : Problem::kMalformed;
+  }
+  return parsed;
+}
+
+size_t HttpRequestParser::HeldBytes() const {
+  return stored_bytes_ + field_.size() + value_.size() + request_.body.size();
+}
+
+HttpRequest HttpRequestParser::Take() {
+  request_.method = http_method_str(static_cast<http_method>(parser_.method));
+  target_.resize(std::min(target_.size(), target_.find('#')));
+  const size_t path_end = std::min(target_.size(), target_.find('?'));
+  request_.path = target_.substr(0, path_end);
+  request_.query = target_.substr(std::min(target_.size(), path_end + 1));
+  return std::move(request_);
+}
+
+void HttpRequestParser::AppendField(std::string_view text) {
+  if (is_in_value_) {
+    StoreField();
+  }
+  field_ += text;
+}
+
+void HttpRequestParser::AppendValue(std::string_view text) {
+  is_in_value_ = true;
+  value_ += text;
+}
+
+void HttpRequestParser::StoreField() {
+  // Fields after a chunked body are ignored.
+  if (!has_head_) {
+    stored_bytes_ += field_.size() + value_.size() + kFieldOverheadBytes;
+    request_.headers[LowerCase(field_)] = value_;
+  }
+  field_.clear();
+  value_.clear();
+  is_in_value_ = false;
+}
+
+int HttpRequestParser::OnHeadEnd() {
+  if (!field_.empty()) {
+    StoreField();
+  }
+  has_head_ = true;
+  const auto length = parser_.content_length;
+  if (length == 0 || length == std::numeric_limits<decltype(length)>::max()) {
+    return 0;
+  }
+  if (length > limits_.body_bytes) {
+    problem_ = Problem::kBodyTooLarge;
+    return -1;  // makes http_parser stop with an error
+  }
+  request_.body.reserve(length);
+  return 0;
+}
+
+int HttpRequestParser::OnBody(std::string_view text) {
+  if (request_.body.size() + text.size() > limits_.body_bytes) {
+    problem_ = Problem::kBodyTooLarge;
+    return -1;
+  }
+  request_.body += text;
+  return 0;
+}
+
+void HttpRequestParser::OnEnd() {
+  is_complete_ = true;
+  keeps_connection_ =
+      parser_.upgrade == 0 && http_should_keep_alive(&parser_) != 0;
+  http_parser_pause(&parser_, 1);
+}
+
+}  // namespace carawayrelay
--- a/src/process/transport/http_server.h
+++ b/src/process/transport/http_server.h
@@ -12,6 +12,8 @@
 
 namespace carawayrelay {
 
+class RequestMemoryBudget;
+
 struct HttpRequest {
   std::string method;
   std::string path;   // without the query
@@ -51,11 +53,11 @@
   bool IsDisconnected() const;
 
  private:
-  friend class HttpServer;
+  friend class HttpConnection;
   class Impl;
-  explicit HttpExchange(std::shared_ptr<Impl> impl);
+  explicit HttpExchange(std::unique_ptr<Impl> impl);
 
-  std::shared_ptr<Impl> impl_;
+  std::unique_ptr<Impl> impl_;
 };
 
 using HttpExchangePtr = std::shared_ptr<HttpExchange>;
@@ -66,7 +68,21 @@
   struct Options {
     std::string listen_address;  // "IP:port"
     size_t max_body_bytes = size_t{64} << 20;
-    std::chrono::milliseconds read_timeout{30000};
+    // Limit of the bytes of a head, empty lines before it included.
+    size_t max_head_bytes = size_t{64} << 10;
+    // Connections that are open at the same time. A further one replaces the
+    // connection without a running request that was silent for longest.
+    size_t max_connections = 10000;
+    // Time for a head, from its first byte.
+    std::chrono::milliseconds head_timeout{3000};
+    // Time without a further byte of a body.
+    std::chrono::milliseconds body_timeout{15000};
+    // Time between two requests on a connection.
+    std::chrono::milliseconds idle_timeout{30000};
+    // Time without progress of a response that waits to be sent.
+    std::chrono::milliseconds write_timeout{30000};
+    // Memory of the requests. A server without one has a budget of its own.
+    std::shared_ptr<RequestMemoryBudget> request_memory;
   };
   // Runs on the thread of the server and must not block.
   using Handler = std::function<void(HttpRequest, HttpExchangePtr)>;
--- /dev/null
+++ b/src/process/transport/memory_limits.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <cstddef>
+#include <memory>
+#include <string>
+
+#include "process/transport/http_server.h"
+#include "process/transport/request_memory_budget.h"
+#include "version/json_reader.h"
+
+namespace carawayrelay {
+
+// Limits that keep a process within the memory and the file descriptors of its
+// VM, whatever clients send.
+struct MemoryLimits {
+  // Memory of all requests of clients in the process.
+  size_t request_bytes = 0;
+  // Connections that the client port accepts.
+  size_t max_connections = 0;
+};
+
+// Reads the settings memory_mb, request_memory_mb and max_connections.
+// `max_body_bytes` is the largest body that must fit.
+MemoryLimits ReadMemoryLimits(JsonReader& reader,
+                              size_t max_body_bytes,
+                              Findings& findings);
+
+// The limits that apply without settings, from the memory of this VM.
+MemoryLimits DefaultMemoryLimits(size_t max_body_bytes);
+
+// Returns the number of connections that clients may use when the process may
+// open `descriptors` files. The others are for the store, backend servers and
+// the other ports.
+size_t ConnectionsFor(size_t descriptors);
+
+// Returns `limits.max_connections`, or less if this process may not open enough
+// files.
+size_t MaxConnections(const MemoryLimits& limits);
+
+// Options of a server for readiness or metrics, whose requests are small.
+HttpServer::Options MonitoringServerOptions(
+    std::string listen_address,
+    std::shared_ptr<RequestMemoryBudget> request_memory);
+
+}  // namespace carawayrelay
--- /dev/null
+++ b/src/process/transport/request_memory_budget.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <utility>
+
+namespace carawayrelay {
+
+// Limits the memory of all requests of clients that a process holds, over all
+// of its HTTP servers. Each request has an account. When the budget is
+// exhausted, the largest request that is not completely received is evicted.
+// Thread-safe.
+class RequestMemoryBudget
+    : public std::enable_shared_from_this<RequestMemoryBudget> {
+ public:
+  // The memory of one request. Its destructor returns the bytes.
+  class Account {
+   public:
+    ~Account();
+    Account(const Account&) = delete;
+    Account& operator=(const Account&) = delete;
+
+    // Sets the number of bytes of the request. Returns false if it is the
+    // request that must be refused: the budget is exhausted and no unfinished
+    // request is larger, or it was evicted.
+    bool Resize(size_t bytes);
+    // The request is completely received and is not evicted any more. Returns
+    // false if it was evicted before.
+    bool SetComplete();
+
+   private:
+    friend class RequestMemoryBudget;
+    Account(std::shared_ptr<RequestMemoryBudget> budget,
+            std::function<void()> evict)
+        : budget_(std::move(budget)), evict_(std::move(evict)) {}
+
+    const std::shared_ptr<RequestMemoryBudget> budget_;
+    const std::function<void()> evict_;
+    // The rest is guarded by the mutex of the budget.
+    size_t bytes_ = 0;
+    bool is_evicted_ = false;
+  };
+
+  struct Counters {
+    size_t held_bytes = 0;
+    // Requests that were refused or evicted because the budget was exhausted.
+    std::uint64_t refused_requests = 0;
+    // Connections that were closed for a new one, because the limit on
+    // connections was reached.
+    std::uint64_t closed_connections = 0;
+    // Requests and connections that were closed by a time limit or for being
+    // malformed or too large.
+    std::uint64_t rejected_requests = 0;
+  };
+
+  static std::shared_ptr<RequestMemoryBudget> Make(size_t max_bytes) {
+    return std::shared_ptr<RequestMemoryBudget>(
+        new RequestMemoryBudget(max_bytes));
+  }
+
+  // Opens the account of a request. `evict` is called at most once, on any
+  // thread and with the budget locked; it must not call the budget.
+  std::unique_ptr<Account> Open(std::function<void()> evict);
+
+  Counters counters() const;
+  void CountClosedConnection();
+  void CountRejectedRequest();
+
+ private:
+  explicit RequestMemoryBudget(size_t max_bytes) : max_bytes_(max_bytes) {}
+
+  // The mutex must be locked.
+  void Evict(Account& account);
+
+  const size_t max_bytes_;
+  mutable std::mutex mutex_;
+  Counters counters_;
+  // Requests that are not completely received, by size.
+  std::set<std::pair<size_t, Account*>> unfinished_;
+};
+
+}  // namespace carawayrelay
--- a/tests/process/untrusted_clients_test.cc
+++ b/tests/process/untrusted_clients_test.cc
@@ -24,6 +24,8 @@
 using std::chrono::milliseconds;
 
 constexpr size_t kMegabyte = size_t{1} << 20;
+// Memory of the smallest VM of a frontend.
+constexpr size_t kMemoryMegabytes = 88;
 constexpr size_t kSmallCrowd = 60;
 constexpr size_t kLargeCrowd = 600;
 constexpr size_t kSmallCrowdResidentBytes = 100 * kMegabyte;
@@ -102,6 +104,7 @@
                            {"listen_clients", address(0)},
                            {"listen_ready", address(1)},
                            {"listen_peers", address(2)},
+                           {"memory_mb", kMemoryMegabytes},
                            {"store_address", store.address()}};
     const std::string path = processes->directory() + "/frontend.json";
     std::ofstream(path) << settings;
