--- a/tests/process/http_server_test.cc
+++ b/tests/process/http_server_test.cc
@@ -1,10 +1,21 @@
 #include <curl/curl.h>
 #include <doctest/doctest.h>
 
+#include <asio/buffer.hpp>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/read.hpp>
+#include <asio/write.hpp>
+#include <atomic>
+#include <chrono>
 #include <memory>
 #include <string>
+#include <thread>
+#include <vector>
 
 #include "carawayrelay/process.h"
+#include "process/transport/endpoint.h"
+#include "process/transport/request_memory_budget.h"
 
 namespace carawayrelay {
 namespace {
@@ -31,6 +42,27 @@
     return size * count;
   }
 
+  static asio::ip::tcp::socket Connect(asio::io_context& io) {
+    asio::ip::tcp::socket socket(io);
+    socket.connect(ParseEndpoint(kAddress).value());
+    return socket;
+  }
+
+  // Sends the pieces one after the other and returns what the server sends
+  // until it closes the connection.
+  static std::string Exchange(const std::vector<std::string>& pieces) {
+    asio::io_context io;
+    auto socket = Connect(io);
+    for (const std::string& piece : pieces) {
+      asio::write(socket, asio::buffer(piece));
+      std::this_thread::sleep_for(std::chrono::milliseconds(30));
+    }
+    std::string answer;
+    asio::error_code error;
+    asio::read(socket, asio::dynamic_buffer(answer), error);
+    return answer;
+  }
+
   Response Post(const std::string& path, const std::string& body) {
     Response response;
     CURL* curl = curl_easy_init();
@@ -98,6 +130,74 @@
   CHECK(response.body.find("too_large") != std::string::npos);
 }
 
+// Guards against chunked bodies, pipelining and Connection: close that stop
+// working on a connection that is read in several pieces.
+TEST_CASE_FIXTURE(HttpServerFixture,
+                  "HttpServer, pipelined requests, are answered in order") {
+  auto server = Serve([](const HttpRequest& request, HttpExchangePtr exchange) {
+    exchange->Respond(200, {}, "[" + request.path + request.body + "]");
+  });
+  const std::string answer =
+      Exchange({"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nx",
+                "yz\r\n1\r\nw\r\n0\r\n\r\nGET /b HTTP/1.1\r\n\r\nGET /c",
+                " HTTP/1.1\r\nConnection: close\r\n\r\n"});
+  const size_t a = answer.find("[/axyzw]");
+  const size_t b = answer.find("[/b]");
+  const size_t c = answer.find("[/c]");
+  REQUIRE(c != std::string::npos);
+  CHECK(a < b);
+  CHECK(b < c);
+}
+
+// Guards against a refusal that promises that a request did not run although
+// the handler had it.
+TEST_CASE_FIXTURE(HttpServerFixture,
+                  "HttpServer, no request memory, refuses as not run") {
+  std::atomic<int> runs = 0;
+  auto server =
+      HttpServer::Make({.listen_address = kAddress,
+                        .request_memory = RequestMemoryBudget::Make(3000)},
+                       [&](const HttpRequest&, HttpExchangePtr exchange) {
+                         ++runs;
+                         exchange->Respond(200, {}, "");
+                       })
+          .value();
+  const Response response = Post("/x", std::string(4000, 'x'));
+  CHECK(response.status == 503);
+  CHECK(response.body.find("\"not_run\"") != std::string::npos);
+  CHECK(runs == 0);
+  CHECK(Post("/x", "small").status == 200);
+}
+
+// Guards against connections that stay open with a head without end.
+TEST_CASE_FIXTURE(HttpServerFixture,
+                  "HttpServer, head that stops short, is closed") {
+  auto server =
+      HttpServer::Make({.listen_address = kAddress,
+                        .head_timeout = std::chrono::milliseconds(300)},
+                       [](const HttpRequest&, HttpExchangePtr) {})
+          .value();
+  CHECK(Exchange({"GET / HTTP/1.1\r\nHo"}).empty());
+}
+
+// Guards against silent connections that keep out all others.
+TEST_CASE_FIXTURE(HttpServerFixture,
+                  "HttpServer, connections at the limit, a silent one is "
+                  "replaced") {
+  auto server =
+      HttpServer::Make({.listen_address = kAddress, .max_connections = 2},
+                       [](const HttpRequest&, HttpExchangePtr exchange) {
+                         exchange->Respond(200, {}, "");
+                       })
+          .value();
+  asio::io_context io;
+  std::vector<asio::ip::tcp::socket> silent;
+  for (int i = 0; i < 5; ++i) {
+    silent.push_back(Connect(io));
+  }
+  CHECK(Post("/x", "body").status == 200);
+}
+
 // Guards against a crash or a silent failure when the port is in use.
 TEST_CASE_FIXTURE(HttpServerFixture,
                   "HttpServer, port in use, fails with unavailable") {
--- a/tests/process/untrusted_clients_test.cc
+++ b/tests/process/untrusted_clients_test.cc
@@ -174,6 +174,18 @@
   }
 };
 
+// Guards against limits that refuse a request of an ordinary client: 16 KiB of
+// headers and a body of 4 MiB, which the request memory of the smallest VM
+// must hold.
+TEST_CASE_FIXTURE(UntrustedClientsFixture,
+                  "Frontend, largest allowed request on the smallest VM, is "
+                  "served") {
+  Start();
+  CHECK(IsServed(std::string(4 * kMegabyte, 'x')));
+  Observe();
+  CHECK(most.resident_bytes < kMemoryMegabytes * kMegabyte);
+}
+
 // Guards against memory that grows with heads that have no end.
 TEST_CASE_FIXTURE(UntrustedClientsFixture,
                   "Frontend, heads without end, stays within its memory") {
--- a/tests/serving/serving_settings_test.cc
+++ b/tests/serving/serving_settings_test.cc
@@ -46,6 +46,20 @@
   }
 }
 
+// Guards against limits that lock out every client or exceed the VM.
+TEST_CASE_FIXTURE(ServingSettingsFixture,
+                  "FrontendSettings, memory limits invalid, each is reported") {
+  CHECK_FALSE(ParseFrontendSettings(
+      R"({"node":"n","zone":"z","listen_clients":"10.0.0.1:80",
+          "listen_ready":"10.0.0.1:81","listen_peers":"10.0.0.1:83",
+          "store_address":"10.0.0.2:82","memory_mb":88,
+          "request_memory_mb":100,"max_connections":0})",
+      findings));
+  CHECK(Reports("/request_memory_mb"));
+  CHECK(Reports("/max_connections"));
+  CHECK(findings.items().size() == 2);
+}
+
 // Guards against a negative number of reserved slots being accepted.
 TEST_CASE_FIXTURE(ServingSettingsFixture,
                   "WorkerSettings, reserved slots out of range, one finding") {
