--- a/tests/process/untrusted_clients_test.cc
+++ b/tests/process/untrusted_clients_test.cc
@@ -2,6 +2,11 @@
 #include <sys/resource.h>
 
 #include <algorithm>
+#include <asio/buffer.hpp>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/read.hpp>
+#include <asio/write.hpp>
 #include <chrono>
 #include <filesystem>
 #include <fstream>
@@ -186,6 +191,34 @@
   CHECK(most.resident_bytes < kMemoryMegabytes * kMegabyte);
 }
 
+// Guards against the same for a body of unknown length in chunks of 4 KiB.
+TEST_CASE_FIXTURE(UntrustedClientsFixture,
+                  "Frontend, largest allowed request in chunks, is served") {
+  Start();
+  constexpr size_t kChunks = 1024;
+  std::string request = Post(
+      "Transfer-Encoding: chunked\r\nX-Api-Key: key\r\n"
+      "X-Carawayrelay-Request-Id: r\r\n"
+      "X-Carawayrelay-Deadline-Ms: 20000\r\nConnection: close\r\n"
+      "X-Long: " +
+      std::string(15000, 'h'));
+  for (size_t i = 0; i < kChunks; ++i) {
+    request += "1000\r\n" + std::string(0x1000, 'x') + "\r\n";
+  }
+  request += "0\r\n\r\n";
+  asio::io_context io;
+  asio::ip::tcp::socket socket(io);
+  socket.connect({asio::ip::address_v4::loopback(), port});
+  asio::write(socket, asio::buffer(request));
+  std::string answer;
+  asio::error_code error;
+  asio::read(socket, asio::dynamic_buffer(answer), error);
+  CHECK(answer.starts_with("HTTP/1.1 200"));
+  CHECK(answer.ends_with(std::to_string(4 * kMegabyte)));
+  Observe();
+  CHECK(most.resident_bytes < kMemoryMegabytes * kMegabyte);
+}
+
 // Guards against memory that grows with heads that have no end.
 TEST_CASE_FIXTURE(UntrustedClientsFixture,
                   "Frontend, heads without end, stays within its memory") {
