--- a/src/process/entry/entry_process.cc
+++ b/src/process/entry/entry_process.cc
@@ -71,7 +71,9 @@
   dispatch_.Start(*link_);
   SetNodes({}, {});
   const auto request_memory =
-      RequestMemoryBudget::Make(settings_.memory.request_bytes);
+      hooks_.request_memory
+          ? hooks_.request_memory
+          : RequestMemoryBudget::Make(settings_.memory.request_bytes);
   if (hooks_.admin_api) {
     BOOST_OUTCOME_TRY(
         admin_server_,
--- a/src/process/entry/entry_process.h
+++ b/src/process/entry/entry_process.h
@@ -34,6 +34,8 @@
     // Called in Drain() after the last online request has ended, while all
     // threads still run.
     std::function<void()> stop_services;
+    // Budget of the HTTP servers. Without one, the process makes its own.
+    std::shared_ptr<RequestMemoryBudget> request_memory;
   };
 
   // Binds the addresses and starts the threads. Fails with kInvalid for a
--- a/src/process/entry/entry_services.cc
+++ b/src/process/entry/entry_services.cc
@@ -5,6 +5,7 @@
 
 #include "process/dispatch/chat_api.h"
 #include "process/dispatch/refusal_json.h"
+#include "process/serving/serving_metrics.h"
 #include "process/store/blocking_store_client.h"
 #include "process/store/intent_thread.h"
 #include "process/telemetry/log.h"
@@ -26,7 +27,9 @@
 }  // namespace
 
 EntryServices::EntryServices(const EntrySettings& settings)
-    : settings_(settings) {}
+    : settings_(settings),
+      request_memory_(
+          RequestMemoryBudget::Make(settings.memory.request_bytes)) {}
 
 EntryServices::~EntryServices() {
   Stop();
@@ -34,6 +37,7 @@
 
 EntryProcess::Hooks EntryServices::MakeHooks() {
   EntryProcess::Hooks hooks;
+  hooks.request_memory = request_memory_;
   hooks.dispatch.propose_config = [this](ConfigUpdate update) {
     if (const auto watch = CopyUnderLock(mutex_, watch_)) {
       watch->TryAdoptFromPeer(update.version, std::move(update.content_hash),
@@ -174,6 +178,7 @@
 bool EntryServices::HandleClientApi(HttpRequest& request,
                                     HttpExchangePtr& exchange) {
   if (request.method == "GET" && request.path == "/metrics") {
+    SetRequestMemoryMetrics(metrics_, request_memory_->counters());
     exchange->Respond(200, {{"Content-Type", kMetricsContentType}},
                       metrics_.ToPrometheusText());
     return true;
--- a/src/process/entry/entry_services.h
+++ b/src/process/entry/entry_services.h
@@ -57,6 +57,7 @@
   std::shared_ptr<LimitsThread> limits_;
   std::shared_ptr<IntentThread> intents_;
   std::shared_ptr<TelemetryThread> telemetry_;
+  const std::shared_ptr<RequestMemoryBudget> request_memory_;
   Metrics metrics_;
 };
 
--- a/src/process/serving/serving_core.cc
+++ b/src/process/serving/serving_core.cc
@@ -114,16 +114,8 @@
 }
 
 void ServingCore::UpdateRequestMemory() {
-  namespace names = serving_metrics;
   const RequestMemoryBudget::Counters c = request_memory_->counters();
-  metrics_.SetGauge(names::kRequestMemory, {},
-                    static_cast<double>(c.held_bytes));
-  metrics_.SetCounter(names::kInputLimited, {{"limit", "memory"}},
-                      c.refused_requests);
-  metrics_.SetCounter(names::kInputLimited, {{"limit", "connections"}},
-                      c.closed_connections);
-  metrics_.SetCounter(names::kInputLimited, {{"limit", "request"}},
-                      c.rejected_requests);
+  SetRequestMemoryMetrics(metrics_, c);
   if (c.refused_requests != logged_.refused_requests ||
       c.closed_connections != logged_.closed_connections ||
       c.rejected_requests != logged_.rejected_requests) {
--- a/src/process/serving/serving_metrics.h
+++ b/src/process/serving/serving_metrics.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include <cstdint>
+
 #include "process/telemetry/metrics.h"
+#include "process/transport/request_memory_budget.h"
 
 // Metrics of the serving roles, except those of finished requests.
 namespace carawayrelay::serving_metrics {
@@ -67,3 +70,22 @@
     "Log lines that were dropped because of the budget or a full queue."};
 
 }  // namespace carawayrelay::serving_metrics
+
+namespace carawayrelay {
+
+// Sets the metrics of the request memory.
+inline void SetRequestMemoryMetrics(
+    Metrics& metrics,
+    const RequestMemoryBudget::Counters& counters) {
+  namespace names = serving_metrics;
+  metrics.SetGauge(names::kRequestMemory, {},
+                   static_cast<double>(counters.held_bytes));
+  const auto set = [&](const char* limit, std::uint64_t value) {
+    metrics.SetCounter(names::kInputLimited, {{"limit", limit}}, value);
+  };
+  set("memory", counters.refused_requests);
+  set("connections", counters.closed_connections);
+  set("request", counters.rejected_requests);
+}
+
+}  // namespace carawayrelay
--- a/tests/process/untrusted_clients_test.cc
+++ b/tests/process/untrusted_clients_test.cc
@@ -62,6 +62,7 @@
   std::unique_ptr<tools::ProcessGroup> processes =
       tools::ProcessGroup::Make().value();
   std::uint16_t port = 0;
+  std::uint16_t ready_port = 0;
   Observed most;
 
   UntrustedClientsFixture() {
@@ -104,6 +105,7 @@
       return "127.0.0.1:" + std::to_string(ports[i]);
     };
     port = ports[0];
+    ready_port = ports[1];
     const json settings = {{"node", "edge-1"},
                            {"zone", "z"},
                            {"listen_clients", address(0)},
@@ -155,9 +157,10 @@
   void Check(size_t connections,
              std::string head,
              std::string repeat,
-             size_t bytes_per_connection) {
+             size_t bytes_per_connection,
+             std::uint16_t crowd_port = 0) {
     {
-      ClientCrowd crowd({.port = port,
+      ClientCrowd crowd({.port = crowd_port == 0 ? port : crowd_port,
                          .connections = connections,
                          .head = std::move(head),
                          .repeat = std::move(repeat),
@@ -300,6 +303,15 @@
         std::string(kPayloadBytes, 'x'), 8 * kMegabyte);
 }
 
+// Guards against a port beside the client port that has no limits.
+TEST_CASE_FIXTURE(UntrustedClientsFixture,
+                  "Frontend, chunks of one byte on the readiness port, stays "
+                  "within its memory") {
+  Start();
+  Check(kSmallCrowd, Post("Transfer-Encoding: chunked"),
+        Repeat("1\r\nx\r\n", kPayloadBytes), 2 * kMegabyte, ready_port);
+}
+
 // Guards against requests that are read ahead without a limit while the
 // client reads no responses.
 TEST_CASE_FIXTURE(UntrustedClientsFixture,
