--- a/src/process/serving/serving_metrics.h
+++ b/src/process/serving/serving_metrics.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include <cstdint>
+
 #include "process/telemetry/metrics.h"
+#include "process/transport/request_memory_budget.h"
 
 // Metrics of the serving roles, except those of finished requests.
 namespace carawayrelay::serving_metrics {
@@ -74,6 +77,14 @@
     "Time since it was last certain that there is no newer configuration."};
 inline constexpr MetricDescriptor kCallsRunning{
     "carawayrelay_calls_running", "Calls to the store and backend servers."};
+inline constexpr MetricDescriptor kRequestMemory{
+    "carawayrelay_request_memory_bytes",
+    "Memory of the requests of clients that this process holds."};
+// Labels: limit (memory, connections, request).
+inline constexpr MetricDescriptor kInputLimited{
+    "carawayrelay_input_limited_total",
+    "Requests and connections of clients that were refused or closed by a "
+    "limit before a handler had them."};
 // Labels: ring.
 inline constexpr MetricDescriptor kRingLength{"carawayrelay_ring_length",
                                               "Entries that wait in a ring."};
@@ -82,3 +93,22 @@
     "Log lines that were dropped because of the budget or a full queue."};
 
 }  // namespace carawayrelay::serving_metrics
+
+namespace carawayrelay {
+
+// Sets the metrics of the request memory.
+inline void SetRequestMemoryMetrics(
+    Metrics& metrics,
+    const RequestMemoryBudget::Counters& counters) {
+  namespace names = serving_metrics;
+  metrics.SetGauge(names::kRequestMemory, {},
+                   static_cast<double>(counters.held_bytes));
+  const auto set = [&](const char* limit, std::uint64_t value) {
+    metrics.SetCounter(names::kInputLimited, {{"limit", limit}}, value);
+  };
+  set("memory", counters.refused_requests);
+  set("connections", counters.closed_connections);
+  set("request", counters.rejected_requests);
+}
+
+}  // namespace carawayrelay
