--- a/src/connection/backend_registration.h
+++ b/src/connection/backend_registration.h
@@ -12,7 +12,8 @@
   std::string service;
   std::string address;  // "IP:port"
   std::string zone;
-  int slots = 1;  // maximum number of concurrent requests
+  std::string software_version;  // empty when the registration has none
+  int slots = 1;                 // maximum number of concurrent requests
   bool is_draining = false;
   // Start of the process, as Unix time; 0 when the registration does not say.
   // An id may be used again by a later process.
--- a/src/process/forward/backend_directory.cc
+++ b/src/process/forward/backend_directory.cc
@@ -30,6 +30,10 @@
 // Burst of requests that a frontend may send to a cold backend server.
 constexpr double kColdBurst = 1;
 constexpr double kAvoidPenalty = 100;
+// A canary backend server is chosen before all others when it is due, and a
+// reserve only when the others are avoided.
+constexpr double kPreferredBonus = 50;
+constexpr double kReservePenalty = 50;
 constexpr double kTieBreakRange = 0.02;
 
 }  // namespace
@@ -161,6 +165,10 @@
 }
 
 bool BackendDirectory::IsUsable(const Backend& backend) const {
+  return IsInService(backend) && VersionUseOf(backend) != VersionUse::kRefused;
+}
+
+bool BackendDirectory::IsInService(const Backend& backend) const {
   return !backend.registration.is_draining && !backend.is_replaced &&
          !leaving_.Contains(backend.registration) &&
          !evacuated_.contains(backend.registration.zone);
@@ -196,6 +204,9 @@
   if (now < backend.avoid_until) {
     cost += kAvoidPenalty;
   }
+  const VersionUse version_use = VersionUseOf(backend);
+  cost -= version_use == VersionUse::kPreferred ? kPreferredBonus : 0;
+  cost += version_use == VersionUse::kReserve ? kReservePenalty : 0;
   std::uniform_real_distribution<double> tie(0, kTieBreakRange);
   return cost + tie(random_);
 }
@@ -266,6 +277,9 @@
 
 void BackendDirectory::NoteSent(Backend& backend, TimePoint now) {
   ++backend.own_calls;
+  if (on_sent_) {
+    on_sent_(backend.registration);
+  }
   if (backend.cold_tokens) {
     backend.cold_tokens->Spend(1, now);
   }
--- a/src/process/forward/backend_directory.h
+++ b/src/process/forward/backend_directory.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <random>
@@ -11,6 +12,7 @@
 
 #include "connection/backend_registration.h"
 #include "process/forward/leaving_backends.h"
+#include "process/rollout/version_use.h"
 #include "process/store/store_request.h"
 #include "request/boot_clock.h"
 #include "request/token_bucket.h"
@@ -62,6 +64,10 @@
     int cold = 0;
   };
 
+  // Tells how a rollout allows a backend server to be used now.
+  using VersionRule = std::function<VersionUse(const BackendRegistration&)>;
+  using OnSent = std::function<void(const BackendRegistration&)>;
+
   explicit BackendDirectory(std::uint64_t seed) : random_(seed) {}
 
   // Applies rows of the registration table. If `is_full`, registrations that
@@ -83,6 +89,12 @@
   void SetEvacuated(std::set<std::string> zones) {
     evacuated_ = std::move(zones);
   }
+  // Sets the rule for versions, and what is called for each request that is
+  // sent. Without a rule all versions are used alike.
+  void SetVersionRule(VersionRule rule, OnSent on_sent) {
+    version_rule_ = std::move(rule);
+    on_sent_ = std::move(on_sent);
+  }
   // Removes registrations whose grace period ended before they were written
   // again.
   void Tick(TimePoint now);
@@ -96,6 +108,13 @@
   // one, or nullptr.
   Backend* FindByAddress(const std::string& address);
   bool IsUsable(const Backend& backend) const;
+  // The same, whatever the rule for versions says.
+  bool IsInService(const Backend& backend) const;
+  VersionUse VersionUseOf(const Backend& backend) const {
+    return version_rule_ ? version_rule_(backend.registration)
+                         : VersionUse::kNormal;
+  }
+  const std::map<std::string, Backend>& backends() const { return backends_; }
   size_t size() const { return backends_.size(); }
   Counts CountStates(TimePoint now) const;
 
@@ -134,6 +153,8 @@
   std::map<std::string, Backend> backends_;
   LeavingBackends leaving_;
   std::set<std::string> evacuated_;
+  VersionRule version_rule_;
+  OnSent on_sent_;
   // Requests per second to one cold backend server, by service; this
   // frontend's part only.
   std::map<std::string, double> cold_per_second_;
--- a/src/process/forward/online_forwarder.cc
+++ b/src/process/forward/online_forwarder.cc
@@ -163,8 +163,11 @@
            now);
     return;
   }
+  // The version share counts requests only.
+  const bool is_canary =
+      backends_.VersionUseOf(*backend) == VersionUse::kPreferred;
   const bool should_reserve = request.is_stream && request.call.tokens > 0 &&
-                              now >= reservations_paused_until_ &&
+                              !is_canary && now >= reservations_paused_until_ &&
                               static_cast<int>(request.full_backends.size()) <
                                   options_.max_reservation_attempts;
   if (!should_reserve) {
--- a/src/process/forward/online_forwarder.h
+++ b/src/process/forward/online_forwarder.h
@@ -46,6 +46,8 @@
     std::chrono::milliseconds silence_limit{500};
     // Called for each request that ended; may be empty.
     std::function<void(const RequestObserved&)> observe;
+    // Called after each event with data of an attempt; may be empty.
+    std::function<void(const AttemptOutcome&, TimePoint now)> observe_event;
     // Called for each attempt that ended; may be empty.
     std::function<void(const AttemptOutcome&, TimePoint now)> observe_attempt;
   };
@@ -193,7 +195,10 @@
                    const std::string& reason,
                    TimePoint now);
   // Records an event with data of the current attempt.
-  static void NoteAttemptEvent(Request& request, TimePoint now);
+  void NoteAttemptEvent(Request& request, TimePoint now);
+  static AttemptOutcome OutcomeOf(const Request& request,
+                                  AttemptResult result,
+                                  TimePoint now);
   // Reports the end of the current attempt, if one is running, to the observer.
   void ReportAttempt(const Request& request,
                      AttemptResult result,
--- a/src/process/forward/online_forwarder_attempts.cc
+++ b/src/process/forward/online_forwarder_attempts.cc
@@ -111,6 +111,25 @@
     request.attempt_first_event = now - request.attempt_started_at;
   }
   request.last_progress_at = now;
+  if (options_.observe_event) {
+    options_.observe_event(OutcomeOf(request, AttemptResult::kAnswered, now),
+                           now);
+  }
+}
+
+AttemptOutcome OnlineForwarder::OutcomeOf(const Request& request,
+                                          AttemptResult result,
+                                          TimePoint now) {
+  return {.backend_id = request.backend_id,
+          .service = request.service,
+          .route = request.route,
+          .result = result,
+          .is_repeatable = request.is_repeatable,
+          .tokens = request.call.tokens,
+          .events = request.attempt_events,
+          .first_event = request.attempt_first_event,
+          .longest_pause = request.attempt_longest_pause,
+          .total = now - request.attempt_started_at};
 }
 
 void OnlineForwarder::ReportAttempt(const Request& request,
@@ -119,17 +138,7 @@
   if (!request.is_attempt_running || !options_.observe_attempt) {
     return;
   }
-  options_.observe_attempt({.backend_id = request.backend_id,
-                            .service = request.service,
-                            .route = request.route,
-                            .result = result,
-                            .is_repeatable = request.is_repeatable,
-                            .tokens = request.call.tokens,
-                            .events = request.attempt_events,
-                            .first_event = request.attempt_first_event,
-                            .longest_pause = request.attempt_longest_pause,
-                            .total = now - request.attempt_started_at},
-                           now);
+  options_.observe_attempt(OutcomeOf(request, result, now), now);
 }
 
 void OnlineForwarder::CancelAttempt(Request& request) {
--- a/src/process/serving/frontend_process.cc
+++ b/src/process/serving/frontend_process.cc
@@ -73,7 +73,8 @@
       core_,
       ServingCore::Make({.node = settings_.node,
                          .store_address = settings_.store_address,
-                         .seed = seed_},
+                         .seed = seed_,
+                         .rollout = settings_.rollout},
                         [this](TimePoint) {
                           if (core_->operators().config()) {
                             rates_.SetConfig(core_->operators().config());
@@ -88,6 +89,12 @@
           .zone = settings_.zone,
           .seed = seed_,
           .observe = [this](const RequestObserved& o) { Observe(o); },
+          .observe_event =
+              [this](const AttemptOutcome& outcome, TimePoint at) {
+                if (rollout_reporter_) {
+                  rollout_reporter_->ObserveProgress(outcome, at);
+                }
+              },
           .observe_attempt =
               [this](const AttemptOutcome& outcome, TimePoint at) {
                 ObserveAttempt(outcome, at);
@@ -102,6 +109,7 @@
   job_api_ =
       std::make_unique<JobApi>(core_->jobs(), core_->writer(), core_->store(),
                                core_->clock(), send_response);
+  MakeRollouts();
   if (!settings_.traces_url.empty()) {
     BOOST_OUTCOME_TRY(telemetry_,
                       TelemetryThread::Make(
@@ -160,6 +168,7 @@
     RunStep([&] {
       core_->Tick(now);
       core_->ExchangeCrashReports(now);
+      TickRollouts(now);
       job_api_->Tick(now);
       rates_.Tick(now);
     });
--- a/src/process/serving/frontend_process.h
+++ b/src/process/serving/frontend_process.h
@@ -11,6 +11,8 @@
 #include "process/jobs/job_api.h"
 #include "process/limits/rate_admission.h"
 #include "process/limits/rate_member_reporter.h"
+#include "process/rollout/rollout_coordinator.h"
+#include "process/rollout/rollout_reporter.h"
 #include "process/serving/graceful_stop.h"
 #include "process/serving/request_intake.h"
 #include "process/serving/serving_core.h"
@@ -68,6 +70,8 @@
   // Passes the limits of cold backend servers to the directory if the
   // configuration or the number of frontends has changed.
   void UpdateColdLimits();
+  void MakeRollouts();
+  void TickRollouts(TimePoint now);
   void UpdateReadiness(TimePoint now);
   bool IsDrained(TimePoint now) const;
   // Answers the requests that are still open when the process must end.
@@ -92,6 +96,9 @@
   std::unique_ptr<OnlineForwarder> forwarder_;
   std::unique_ptr<RateMemberReporter> rate_member_reporter_;
   std::unique_ptr<JobApi> job_api_;
+  // Not set without rollouts.
+  std::unique_ptr<RolloutReporter> rollout_reporter_;
+  std::unique_ptr<RolloutCoordinator> rollout_coordinator_;
   std::map<ClientCallId, HttpExchangePtr> exchanges_;
   std::uint64_t next_client_ = 1;
   std::atomic<bool> is_ready_ = false;
--- a/src/process/serving/frontend_process_monitoring.cc
+++ b/src/process/serving/frontend_process_monitoring.cc
@@ -13,8 +13,10 @@
 }  // namespace
 
 void FrontendProcess::UpdateReadiness(TimePoint now) {
-  const bool is_ready = !stop_.HasBegun() && !RefusalForAnyRequest(now) &&
-                        rates_.IsReady(now) && core_->backends().size() > 0;
+  const bool is_ready =
+      !stop_.HasBegun() && !RefusalForAnyRequest(now) && rates_.IsReady(now) &&
+      core_->backends().size() > 0 &&
+      (core_->rollouts() == nullptr || core_->rollouts()->IsKnown());
   if (is_ready_.exchange(is_ready) != is_ready) {
     const std::optional<Duration> age = core_->operators().Age(now);
     LogDecision(LogEvent::kServingReadiness, "ready", is_ready, "config_age_ms",
@@ -65,11 +67,35 @@
 }
 
 void FrontendProcess::ObserveAttempt(const AttemptOutcome& outcome,
-                                     TimePoint /*now*/) {
+                                     TimePoint now) {
+  if (rollout_reporter_) {
+    rollout_reporter_->ObserveEnd(outcome, now);
+  }
   core_->metrics().Count(serving_metrics::kAttempts,
                          {{"result", ToString(outcome.result)}});
 }
 
+void FrontendProcess::MakeRollouts() {
+  if (core_->rollouts() == nullptr) {
+    return;
+  }
+  rollout_reporter_ = std::make_unique<RolloutReporter>(
+      settings_.node, *core_->rollouts(), core_->backends(), core_->store(),
+      core_->clock());
+  rollout_coordinator_ = std::make_unique<RolloutCoordinator>(
+      settings_.node, seed_, *core_->rollouts(), core_->operators(),
+      core_->store(), core_->clock());
+}
+
+void FrontendProcess::TickRollouts(TimePoint now) {
+  if (core_->rollouts() == nullptr) {
+    return;
+  }
+  core_->rollouts()->SetFrontends(rates_.members().size());
+  rollout_reporter_->Tick(now);
+  rollout_coordinator_->Tick(now);
+}
+
 void FrontendProcess::HandleMonitoringRequest(const HttpRequest& request,
                                               const HttpExchangePtr& exchange) {
   if (request.path == kMetricsPath) {
--- a/src/process/serving/serving_core.cc
+++ b/src/process/serving/serving_core.cc
@@ -71,6 +71,11 @@
           [this](const std::vector<StoredRow>& rows, bool is_full, TimePoint) {
             jobs_.Apply(rows, is_full);
           }) {
+  if (options.rollout) {
+    rollouts_ = std::make_unique<RolloutFollower>(
+        *options.rollout, options.rollout_role, options.seed, operators_,
+        backends_, store_, clock_);
+  }
   store_.SetObserver(
       [this](const char* kind, StoreStatus status, Duration took) {
         metrics_.Count(serving_metrics::kStoreCalls,
@@ -106,11 +111,32 @@
   if (const auto age = operators_.Age(now)) {
     set(names::kConfigAge, std::chrono::duration<double>(*age).count());
   }
+  if (rollouts_) {
+    UpdateRolloutMetrics();
+  }
   metrics_.SetGauge(names::kRingLength, {{"ring", "events"}},
                     static_cast<double>(events_.size()));
   metrics_.SetCounter(names::kLogLinesDropped, {}, DroppedLogLines());
 }
 
+void ServingCore::UpdateRolloutMetrics() {
+  namespace names = serving_metrics;
+  for (const auto& [service, versions] : rollouts_->services()) {
+    if (!versions.row) {
+      continue;
+    }
+    metrics_.SetGauge(names::kRolloutStep, {{"service", service}},
+                      static_cast<double>(versions.row->step));
+    const auto set_requests = [&](const char* kind, std::uint64_t count) {
+      metrics_.SetGauge(names::kRolloutRequests,
+                        {{"service", service}, {"kind", kind}},
+                        static_cast<double>(count));
+    };
+    set_requests("all", versions.share.total());
+    set_requests("new", versions.share.canary());
+  }
+}
+
 void ServingCore::Deliver(CallEvent event) {
   calls_.Deliver(event);
 }
@@ -120,6 +146,9 @@
   operators_.Tick(now);
   backend_watch_.Tick(now);
   backends_.Tick(now);
+  if (rollouts_) {
+    rollouts_->Tick(now);
+  }
   job_watch_.Tick(now);
   jobs_.SetUpToDateAt(job_watch_.up_to_date_at());
   writer_.Tick(now);
--- a/src/process/serving/serving_core.h
+++ b/src/process/serving/serving_core.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "process/forward/backend_directory.h"
@@ -8,6 +9,7 @@
 #include "process/jobs/job_writer.h"
 #include "process/quarantine/crash_report_exchange.h"
 #include "process/quarantine/prompt_quarantine.h"
+#include "process/rollout/rollout_follower.h"
 #include "process/serving/event_loop_clock.h"
 #include "process/serving/serving_event.h"
 #include "process/store/operator_watch.h"
@@ -35,6 +37,9 @@
     std::chrono::milliseconds operators_wait{1000};
     // Minimum time between two reads of changes to batch jobs.
     std::chrono::milliseconds jobs_interval{500};
+    // Not set: there are no rollouts.
+    std::optional<RolloutSettings> rollout;
+    RolloutRole rollout_role = RolloutRole::kFrontend;
   };
 
   // Fails with kInternal if the HTTP client thread cannot be started.
@@ -56,6 +61,8 @@
   PromptQuarantine& quarantine() { return quarantine_; }
   JobTable& jobs() { return jobs_; }
   JobWriter& writer() { return writer_; }
+  // Returns nullptr if there are no rollouts.
+  RolloutFollower* rollouts() { return rollouts_.get(); }
   // Passes an event of an outbound call to the handler of that call.
   void Deliver(CallEvent event);
   // Continues the watches of the store and runs periodic work that is due.
@@ -70,6 +77,7 @@
   void UpdateMetrics(TimePoint now);
 
  private:
+  void UpdateRolloutMetrics();
   ServingCore(const Options& options, OperatorWatch::OnChange on_change);
 
   static constexpr size_t kEventCapacity = 4096;
@@ -91,6 +99,7 @@
   OperatorWatch operators_;
   TableWatch backend_watch_;
   TableWatch job_watch_;
+  std::unique_ptr<RolloutFollower> rollouts_;
 };
 
 }  // namespace carawayrelay
--- a/src/process/serving/serving_metrics.h
+++ b/src/process/serving/serving_metrics.h
@@ -44,6 +44,14 @@
     "Requests that another frontend decided, queries sent again, and "
     "requests "
     "that no frontend answered about."};
+// Labels: service. 0 observe, 1 switch, 2 complete, 3 rolled back.
+inline constexpr MetricDescriptor kRolloutStep{
+    "carawayrelay_rollout_step", "Step of the latest rollout of a service."};
+// Labels: service, kind (all, new).
+inline constexpr MetricDescriptor kRolloutRequests{
+    "carawayrelay_rollout_requests",
+    "Requests that this frontend sent to a service since the latest rollout "
+    "spec, in total and to the new version."};
 inline constexpr MetricDescriptor kConfigVersion{
     "carawayrelay_config_version", "Version of the configuration in effect."};
 inline constexpr MetricDescriptor kConfigAge{
--- a/src/process/serving/serving_settings.cc
+++ b/src/process/serving/serving_settings.cc
@@ -50,6 +50,21 @@
       name, 1, kMaxMilliseconds, static_cast<double>(fallback.count()))));
 }
 
+// Returns nullopt unless all three settings are present: a deployment without
+// one of them has no rollouts.
+std::optional<RolloutSettings> ReadRollout(JsonReader& reader) {
+  constexpr double kMaxSlackRequests = 1e9;
+  const bool is_complete = reader.Find("rollout_share") != nullptr &&
+                           reader.Find("rollout_slack") != nullptr &&
+                           reader.Find("rollout_deadline_ms") != nullptr;
+  const RolloutSettings settings{
+      .share = reader.OptionalNumber("rollout_share", 0, 1, 0),
+      .slack = static_cast<int>(
+          reader.OptionalNumber("rollout_slack", 0, kMaxSlackRequests, 0)),
+      .deadline = ReadTime(reader, "rollout_deadline_ms", milliseconds(5000))};
+  return is_complete ? std::optional(settings) : std::nullopt;
+}
+
 }  // namespace
 
 std::optional<FrontendSettings> ParseFrontendSettings(const std::string& text,
@@ -71,6 +86,7 @@
   settings.key_revocation =
       ReadTime(reader, "key_revocation_ms", settings.key_revocation);
   settings.stop_grace = ReadTime(reader, "stop_grace_ms", settings.stop_grace);
+  settings.rollout = ReadRollout(reader);
   reader.CheckUnknownFields();
   if (!findings.empty()) {
     return std::nullopt;
@@ -92,6 +108,7 @@
   settings.reserved_slots = static_cast<int>(reader.OptionalNumber(
       "reserved_slots", 0, kMaxSlots, settings.reserved_slots));
   settings.stop_grace = ReadTime(reader, "stop_grace_ms", settings.stop_grace);
+  settings.rollout = ReadRollout(reader);
   reader.CheckUnknownFields();
   if (!findings.empty()) {
     return std::nullopt;
--- a/src/process/serving/serving_settings.h
+++ b/src/process/serving/serving_settings.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 
+#include "process/rollout/rollout_settings.h"
 #include "version/findings.h"
 
 namespace carawayrelay {
@@ -29,6 +30,8 @@
   std::chrono::milliseconds key_revocation{5000};
   // Time between the stop signal and the kill of the process.
   std::chrono::milliseconds stop_grace{8000};
+  // Not set: there are no rollouts, and versions are not told apart.
+  std::optional<RolloutSettings> rollout;
 };
 
 // Settings of the worker role, which runs batch items on the backend server of
@@ -43,6 +46,7 @@
   // with online requests.
   int reserved_slots = 1;
   std::chrono::milliseconds stop_grace{8000};
+  std::optional<RolloutSettings> rollout;  // as of the frontends
 };
 
 // Return std::nullopt and add to `findings` if the settings are invalid.
--- a/src/process/serving/worker_process.cc
+++ b/src/process/serving/worker_process.cc
@@ -63,7 +63,9 @@
                          .store_address = settings_.store_address,
                          .seed = seed_,
                          .operators_wait = kOperatorsWait,
-                         .jobs_interval = kJobsInterval},
+                         .jobs_interval = kJobsInterval,
+                         .rollout = settings_.rollout,
+                         .rollout_role = RolloutRole::kWorker},
                         [this](TimePoint) {
                           worker_->SetConfig(core_->operators().config());
                         }));
--- a/src/process/store/operator_watch.cc
+++ b/src/process/store/operator_watch.cc
@@ -1,5 +1,6 @@
 #include "process/store/operator_watch.h"
 
+#include <algorithm>
 #include <string_view>
 #include <utility>
 
@@ -34,6 +35,11 @@
   const std::set<std::string> previous = evacuated_zones_;
   if (is_full) {
     evacuated_zones_.clear();
+    std::erase_if(rollout_specs_, [&](const auto& item) {
+      return std::ranges::none_of(rows, [&](const StoredRow& row) {
+        return row.key.key == platform::kRolloutPrefix + item.first;
+      });
+    });
   }
   bool changed = false;
   for (const StoredRow& row : rows) {
@@ -47,8 +53,11 @@
       } else {
         evacuated_zones_.insert(zone);
       }
+    } else if (key.starts_with(platform::kRolloutPrefix)) {
+      ApplyRolloutSpec(row);
     }
   }
+  has_applied_ = true;
   if (evacuated_zones_ != previous) {
     changed = true;
     std::string zones;
@@ -62,6 +71,22 @@
   }
 }
 
+void OperatorWatch::ApplyRolloutSpec(const StoredRow& row) {
+  const std::string service =
+      row.key.key.substr(std::string_view(platform::kRolloutPrefix).size());
+  if (row.is_removed) {
+    rollout_specs_.erase(service);
+    return;
+  }
+  RolloutSpec& known = rollout_specs_[service];
+  if (known.row_version == row.version) {
+    return;
+  }
+  known = platform::DecodeRolloutSpec(service, row.value);
+  known.row_version = row.version;
+  known.was_seen_live = has_applied_;
+}
+
 bool OperatorWatch::ApplyConfig(const StoredRow& row) {
   Result<ServingConfigPtr> config = platform::DecodeDesiredState(row.value);
   if (!config) {
--- a/src/process/store/operator_watch.h
+++ b/src/process/store/operator_watch.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <set>
 #include <string>
 
 #include "process/store/table_watch.h"
+#include "version/rollout_spec.h"
 #include "version/serving_config.h"
 
 namespace carawayrelay {
@@ -28,6 +30,12 @@
   const std::set<std::string>& evacuated_zones() const {
     return evacuated_zones_;
   }
+  // Rollout specs by service.
+  const std::map<std::string, RolloutSpec>& rollout_specs() const {
+    return rollout_specs_;
+  }
+  // Whether the table was read once.
+  bool IsSynced() const { return watch_.up_to_date_at().has_value(); }
   // Time since the configuration was last known to be the newest. Not set
   // before the first configuration.
   std::optional<Duration> Age(TimePoint now) const;
@@ -35,10 +43,13 @@
  private:
   void Apply(const std::vector<StoredRow>& rows, bool is_full, TimePoint now);
   bool ApplyConfig(const StoredRow& row);
+  void ApplyRolloutSpec(const StoredRow& row);
 
   OnChange on_change_;
   ServingConfigPtr config_;
   std::set<std::string> evacuated_zones_;
+  std::map<std::string, RolloutSpec> rollout_specs_;
+  bool has_applied_ = false;
   TableWatch watch_;
 };
 
--- a/src/process/telemetry/events.cc
+++ b/src/process/telemetry/events.cc
@@ -90,6 +90,18 @@
       return "item_returned";
     case LogEvent::kItemDropped:
       return "item_dropped";
+    case LogEvent::kRolloutStarted:
+      return "rollout_started";
+    case LogEvent::kRolloutStepChanged:
+      return "rollout_step_changed";
+    case LogEvent::kRolloutRowUnreadable:
+      return "rollout_row_unreadable";
+    case LogEvent::kServiceVersionFound:
+      return "service_version_found";
+    case LogEvent::kRolloutLeaseTaken:
+      return "rollout_lease_taken";
+    case LogEvent::kRolloutReportUnreadable:
+      return "rollout_report_unreadable";
     default:
       return "event";
   }
--- a/src/process/telemetry/events.h
+++ b/src/process/telemetry/events.h
@@ -10,7 +10,7 @@
   // and VM list, 18xx telemetry.
   // Frontends and workers only: 190x process, 191x configuration and store,
   // 192x backend servers, 193x online requests, 194x batch jobs, 195x batch
-  // items.
+  // items, 196x rollouts.
   kLinkUp = 1101,
   kLinkDown = 1102,
   kConfigAdopted = 1201,
@@ -89,6 +89,12 @@
   kItemFinished = 1953,
   kItemReturned = 1954,
   kItemDropped = 1955,
+  kRolloutStarted = 1961,
+  kRolloutStepChanged = 1962,
+  kRolloutRowUnreadable = 1963,
+  kServiceVersionFound = 1964,
+  kRolloutLeaseTaken = 1965,
+  kRolloutReportUnreadable = 1966,
 };
 
 // The name of the event in the structured log, such as "request_ended", or
