--- a/src/process/rollout/rollout_plan.cc
+++ b/src/process/rollout/rollout_plan.cc
@@ -76,8 +76,9 @@
     return RollBack("no backend server of the new version is usable");
   }
   const double switched =
-      std::chrono::duration<double>(inputs.store_now - row.step_began) /
-      std::chrono::duration<double>(row.duration);
+      std::chrono::duration<double, std::milli>(inputs.store_now -
+                                                row.step_began) /
+      std::chrono::duration<double, std::milli>(row.duration);
   if (elapsed >= kLatestEnd) {
     if (inputs.judgement.verdict == RolloutVerdict::kLikelyBad) {
       return RollBack(inputs.judgement.reason);
@@ -97,8 +98,9 @@
 std::optional<RolloutDecision> NextStep(const RolloutRow& row,
                                         const RolloutInputs& inputs) {
   const double elapsed =
-      std::chrono::duration<double>(inputs.store_now - row.started) /
-      std::chrono::duration<double>(row.duration);
+      std::chrono::duration<double, std::milli>(inputs.store_now -
+                                                row.started) /
+      std::chrono::duration<double, std::milli>(row.duration);
   switch (row.step) {
     case RolloutStep::kObserve:
       return NextOfObserve(inputs, elapsed);
