--- a/src/process/rollout/rollout_follower.cc
+++ b/src/process/rollout/rollout_follower.cc
@@ -18,6 +18,7 @@
 // more numerous and only the switch concerns them.
 constexpr milliseconds kFrontendWait{500};
 constexpr milliseconds kWorkerWait{1000};
+constexpr milliseconds kMinWatchInterval{100};
 constexpr milliseconds kSelectionInterval{100};
 // Part of the rollout after which other servers get the canary requests.
 constexpr double kTurn = 0.34;
@@ -44,8 +45,8 @@
       random_(seed),
       watch_(
           {.table = kTable,
-           .wait =
-               role == RolloutRole::kFrontend ? kFrontendWait : kWorkerWait},
+           .wait = role == RolloutRole::kFrontend ? kFrontendWait : kWorkerWait,
+           .min_interval = kMinWatchInterval},
           store.sender(),
           clock,
           [this](const std::vector<StoredRow>& rows, bool is_full, TimePoint) {
--- a/tests/serving/frontend_process_test.cc
+++ b/tests/serving/frontend_process_test.cc
@@ -4,7 +4,6 @@
 
 #include <atomic>
 #include <chrono>
-#include <deque>
 #include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
@@ -16,7 +15,7 @@
 
 #include "process/fake_store.h"
 #include "process/transport/http_client.h"
-#include "standins/row_store.h"
+#include "serving/loopback_store.h"
 
 namespace carawayrelay {
 namespace {
@@ -24,56 +23,6 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
-// The store as a server on loopback. Calls that wait for changes are answered
-// with the next other call, so that watches cause little load.
-class LoopbackStore {
- public:
-  LoopbackStore() {
-    std::tie(server_, url_) = ServeOnFreePort(
-        [this](const HttpRequest& request, const HttpExchangePtr& exchange) {
-          Handle(request, exchange);
-        });
-  }
-  ~LoopbackStore() { server_->Stop(); }
-
-  std::string address() const { return url_.substr(url_.rfind('/') + 1); }
-  void Put(const std::string& table, const std::string& key, const json& row) {
-    const std::lock_guard lock(mutex_);
-    rows_.Put(table, "", key, row.dump());
-  }
-
- private:
-  struct Watch {
-    std::string target;
-    HttpExchangePtr exchange;
-  };
-
-  void Handle(const HttpRequest& request, const HttpExchangePtr& exchange) {
-    const std::lock_guard lock(mutex_);
-    const std::string target = request.query.empty()
-                                   ? request.path
-                                   : request.path + "?" + request.query;
-    for (const Watch& watch : std::exchange(watches_, {})) {
-      Respond(*watch.exchange, rows_.Handle("GET", watch.target, ""));
-    }
-    if (rows_.HasChanges(target)) {
-      Respond(*exchange, rows_.Handle(request.method, target, request.body));
-    } else {
-      watches_.push_back({.target = target, .exchange = exchange});
-    }
-  }
-  static void Respond(HttpExchange& exchange,
-                      const RowStore::Response& answer) {
-    exchange.Respond(answer.status, {}, answer.body);
-  }
-
-  std::mutex mutex_;
-  RowStore rows_;
-  std::deque<Watch> watches_;
-  std::string url_;
-  std::unique_ptr<HttpServer> server_;
-};
-
 // A frontend on loopback with one backend server, which works for `work` on
 // each request.
 struct FrontendProcessFixture {
