--- a/src/process/rollout/rollout_coordinator.cc
+++ b/src/process/rollout/rollout_coordinator.cc
@@ -20,7 +20,7 @@
 constexpr milliseconds kMaxTakeoverDelay{300};
 // Time in which the new version of a row arrives after its write.
 constexpr milliseconds kRowDelay{500};
-constexpr milliseconds kDecisionInterval{100};
+constexpr milliseconds kDecisionInterval{200};
 constexpr milliseconds kReportsWait{1000};
 constexpr milliseconds kReportsInterval{250};
 // Reports older than this decide nothing.
--- a/src/process/rollout/rollout_reporter.cc
+++ b/src/process/rollout/rollout_reporter.cc
@@ -16,6 +16,8 @@
 constexpr std::uint64_t kParts = 8;
 // Shortest time between two writes, also when the canary version failed.
 constexpr milliseconds kMinWriteInterval{300};
+// A client that disconnects sooner does not show that a response is slow.
+constexpr milliseconds kMinWait{1000};
 
 std::string PartName(std::uint64_t index) {
   return "reports-" + std::to_string(index);
@@ -98,8 +100,9 @@
 }
 
 void RolloutReporter::ObserveEnd(const AttemptOutcome& outcome, TimePoint now) {
+  const bool is_cancelled = outcome.result == AttemptResult::kCancelled;
   if (outcome.result == AttemptResult::kDeclined ||
-      outcome.result == AttemptResult::kCancelled) {
+      (is_cancelled && (outcome.events > 0 || outcome.total < kMinWait))) {
     return;
   }
   bool is_cold = false;
@@ -108,6 +111,15 @@
   if (stats == nullptr) {
     return;
   }
+  if (is_cancelled) {
+    // The client gave up before anything came; how long it would have taken is
+    // not known, only that it was longer.
+    if (!is_cold) {
+      stats->first_event.Add(outcome.total);
+      stats->total.Add(outcome.total);
+    }
+    return;
+  }
   const bool has_failed = outcome.result != AttemptResult::kAnswered;
   ++stats->responses;
   stats->failures += has_failed ? 1 : 0;
--- a/tests/rollout/rollout_judge_test.cc
+++ b/tests/rollout/rollout_judge_test.cc
@@ -116,6 +116,8 @@
   CHECK(RunAll("good", {}, 0.03).rolled_back <= 10);
   CHECK(RunAll("good, one server fails", {.one_server_failures = 1}, 0)
             .rolled_back <= 10);
+  CHECK(RunAll("good, uneven servers", {.pace_spread = 0.35}, 0.002)
+            .rolled_back <= 10);
   CHECK(RunAll("good, cold for 5 s",
                {.cold_time = std::chrono::duration<double>(5)}, 0)
             .rolled_back <= 10);
--- a/tests/rollout/rollout_model.h
+++ b/tests/rollout/rollout_model.h
@@ -30,6 +30,8 @@
   int bad_load = 0;
   // Failure rate of one server alone.
   double one_server_failures = 0;
+  // Spread of the pace of servers of both versions (sigma of a log-normal).
+  double pace_spread = 0.12;
   // Time in which the servers are cold, and how much slower they are then.
   std::chrono::duration<double> cold_time{0};
 };
@@ -49,7 +51,7 @@
  public:
   RolloutModel(std::uint64_t seed, ModelVersion version)
       : random_(seed), version_(std::move(version)) {
-    std::lognormal_distribution<double> pace(0, 0.12);
+    std::lognormal_distribution<double> pace(0, version_.pace_spread);
     std::uniform_real_distribution<double> credit(0, 1);
     for (int i = 0; i < kServers; ++i) {
       old_pace_.push_back(pace(random_));
--- a/tests/rollout/rollout_process_test.cc
+++ b/tests/rollout/rollout_process_test.cc
@@ -1,6 +1,8 @@
 #include <doctest/doctest.h>
 
 #include <chrono>
+#include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -338,5 +340,51 @@
   CHECK(uses("new-1"));
 }
 
+// Guards against a version that fails only a part of its responses and is found
+// too late with many frontends, each of which sends few requests.
+TEST_CASE_FIXTURE(RolloutProcessFixture,
+                  "Rollout, 28 frontends and 30% failures, is rolled back") {
+  frontends = 28;
+  StartFrontends(28);
+  PutNewServers();
+  RunLoad(milliseconds(500));
+  total = canary = 0;
+  PutSpec();
+  std::mt19937_64 random(1);
+  std::uniform_real_distribution<double> uniform(0, 1);
+  std::optional<TimePoint> ended_at;
+  const TimePoint began = now;
+  int bad_after_end = 0;
+  Run(milliseconds(12000), [&] {
+    for (Item& item : processes) {
+      // 5.4 requests/s of each of 28 frontends.
+      if (uniform(random) >= 0.108) {
+        continue;
+      }
+      const auto version = item.process->Send();
+      REQUIRE(version);
+      const bool is_new = *version == "v2";
+      ++total;
+      canary += is_new ? 1 : 0;
+      item.process->EndLast(is_new && uniform(random) < 0.3
+                                ? AttemptResult::kFailed
+                                : AttemptResult::kAnswered,
+                            now);
+      bad_after_end += ended_at && is_new ? 1 : 0;
+    }
+    if (!ended_at && State() == "rolled_back") {
+      ended_at = now;
+    }
+  });
+  REQUIRE(ended_at);
+  CHECK(*ended_at - began < milliseconds(9000));
+  CHECK(bad_after_end == 0);
+  CHECK(KeepsShare());
+  CHECK(canary > 10);
+  MESSAGE("28 frontends: " << canary << " of " << total
+                           << " requests to the bad version, rolled back after "
+                           << (*ended_at - began) / milliseconds(1) << " ms");
+}
+
 }  // namespace
 }  // namespace carawayrelay
