--- a/tests/rollout/rollout_process_test.cc
+++ b/tests/rollout/rollout_process_test.cc
@@ -106,6 +106,24 @@
   CHECK(unserved == 0);
 }
 
+// Guards against a version that turns bad only under all requests and is
+// completed.
+TEST_CASE_FIXTURE(RolloutProcessFixture,
+                  "Rollout, version fails after the switch, is rolled back") {
+  StartFrontends();
+  PutNewServers();
+  PutSpec();
+  bool is_switched = false;
+  Run(milliseconds(12000), [&] {
+    const auto row = Row();
+    is_switched |= row && row->step == RolloutStep::kSwitch;
+    SendAll(is_switched);
+  });
+  CHECK(is_switched);
+  CHECK(State() == "rolled_back");
+  CHECK(last_canary - bad_50_at < milliseconds(3000));
+}
+
 // Guards against a restarted frontend that takes a version into use which was
 // rolled back, or the old one after the rollout.
 TEST_CASE_FIXTURE(RolloutProcessFixture,
--- a/tests/serving/desired_state_test.cc
+++ b/tests/serving/desired_state_test.cc
@@ -98,6 +98,7 @@
       R"({"service":"s","address":"1.1.1.1:1","zone":"z","capacity":8,"state":"draining","coldLeftMs":1500,"more":1})");
   REQUIRE(registration);
   CHECK(registration.value().is_draining);
+  CHECK(registration.value().software_version.empty());
   CHECK(registration.value().remaining_cold_time ==
         std::chrono::milliseconds(1500));
 }
--- a/tests/serving/item_worker_test.cc
+++ b/tests/serving/item_worker_test.cc
@@ -98,6 +98,30 @@
   CHECK(Runs().size() == 1);
 }
 
+// Guards against runs that are cut when the backend servers of an old version
+// stop at the end of a rollout, and against items on a version that may not be
+// used.
+TEST_CASE_FIXTURE(ItemWorkerFixture,
+                  "ItemWorker, version refused, run goes to other workers") {
+  AddJob("j", 1);
+  RunFor();
+  REQUIRE(Runs().size() == 1);
+  Head(Runs()[0].id, 200, SignedFor(Runs()[0]));
+  Data(Runs()[0].id, "id: 1\ndata: one\n\n");
+  backends.SetVersionRule(
+      [](const BackendRegistration&) { return VersionUse::kRefused; },
+      [](const BackendRegistration&) {});
+  RunFor(milliseconds(100));
+  CHECK(Runs().empty());
+  CHECK(jobs.Find("j")->job.items[0].state == ItemState::kWaiting);
+  RunFor(milliseconds(3000));
+  CHECK(Runs().empty());
+  backends.SetVersionRule({}, {});
+  RunFor(milliseconds(3000));
+  REQUIRE(Runs().size() == 1);
+  CHECK(FindHeader(Runs()[0].headers, "last-event-id") == "1");
+}
+
 TEST_CASE_FIXTURE(ItemWorkerFixture,
                   "ItemWorker, job with items, all results are listed") {
   AddJob("j", 3);
--- a/tests/serving/online_forwarder_test.cc
+++ b/tests/serving/online_forwarder_test.cc
@@ -480,6 +480,25 @@
   CHECK(FindHeader(BackendCall().headers, "x-carawayrelay-kv-hold").empty());
 }
 
+// Guards against calls to a canary version that its share does not count: a
+// reservation is a call of its own.
+TEST_CASE_FIXTURE(ReservationFixture,
+                  "OnlineForwarder, canary server chosen, reserves no slot") {
+  int sent = 0;
+  backends.SetVersionRule(
+      [](const BackendRegistration& registration) {
+        return registration.id == "b" ? VersionUse::kPreferred
+                                      : VersionUse::kNormal;
+      },
+      [&](const BackendRegistration& registration) {
+        sent += registration.id == "b" ? 1 : 0;
+      });
+  SendWithReservation();
+  CHECK(BackendCall().address == "1.1.1.2:1");
+  CHECK(BackendCall().target == "/x/1");
+  CHECK(sent == 1);
+}
+
 // Guards against a reservation call before each request although the backend
 // servers do not support it.
 TEST_CASE_FIXTURE(ReservationFixture,
--- a/tests/serving/serving_settings_test.cc
+++ b/tests/serving/serving_settings_test.cc
@@ -33,6 +33,30 @@
   CHECK(settings->stop_grace == std::chrono::seconds(8));
 }
 
+// Guards against rollouts without all figures that bound a bad version, and
+// against settings that are read in the wrong unit.
+TEST_CASE_FIXTURE(ServingSettingsFixture,
+                  "FrontendSettings, rollout figures, count only together") {
+  const auto parse = [&](const std::string& more) {
+    const auto settings = ParseFrontendSettings(
+        R"({"node":"n","zone":"z","listen_clients":"10.0.0.1:80",
+            "listen_ready":"10.0.0.1:81","listen_peers":"10.0.0.1:83",)" +
+            more + R"("store_address":"10.0.0.2:82"})",
+        findings);
+    REQUIRE_MESSAGE(settings, findings.ToText());
+    return settings->rollout;
+  };
+  CHECK_FALSE(parse(""));
+  CHECK_FALSE(parse(R"("rollout_share":0.1,"rollout_slack":50,)"));
+  const auto rollout = parse(
+      R"("rollout_share":0.1,"rollout_slack":50,"rollout_deadline_ms":5000,)");
+  REQUIRE(rollout);
+  CHECK(rollout->UsedShare() == doctest::Approx(0.08));
+  CHECK(rollout->slack == 50);
+  CHECK(rollout->MaxStepAge() == std::chrono::seconds(2));
+  CHECK(rollout->ReportInterval() == std::chrono::seconds(1));
+}
+
 // Guards against settings files of which only the first error is reported.
 TEST_CASE_FIXTURE(ServingSettingsFixture,
                   "FrontendSettings, several errors, all are reported") {
