--- a/src/process/rollout/rollout_reporter.cc
+++ b/src/process/rollout/rollout_reporter.cc
@@ -16,6 +16,10 @@
 constexpr std::uint64_t kParts = 8;
 // Shortest time between two writes, also when the canary version failed.
 constexpr milliseconds kMinWriteInterval{300};
+// The servers of the new version have just started, and their remaining cold
+// time may be wrong. So short that the version gets fewer than 50 requests.
+constexpr milliseconds kSlowStart{3000};
+constexpr int kSlowStartPart = 4;  // of the duration, at most
 // A client that disconnects sooner does not show that a response is slow.
 constexpr milliseconds kMinWait{1000};
 
@@ -76,6 +80,11 @@
   const BackendRegistration& registration = backend->registration;
   is_canary = registration.software_version == versions->row->to;
   is_cold = now < backend->cold_until;
+  if (is_canary) {
+    const milliseconds grace =
+        std::min(kSlowStart, versions->row->duration / kSlowStartPart);
+    is_cold |= store_.StoreTime(now) - versions->row->started < grace;
+  }
   return &ReportOf(outcome.service, *versions)
               .report.StatsOf(
                   {.version = registration.software_version,
--- a/src/process/rollout/rollout_reporter.h
+++ b/src/process/rollout/rollout_reporter.h
@@ -51,7 +51,8 @@
   };
 
   // Returns the statistics that the attempt belongs to, or nullptr if no
-  // rollout of its service runs. Sets `is_cold` and `is_canary`.
+  // rollout of its service runs. Sets `is_canary`, and `is_cold` if its
+  // durations do not count.
   VersionStats* StatsOf(const AttemptOutcome& outcome,
                         TimePoint now,
                         bool& is_cold,
--- a/tests/rollout/rollout_judge_test.cc
+++ b/tests/rollout/rollout_judge_test.cc
@@ -123,6 +123,18 @@
             .rolled_back <= 10);
 }
 
+// Guards against good versions that are rolled back because their servers are
+// slow for a time that their registrations do not tell.
+TEST_CASE_FIXTURE(RolloutJudgeFixture,
+                  "RolloutJudge, good version in the model with unknown cold "
+                  "time, is kept") {
+  CHECK(RunAll("good, cold for 3 s without telling",
+               {.cold_time = std::chrono::duration<double>(3),
+                .is_cold_time_known = false},
+               0)
+            .rolled_back <= 10);
+}
+
 // Guards against bad versions that get all requests. The limits are a little
 // below the measured numbers in docs/design/rollout.md.
 TEST_CASE_FIXTURE(RolloutJudgeFixture,
