--- a/src/process/forward/backend_directory.cc
+++ b/src/process/forward/backend_directory.cc
@@ -26,6 +26,10 @@
 constexpr double kColdOnlineFraction = 0.8;
 // Burst of requests that a frontend may send to a cold backend server.
 constexpr double kColdBurst = 1;
+// A canary backend server is chosen before all others when it is due, and a
+// reserve only when the others are avoided.
+constexpr double kPreferredBonus = 50;
+constexpr double kReservePenalty = 50;
 // Range of the random tie-break, added to the cost of a candidate.
 constexpr double kTieBreakRange = 0.02;
 // A response that took this many times the median does not let the limit of a
@@ -170,6 +174,10 @@
 }
 
 bool BackendDirectory::IsUsable(const Backend& backend) const {
+  return IsInService(backend) && VersionUseOf(backend) != VersionUse::kRefused;
+}
+
+bool BackendDirectory::IsInService(const Backend& backend) const {
   return !backend.registration.is_draining && !backend.is_replaced &&
          !leaving_.Contains(backend.registration) &&
          !evacuated_.contains(backend.registration.zone);
@@ -209,6 +217,9 @@
   if (health_penalty_) {
     cost += health_penalty_(backend, query, now);
   }
+  const VersionUse version_use = VersionUseOf(backend);
+  cost -= version_use == VersionUse::kPreferred ? kPreferredBonus : 0;
+  cost += version_use == VersionUse::kReserve ? kReservePenalty : 0;
   std::uniform_real_distribution<double> tie(0, kTieBreakRange);
   return cost + tie(random_);
 }
@@ -297,6 +308,9 @@
 void BackendDirectory::NoteSent(Backend& backend, TimePoint now) {
   ++backend.own_calls;
   backend.slow_start.NoteSent();
+  if (on_sent_) {
+    on_sent_(backend.registration);
+  }
   if (backend.cold_tokens) {
     backend.cold_tokens->Spend(1, now);
   }
--- a/src/process/forward/backend_directory.h
+++ b/src/process/forward/backend_directory.h
@@ -16,6 +16,7 @@
 #include "process/pace/observed_pace.h"
 #include "process/pace/server_pace.h"
 #include "process/pace/slow_start.h"
+#include "process/rollout/version_use.h"
 #include "process/store/store_request.h"
 #include "request/boot_clock.h"
 #include "request/token_bucket.h"
@@ -78,6 +79,10 @@
     int with_pace = 0;  // sent a pace figure recently
   };
 
+  // Tells how a rollout allows a backend server to be used now.
+  using VersionRule = std::function<VersionUse(const BackendRegistration&)>;
+  using OnSent = std::function<void(const BackendRegistration&)>;
+
   explicit BackendDirectory(std::uint64_t seed) : random_(seed) {}
 
   // Applies rows of the registration table. If `is_full`, registrations that
@@ -100,6 +105,12 @@
   void SetHealthPenalty(HealthPenalty penalty) {
     health_penalty_ = std::move(penalty);
   }
+  // Sets the rule for versions, and what is called for each request that is
+  // sent. Without a rule all versions are used alike.
+  void SetVersionRule(VersionRule rule, OnSent on_sent) {
+    version_rule_ = std::move(rule);
+    on_sent_ = std::move(on_sent);
+  }
   // Removes registrations whose grace period ended before they were written
   // again.
   void Tick(TimePoint now);
@@ -115,6 +126,12 @@
   bool IsUsable(const Backend& backend) const;
   // Whether a backend server of the service sent a pace figure recently.
   bool HasPaceFigures(const std::string& service, TimePoint now) const;
+  // The same as IsUsable(), whatever the rule for versions says.
+  bool IsInService(const Backend& backend) const;
+  VersionUse VersionUseOf(const Backend& backend) const {
+    return version_rule_ ? version_rule_(backend.registration)
+                         : VersionUse::kNormal;
+  }
   size_t size() const { return backends_.size(); }
   // All backend servers by id, also those that are not usable.
   const std::map<std::string, Backend>& all() const { return backends_; }
@@ -162,6 +179,8 @@
   LeavingBackends leaving_;
   std::set<std::string> evacuated_;
   HealthPenalty health_penalty_;  // may be empty
+  VersionRule version_rule_;
+  OnSent on_sent_;
   // Requests per second to one cold backend server, by service; this
   // frontend's part only.
   std::map<std::string, double> cold_per_second_;
--- a/src/process/serving/serving_metrics.h
+++ b/src/process/serving/serving_metrics.h
@@ -70,6 +70,14 @@
     "carawayrelay_health_reports_total",
     "Health datagrams sent, and health reports of other frontends that were "
     "applied, forwarded or ignored."};
+// Labels: service. 0 observe, 1 switch, 2 complete, 3 rolled back.
+inline constexpr MetricDescriptor kRolloutStep{
+    "carawayrelay_rollout_step", "Step of the latest rollout of a service."};
+// Labels: service, kind (all, new).
+inline constexpr MetricDescriptor kRolloutRequests{
+    "carawayrelay_rollout_requests",
+    "Requests that this frontend sent to a service since the latest rollout "
+    "spec, in total and to the new version."};
 inline constexpr MetricDescriptor kConfigVersion{
     "carawayrelay_config_version", "Version of the configuration in effect."};
 inline constexpr MetricDescriptor kConfigAge{
--- a/src/process/serving/serving_settings.h
+++ b/src/process/serving/serving_settings.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 
+#include "process/rollout/rollout_settings.h"
 #include "process/transport/memory_limits.h"
 #include "version/findings.h"
 
@@ -34,6 +35,8 @@
   std::chrono::milliseconds key_revocation{5000};
   // Time between the stop signal and the kill of the process.
   std::chrono::milliseconds stop_grace{8000};
+  // Not set: there are no rollouts, and versions are not told apart.
+  std::optional<RolloutSettings> rollout;
 };
 
 // Settings of the worker role, which runs batch items on the backend server of
@@ -49,6 +52,7 @@
   int reserved_slots = 1;
   MemoryLimits memory = DefaultMemoryLimits(0);
   std::chrono::milliseconds stop_grace{8000};
+  std::optional<RolloutSettings> rollout;  // as of the frontends
 };
 
 // Return std::nullopt and add to `findings` if the settings are invalid.
--- a/src/process/serving/worker_process.cc
+++ b/src/process/serving/worker_process.cc
@@ -58,16 +58,18 @@
 
 Result<void> WorkerProcess::Start() {
   BOOST_OUTCOME_TRY(
-      core_, ServingCore::Make(
-                 {.node = settings_.node,
-                  .store_address = settings_.store_address,
-                  .seed = seed_,
-                  .operators_wait = kOperatorsWait,
-                  .jobs_interval = kJobsInterval,
-                  .request_memory_bytes = settings_.memory.request_bytes},
-                 [this](TimePoint) {
-                   worker_->SetConfig(core_->operators().config());
-                 }));
+      core_,
+      ServingCore::Make({.node = settings_.node,
+                         .store_address = settings_.store_address,
+                         .seed = seed_,
+                         .operators_wait = kOperatorsWait,
+                         .jobs_interval = kJobsInterval,
+                         .request_memory_bytes = settings_.memory.request_bytes,
+                         .rollout = settings_.rollout,
+                         .rollout_role = RolloutRole::kWorker},
+                        [this](TimePoint) {
+                          worker_->SetConfig(core_->operators().config());
+                        }));
   worker_ = std::make_unique<ItemWorker>(
       ItemWorker::Options{.node = settings_.node,
                           .backend_address = settings_.backend_address,
--- a/src/process/telemetry/events.cc
+++ b/src/process/telemetry/events.cc
@@ -106,6 +106,18 @@
       return "runner_returned";
     case LogEvent::kEjectionLimitReached:
       return "ejection_limit_reached";
+    case LogEvent::kRolloutStarted:
+      return "rollout_started";
+    case LogEvent::kRolloutStepChanged:
+      return "rollout_step_changed";
+    case LogEvent::kRolloutRowUnreadable:
+      return "rollout_row_unreadable";
+    case LogEvent::kServiceVersionFound:
+      return "service_version_found";
+    case LogEvent::kRolloutLeaseTaken:
+      return "rollout_lease_taken";
+    case LogEvent::kRolloutReportUnreadable:
+      return "rollout_report_unreadable";
     default:
       return "event";
   }
--- a/src/process/telemetry/events.h
+++ b/src/process/telemetry/events.h
@@ -10,7 +10,7 @@
   // and VM list, 18xx telemetry.
   // Frontends and workers only: 190x process, 191x configuration and store,
   // 192x backend servers, 193x online requests, 194x batch jobs, 195x batch
-  // items, 196x pace of backend servers, 197x shared health.
+  // items, 196x pace of backend servers, 197x shared health, 198x rollouts.
   kLinkUp = 1101,
   kLinkDown = 1102,
   kConfigAdopted = 1201,
@@ -97,6 +97,12 @@
   kBackendEjected = 1971,
   kBackendReturned = 1972,
   kEjectionLimitReached = 1973,
+  kRolloutStarted = 1981,
+  kRolloutStepChanged = 1982,
+  kRolloutRowUnreadable = 1983,
+  kServiceVersionFound = 1984,
+  kRolloutLeaseTaken = 1985,
+  kRolloutReportUnreadable = 1986,
 };
 
 // The name of the event in the structured log, such as "request_ended", or
--- a/tests/serving/loopback_store.h
+++ b/tests/serving/loopback_store.h
@@ -39,6 +39,10 @@
     const std::lock_guard lock(mutex_);
     rows_.Put(table, "", key, row.dump());
   }
+  std::string Get(const std::string& table, const std::string& key) {
+    const std::lock_guard lock(mutex_);
+    return rows_.Get(table, "", key);
+  }
 
  private:
   struct Watch {
