Settings: shared health and slow start only where the deployment asks for them

Cause: outlier ejection, slow start and own observations of pace applied to every deployment. Change: the setting features of a frontend, filled from the deployment's list, must name health.

--- a/src/process/forward/backend_directory.cc
+++ b/src/process/forward/backend_directory.cc
@@ -347,6 +347,9 @@
 
 void BackendDirectory::BeginSlowStart(Backend& backend,
                                       const std::string& reason) {
+  if (!has_slow_start_) {
+    return;
+  }
   const bool is_change = !backend.slow_start.IsActive();
   backend.slow_start.Begin(backend.registration.slots, members_);
   if (is_change) {
@@ -357,6 +360,9 @@
 
 void BackendDirectory::NoteAttempt(const AttemptOutcome& outcome,
                                    TimePoint now) {
+  if (!has_slow_start_) {
+    return;
+  }
   const std::optional<double> pace = observed_pace_.Add(outcome);
   Backend* backend = Find(outcome.backend_id);
   if (backend == nullptr) {
--- a/src/process/forward/backend_directory.h
+++ b/src/process/forward/backend_directory.h
@@ -111,6 +111,10 @@
     version_rule_ = std::move(rule);
     on_sent_ = std::move(on_sent);
   }
+  // Without slow start, backend servers that have just started or failed get
+  // requests like all others, and only the figures that they send tell their
+  // pace.
+  void DisableSlowStart() { has_slow_start_ = false; }
   // Removes registrations whose grace period ended before they were written
   // again.
   void Tick(TimePoint now);
@@ -179,6 +183,7 @@
   LeavingBackends leaving_;
   std::set<std::string> evacuated_;
   HealthPenalty health_penalty_;  // may be empty
+  bool has_slow_start_ = true;
   VersionRule version_rule_;
   OnSent on_sent_;
   // Requests per second to one cold backend server, by service; this
--- a/src/process/serving/frontend_process.cc
+++ b/src/process/serving/frontend_process.cc
@@ -84,6 +84,9 @@
                                     ClientResponseEvent response) {
     SendResponse(client, std::move(response));
   };
+  if (!settings_.shares_health) {
+    core_->backends().DisableSlowStart();
+  }
   health_ = std::make_unique<SharedHealth>(
       settings_.node, seed_, core_->backends(), rates_.members(),
       [this](const std::string& address, const std::string& bytes) {
@@ -105,7 +108,9 @@
                                  TimePoint at) { ObserveAttempt(outcome, at); },
           .observe_silence =
               [this](const std::string& backend_id, TimePoint at) {
-                health_->detector().NoteSilence(backend_id, at);
+                if (settings_.shares_health) {
+                  health_->detector().NoteSilence(backend_id, at);
+                }
               }},
       core_->backends(), rates_, core_->quarantine(), core_->calls(),
       core_->clock(), send_response);
@@ -183,7 +188,9 @@
       TickRollouts(now);
       job_api_->Tick(now);
       rates_.Tick(now);
-      health_->Tick(now);
+      if (settings_.shares_health) {
+        health_->Tick(now);
+      }
     });
     if (IsDrained(now) || core_->events().IsClosed()) {
       break;
--- a/src/process/serving/frontend_process_monitoring.cc
+++ b/src/process/serving/frontend_process_monitoring.cc
@@ -76,7 +76,9 @@
 void FrontendProcess::ObserveAttempt(const AttemptOutcome& outcome,
                                      TimePoint now) {
   core_->backends().NoteAttempt(outcome, now);
-  health_->detector().NoteOutcome(outcome, now);
+  if (settings_.shares_health) {
+    health_->detector().NoteOutcome(outcome, now);
+  }
   if (rollout_reporter_) {
     rollout_reporter_->ObserveEnd(outcome, now);
   }
--- a/src/process/serving/serving_settings.cc
+++ b/src/process/serving/serving_settings.cc
@@ -1,6 +1,9 @@
 #include "process/serving/serving_settings.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
+#include <string_view>
+#include <vector>
 
 #include "process/transport/endpoint.h"
 #include "version/json_reader.h"
@@ -15,6 +18,7 @@
 constexpr double kMaxSlots = 10000;
 constexpr double kMinCpuCores = 0.001;
 constexpr double kMaxCpuCores = 10000;
+constexpr std::string_view kSharedHealthFeature = "health";
 
 void CheckAddress(const std::string& address,
                   const std::string& path,
@@ -50,6 +54,13 @@
       name, 1, kMaxMilliseconds, static_cast<double>(fallback.count()))));
 }
 
+// Whether the list of features that the deployment asks for names this one.
+// Names that are not known here belong to other parts of the deployment.
+bool HasFeature(JsonReader& reader, std::string_view feature) {
+  const std::vector<std::string> features = reader.StringList("features");
+  return std::ranges::find(features, feature) != features.end();
+}
+
 // Returns nullopt unless all three settings are present: a deployment without
 // one of them has no rollouts.
 std::optional<RolloutSettings> ReadRollout(JsonReader& reader) {
@@ -79,6 +90,7 @@
   settings.listen_peers = ReadAddress(reader, "listen_peers", findings);
   settings.cpu_cores = reader.OptionalNumber("cpu_cores", kMinCpuCores,
                                              kMaxCpuCores, settings.cpu_cores);
+  settings.shares_health = HasFeature(reader, kSharedHealthFeature);
   settings.memory = ReadMemoryLimits(reader, kMaxClientBodyBytes, findings);
   settings.store_address = ReadAddress(reader, "store_address", findings);
   settings.listen_metrics =
--- a/src/process/serving/serving_settings.h
+++ b/src/process/serving/serving_settings.h
@@ -30,6 +30,9 @@
   std::string store_address;  // "IP:port"
   // Processor cores of this VM. Frontends hold rates in proportion to them.
   double cpu_cores = 1;
+  // Whether frontends share what they learn of failing backend servers, and
+  // begin slowly with those that have just started or failed.
+  bool shares_health = false;
   MemoryLimits memory = DefaultMemoryLimits(kMaxClientBodyBytes);
   // Time after which every frontend must refuse a revoked API key.
   std::chrono::milliseconds key_revocation{5000};
--- a/tests/serving/frontend_process_test.cc
+++ b/tests/serving/frontend_process_test.cc
@@ -89,6 +89,7 @@
                               .listen_ready = ready,
                               .listen_peers = peers_address,
                               .store_address = store.address(),
+                              .shares_health = true,
                               .stop_grace = kStopGrace};
     auto made = FrontendProcess::Make(std::move(settings), 1);
     REQUIRE_MESSAGE(made, made.error().message);
--- a/tests/serving/serving_settings_test.cc
+++ b/tests/serving/serving_settings_test.cc
@@ -33,6 +33,24 @@
   CHECK(settings->stop_grace == std::chrono::seconds(8));
 }
 
+// Guards against outlier ejection and slow start in deployments that did not
+// ask for them, and against names of other features that stop a frontend.
+TEST_CASE_FIXTURE(ServingSettingsFixture,
+                  "FrontendSettings, features, health is shared if named") {
+  const auto shares_health = [&](const std::string& features) {
+    const auto settings = ParseFrontendSettings(
+        R"({"node":"n","zone":"z","listen_clients":"10.0.0.1:80",
+            "listen_ready":"10.0.0.1:81","listen_peers":"10.0.0.1:83",)" +
+            features + R"("store_address":"10.0.0.2:82"})",
+        findings);
+    REQUIRE_MESSAGE(settings, findings.ToText());
+    return settings->shares_health;
+  };
+  CHECK_FALSE(shares_health(""));
+  CHECK_FALSE(shares_health(R"("features":["base","drain"],)"));
+  CHECK(shares_health(R"("features":["base","health","pool"],)"));
+}
+
 // Guards against rollouts without all figures that bound a bad version, and
 // against settings that are read in the wrong unit.
 TEST_CASE_FIXTURE(ServingSettingsFixture,
