Lint: findings in the new parts

Cause: clang-tidy had not run on the parts that were merged. Change: parameters by reference, a named cast, a variable's case, a lambda that captured a structured binding.

--- a/src/process/health/reported_evidence.cc
+++ b/src/process/health/reported_evidence.cc
@@ -43,7 +43,7 @@
   const auto [it, is_new] =
       servers_[evidence.server].try_emplace(report.reporter);
   const bool had_failures = !is_new && it->second.failures > 0;
-  it->second = std::move(record);
+  it->second = record;
   return evidence.failures > 0 && !had_failures;
 }
 
--- a/src/process/rollout/rollout_coordinator.cc
+++ b/src/process/rollout/rollout_coordinator.cc
@@ -132,7 +132,7 @@
               row.owner, "step", ToString(row.step));
   row.owner = node_;
   row.lease_end = store_now + kLease;
-  WriteRow(service, versions, std::move(row), work, now);
+  WriteRow(service, versions, row, work, now);
 }
 
 void RolloutCoordinator::Start(const std::string& service,
@@ -167,7 +167,7 @@
               row.current, "to", row.to, "spec_version", row.spec_version,
               "duration_ms", row.duration.count(), "step", ToString(row.step),
               "reason", row.reason);
-  WriteRow(service, versions, std::move(row), work, now);
+  WriteRow(service, versions, row, work, now);
 }
 
 RolloutInputs RolloutCoordinator::InputsOf(const std::string& service,
@@ -237,7 +237,7 @@
   }
   if (next != row || row.lease_end - store_now < kLeaseRenewal) {
     next.lease_end = store_now + kLease;
-    WriteRow(service, versions, std::move(next), work, now);
+    WriteRow(service, versions, next, work, now);
   }
 }
 
@@ -267,7 +267,7 @@
 
 void RolloutCoordinator::WriteRow(const std::string& service,
                                   const ServiceVersions& versions,
-                                  RolloutRow row,
+                                  const RolloutRow& row,
                                   Work& work,
                                   TimePoint now) {
   const RowKey key{.table = RolloutFollower::kTable, .key = service};
--- a/src/process/rollout/rollout_coordinator.h
+++ b/src/process/rollout/rollout_coordinator.h
@@ -70,7 +70,7 @@
   // Writes the row under the condition that it is still the one in `versions`.
   void WriteRow(const std::string& service,
                 const ServiceVersions& versions,
-                RolloutRow row,
+                const RolloutRow& row,
                 Work& work,
                 TimePoint now);
   void ApplyReports(const std::vector<StoredRow>& rows, bool is_full);
--- a/src/process/serving/serving_core.cc
+++ b/src/process/serving/serving_core.cc
@@ -145,13 +145,12 @@
     }
     metrics_.SetGauge(names::kRolloutStep, {{"service", service}},
                       static_cast<double>(versions.row->step));
-    const auto set_requests = [&](const char* kind, std::uint64_t count) {
-      metrics_.SetGauge(names::kRolloutRequests,
-                        {{"service", service}, {"kind", kind}},
-                        static_cast<double>(count));
-    };
-    set_requests("all", versions.share.total());
-    set_requests("new", versions.share.canary());
+    metrics_.SetGauge(names::kRolloutRequests,
+                      {{"service", service}, {"kind", "all"}},
+                      static_cast<double>(versions.share.total()));
+    metrics_.SetGauge(names::kRolloutRequests,
+                      {{"service", service}, {"kind", "new"}},
+                      static_cast<double>(versions.share.canary()));
   }
 }
 
--- a/src/process/transport/http_exchange.cc
+++ b/src/process/transport/http_exchange.cc
@@ -31,7 +31,7 @@
 
 void HttpExchange::Impl::Respond(int status,
                                  const HttpHeaders& headers,
-                                 std::string body) {
+                                 const std::string& body) {
   const std::lock_guard lock(mutex_);
   if (std::exchange(response_started_, true)) {
     return;
@@ -117,15 +117,15 @@
 
 void HttpExchange::Respond(int status,
                            const HttpHeaders& headers,
-                           std::string body) {
-  impl_->Respond(status, headers, std::move(body));
+                           const std::string& body) {
+  impl_->Respond(status, headers, body);
 }
 
 void HttpExchange::StartStream(int status, const HttpHeaders& headers) {
   impl_->StartStream(status, headers);
 }
 
-bool HttpExchange::SendPart(std::string data) {
+bool HttpExchange::SendPart(const std::string& data) {
   return impl_->SendPart(data);
 }
 
--- a/src/process/transport/http_exchange.h
+++ b/src/process/transport/http_exchange.h
@@ -21,7 +21,7 @@
        std::unique_ptr<RequestMemoryBudget::Account> account);
 
   void CloseAfterResponse();
-  void Respond(int status, const HttpHeaders& headers, std::string body);
+  void Respond(int status, const HttpHeaders& headers, const std::string& body);
   void StartStream(int status, const HttpHeaders& headers);
   bool SendPart(const std::string& data);
   void EndStream();
--- a/src/process/transport/http_request_parser.cc
+++ b/src/process/transport/http_request_parser.cc
@@ -25,7 +25,7 @@
 }  // namespace
 
 const http_parser_settings& HttpRequestParser::Callbacks() {
-  static const http_parser_settings kCallbacks = [] {
+  static const http_parser_settings parser_callbacks = [] {
     http_parser_settings callbacks;
     http_parser_settings_init(&callbacks);
     callbacks.on_url = [](http_parser* parser, const char* at, size_t length) {
@@ -55,7 +55,7 @@
     };
     return callbacks;
   }();
-  return kCallbacks;
+  return parser_callbacks;
 }
 
 HttpRequestParser::HttpRequestParser(Limits limits) : limits_(limits) {
--- a/src/process/transport/http_server.h
+++ b/src/process/transport/http_server.h
@@ -38,12 +38,12 @@
   // or StartStream().
   void CloseAfterResponse();
   // Sends a complete response. Only the first response has an effect.
-  void Respond(int status, const HttpHeaders& headers, std::string body);
+  void Respond(int status, const HttpHeaders& headers, const std::string& body);
   // Sends the status and headers of a chunked response.
   void StartStream(int status, const HttpHeaders& headers);
   // Sends data of a started stream. Returns false when the client disconnected,
   // or when it reads too slowly and the stream was aborted.
-  bool SendPart(std::string data);
+  bool SendPart(const std::string& data);
   // Completes a started stream.
   void EndStream();
   // Closes the connection without the end of the stream, so that the client
--- a/src/process/transport/memory_limits.cc
+++ b/src/process/transport/memory_limits.cc
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace carawayrelay {
@@ -54,7 +55,7 @@
   const auto memory_bytes =
       static_cast<size_t>(reader.OptionalNumber(
           "memory_mb", kMinMemoryMegabytes, kMaxMemoryMegabytes,
-          std::clamp(static_cast<double>(MemoryOfVm() / kMegabyte),
+          std::clamp(std::floor(static_cast<double>(MemoryOfVm()) / kMegabyte),
                      kMinMemoryMegabytes, kMaxMemoryMegabytes))) *
       kMegabyte;
   const auto default_bytes = DefaultRequestBytes(memory_bytes, max_body_bytes);
