Rates: late requests wait only while the rate is not whole

Cause: clients that came back waited for up to 1.5 s also where their workspace was over its whole rate. Change: the holder says whether its rate is settling; otherwise a request waits for half of the latency target.

--- a/src/connection/gen/wire_types.cpp
+++ b/src/connection/gen/wire_types.cpp
@@ -2965,6 +2965,11 @@
 void RateDecision::__set_retry_after_ms(const int64_t val) {
   this->retry_after_ms = val;
 }
+
+void RateDecision::__set_is_settling(const bool val) {
+  this->is_settling = val;
+__isset.is_settling = true;
+}
 std::ostream& operator<<(std::ostream& out, const RateDecision& obj)
 {
   obj.printTo(out);
@@ -3017,6 +3022,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->is_settling);
+          this->__isset.is_settling = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3046,6 +3059,11 @@
   xfer += oprot->writeI64(this->retry_after_ms);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.is_settling) {
+    xfer += oprot->writeFieldBegin("is_settling", ::apache::thrift::protocol::T_BOOL, 4);
+    xfer += oprot->writeBool(this->is_settling);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3056,6 +3074,7 @@
   swap(a.id, b.id);
   swap(a.outcome, b.outcome);
   swap(a.retry_after_ms, b.retry_after_ms);
+  swap(a.is_settling, b.is_settling);
   swap(a.__isset, b.__isset);
 }
 
@@ -3063,12 +3082,14 @@
   id = other56.id;
   outcome = other56.outcome;
   retry_after_ms = other56.retry_after_ms;
+  is_settling = other56.is_settling;
   __isset = other56.__isset;
 }
 RateDecision& RateDecision::operator=(const RateDecision& other57) noexcept {
   id = other57.id;
   outcome = other57.outcome;
   retry_after_ms = other57.retry_after_ms;
+  is_settling = other57.is_settling;
   __isset = other57.__isset;
   return *this;
 }
@@ -3078,6 +3099,7 @@
   out << "id=" << to_string(id);
   out << ", " << "outcome=" << to_string(outcome);
   out << ", " << "retry_after_ms=" << to_string(retry_after_ms);
+  out << ", " << "is_settling="; (__isset.is_settling ? (out << to_string(is_settling)) : (out << "<null>"));
   out << ")";
 }
 
@@ -4211,21 +4233,21 @@
   swap(a.__isset, b.__isset);
 }
 
-HealthEvidence::HealthEvidence(const HealthEvidence& other66) noexcept {
-  server = other66.server;
-  answers = other66.answers;
-  failures = other66.failures;
-  answer_age_ms = other66.answer_age_ms;
-  failure_age_ms = other66.failure_age_ms;
-  __isset = other66.__isset;
-}
-HealthEvidence& HealthEvidence::operator=(const HealthEvidence& other67) noexcept {
-  server = other67.server;
-  answers = other67.answers;
-  failures = other67.failures;
-  answer_age_ms = other67.answer_age_ms;
-  failure_age_ms = other67.failure_age_ms;
-  __isset = other67.__isset;
+HealthEvidence::HealthEvidence(const HealthEvidence& other70) noexcept {
+  server = other70.server;
+  answers = other70.answers;
+  failures = other70.failures;
+  answer_age_ms = other70.answer_age_ms;
+  failure_age_ms = other70.failure_age_ms;
+  __isset = other70.__isset;
+}
+HealthEvidence& HealthEvidence::operator=(const HealthEvidence& other71) noexcept {
+  server = other71.server;
+  answers = other71.answers;
+  failures = other71.failures;
+  answer_age_ms = other71.answer_age_ms;
+  failure_age_ms = other71.failure_age_ms;
+  __isset = other71.__isset;
   return *this;
 }
 void HealthEvidence::printTo(std::ostream& out) const {
@@ -4327,14 +4349,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->servers.clear();
-            uint32_t _size68;
-            ::apache::thrift::protocol::TType _etype71;
-            xfer += iprot->readListBegin(_etype71, _size68);
-            this->servers.resize(_size68);
-            uint32_t _i72;
-            for (_i72 = 0; _i72 < _size68; ++_i72)
+            uint32_t _size72;
+            ::apache::thrift::protocol::TType _etype75;
+            xfer += iprot->readListBegin(_etype75, _size72);
+            this->servers.resize(_size72);
+            uint32_t _i76;
+            for (_i76 = 0; _i76 < _size72; ++_i76)
             {
-              xfer += this->servers[_i72].read(iprot);
+              xfer += this->servers[_i76].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4379,10 +4401,10 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<HealthEvidence> ::const_iterator _iter73;
-    for (_iter73 = this->servers.begin(); _iter73 != this->servers.end(); ++_iter73)
+    std::vector<HealthEvidence> ::const_iterator _iter77;
+    for (_iter77 = this->servers.begin(); _iter77 != this->servers.end(); ++_iter77)
     {
-      xfer += (*_iter73).write(oprot);
+      xfer += (*_iter77).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4403,21 +4425,21 @@
   swap(a.__isset, b.__isset);
 }
 
-HealthReport::HealthReport(const HealthReport& other74) {
-  reporter = other74.reporter;
-  process = other74.process;
-  sequence = other74.sequence;
-  age_ms = other74.age_ms;
-  servers = other74.servers;
-  __isset = other74.__isset;
-}
-HealthReport& HealthReport::operator=(const HealthReport& other75) {
-  reporter = other75.reporter;
-  process = other75.process;
-  sequence = other75.sequence;
-  age_ms = other75.age_ms;
-  servers = other75.servers;
-  __isset = other75.__isset;
+HealthReport::HealthReport(const HealthReport& other78) {
+  reporter = other78.reporter;
+  process = other78.process;
+  sequence = other78.sequence;
+  age_ms = other78.age_ms;
+  servers = other78.servers;
+  __isset = other78.__isset;
+}
+HealthReport& HealthReport::operator=(const HealthReport& other79) {
+  reporter = other79.reporter;
+  process = other79.process;
+  sequence = other79.sequence;
+  age_ms = other79.age_ms;
+  servers = other79.servers;
+  __isset = other79.__isset;
   return *this;
 }
 void HealthReport::printTo(std::ostream& out) const {
@@ -4483,14 +4505,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->reports.clear();
-            uint32_t _size76;
-            ::apache::thrift::protocol::TType _etype79;
-            xfer += iprot->readListBegin(_etype79, _size76);
-            this->reports.resize(_size76);
-            uint32_t _i80;
-            for (_i80 = 0; _i80 < _size76; ++_i80)
+            uint32_t _size80;
+            ::apache::thrift::protocol::TType _etype83;
+            xfer += iprot->readListBegin(_etype83, _size80);
+            this->reports.resize(_size80);
+            uint32_t _i84;
+            for (_i84 = 0; _i84 < _size80; ++_i84)
             {
-              xfer += this->reports[_i80].read(iprot);
+              xfer += this->reports[_i84].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4523,10 +4545,10 @@
   xfer += oprot->writeFieldBegin("reports", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reports.size()));
-    std::vector<HealthReport> ::const_iterator _iter81;
-    for (_iter81 = this->reports.begin(); _iter81 != this->reports.end(); ++_iter81)
+    std::vector<HealthReport> ::const_iterator _iter85;
+    for (_iter85 = this->reports.begin(); _iter85 != this->reports.end(); ++_iter85)
     {
-      xfer += (*_iter81).write(oprot);
+      xfer += (*_iter85).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4544,15 +4566,15 @@
   swap(a.__isset, b.__isset);
 }
 
-HealthEnvelope::HealthEnvelope(const HealthEnvelope& other82) {
-  protocol_version = other82.protocol_version;
-  reports = other82.reports;
-  __isset = other82.__isset;
+HealthEnvelope::HealthEnvelope(const HealthEnvelope& other86) {
+  protocol_version = other86.protocol_version;
+  reports = other86.reports;
+  __isset = other86.__isset;
 }
-HealthEnvelope& HealthEnvelope::operator=(const HealthEnvelope& other83) {
-  protocol_version = other83.protocol_version;
-  reports = other83.reports;
-  __isset = other83.__isset;
+HealthEnvelope& HealthEnvelope::operator=(const HealthEnvelope& other87) {
+  protocol_version = other87.protocol_version;
+  reports = other87.reports;
+  __isset = other87.__isset;
   return *this;
 }
 void HealthEnvelope::printTo(std::ostream& out) const {
--- a/src/connection/gen/wire_types.h
+++ b/src/connection/gen/wire_types.h
@@ -1247,10 +1247,11 @@
 std::ostream& operator<<(std::ostream& out, const RateRequest& obj);
 
 typedef struct _RateDecision__isset {
-  _RateDecision__isset() : id(false), outcome(false), retry_after_ms(false) {}
+  _RateDecision__isset() : id(false), outcome(false), retry_after_ms(false), is_settling(false) {}
   bool id :1;
   bool outcome :1;
   bool retry_after_ms :1;
+  bool is_settling :1;
 } _RateDecision__isset;
 
 class RateDecision : public virtual ::apache::thrift::TBase {
@@ -1261,13 +1262,15 @@
   RateDecision() noexcept
                : id(0),
                  outcome(0),
-                 retry_after_ms(0) {
+                 retry_after_ms(0),
+                 is_settling(0) {
   }
 
   virtual ~RateDecision() noexcept;
   int64_t id;
   int32_t outcome;
   int64_t retry_after_ms;
+  bool is_settling;
 
   _RateDecision__isset __isset;
 
@@ -1277,6 +1280,8 @@
 
   void __set_retry_after_ms(const int64_t val);
 
+  void __set_is_settling(const bool val);
+
   bool operator == (const RateDecision & rhs) const
   {
     if (!(id == rhs.id))
@@ -1285,6 +1290,10 @@
       return false;
     if (!(retry_after_ms == rhs.retry_after_ms))
       return false;
+    if (__isset.is_settling != rhs.__isset.is_settling)
+      return false;
+    else if (__isset.is_settling && !(is_settling == rhs.is_settling))
+      return false;
     return true;
   }
   bool operator != (const RateDecision &rhs) const {
--- a/src/connection/rate_message.cc
+++ b/src/connection/rate_message.cc
@@ -57,6 +57,9 @@
   w.id = ToWire(decision.id);
   w.outcome = static_cast<std::int32_t>(decision.outcome);
   w.retry_after_ms = decision.retry_after.count();
+  if (decision.is_settling) {
+    w.__set_is_settling(true);
+  }
   return w;
 }
 
@@ -114,7 +117,8 @@
       .id = FromWire<RateRequestId>(w.id),
       .outcome = OutcomeFromWire(w.outcome),
       .retry_after = std::clamp(milliseconds(w.retry_after_ms), milliseconds(0),
-                                kMaxRetryAfter)};
+                                kMaxRetryAfter),
+      .is_settling = w.is_settling};
 }
 
 RateMessage Decode(const wire::RateLoanRequest& w) {
--- a/src/connection/rate_message.h
+++ b/src/connection/rate_message.h
@@ -33,6 +33,9 @@
   RateOutcome outcome = RateOutcome::kUnknown;
   // When a request of the workspace may be admitted again.
   std::chrono::milliseconds retry_after{0};
+  // The holder has had the whole rate for a short time only, or has a part of
+  // it, so the workspace may be refused although it is within its rate.
+  bool is_settling = false;
 };
 
 // Workspaces are divided into shards by a hash of their names. The rates of one
--- a/src/connection/wire.thrift
+++ b/src/connection/wire.thrift
@@ -138,6 +138,7 @@
   1: i64 id
   2: i32 outcome
   3: i64 retry_after_ms
+  4: optional bool is_settling
 }
 
 struct RateLoanRequest {
--- a/src/process/forward/online_forwarder.cc
+++ b/src/process/forward/online_forwarder.cc
@@ -80,14 +80,14 @@
     return;
   }
   request.workspace = workspace->name;
-  const TimePoint wait_until =
-      RateWaitLimit({.arrived = request.call.arrived,
-                     .deadline = request.deadline,
-                     .latency_target = route.latency_target,
-                     .is_returning = request.call.time_left &&
-                                     returning_clients_.NoteRequest(
+  const RateWaitLimits limits = RateWaitLimitsOf(
+      {.arrived = request.call.arrived,
+       .deadline = request.deadline,
+       .latency_target = route.latency_target,
+       .is_returning =
+           request.call.time_left && returning_clients_.NoteRequest(
                                          route.name, *request.call.time_left)});
-  rates_.Admit(*workspace, now, wait_until,
+  rates_.Admit(*workspace, now, limits,
                [this, client](const RateVerdict& verdict) {
                  OnRateVerdict(client, verdict);
                });
--- a/src/process/limits/rate_admission.cc
+++ b/src/process/limits/rate_admission.cc
@@ -75,15 +75,13 @@
 
 void RateAdmission::Admit(const ServingWorkspace& workspace,
                           TimePoint now,
-                          TimePoint wait_until,
+                          const RateWaitLimits& limits,
                           RateVerdictCallback done) {
   if (workspace.rate_per_second <= 0) {
     done(RateAdmitted{});
     return;
   }
-  Ask({.workspace = workspace.name,
-       .wait_until = wait_until,
-       .done = std::move(done)},
+  Ask({.workspace = workspace.name, .limits = limits, .done = std::move(done)},
       now);
 }
 
@@ -141,7 +139,10 @@
   const milliseconds wait =
       is_exceeded ? std::max(decision.retry_after, kMinExceededWait)
                   : kUndecidedWait;
-  if (waiting_.HasPlace(waiter, now + wait)) {
+  const TimePoint wait_until = is_exceeded && !decision.is_settling
+                                   ? waiter.limits.exceeded_until
+                                   : waiter.limits.settling_until;
+  if (now + wait <= wait_until && waiting_.HasPlace(waiter.workspace)) {
     ++counters_.waited;
     waiting_.Add(std::move(waiter), now + wait);
     return;
--- a/src/process/limits/rate_admission.h
+++ b/src/process/limits/rate_admission.h
@@ -59,11 +59,11 @@
     lender_.Suspend();
   }
   // Decides whether a request of the workspace may run. A request that cannot
-  // be admitted yet waits until `wait_until` at most, unless too many wait.
-  // Calls `done` once, from this call or later.
+  // be admitted yet waits within `limits`, unless too many wait. Calls `done`
+  // once, from this call or later.
   void Admit(const ServingWorkspace& workspace,
              TimePoint now,
-             TimePoint wait_until,
+             const RateWaitLimits& limits,
              RateVerdictCallback done);
   // Handles a message from the frontend at `address`.
   void HandleMessage(const std::string& address,
--- a/src/process/limits/rate_holder.cc
+++ b/src/process/limits/rate_holder.cc
@@ -18,6 +18,9 @@
 constexpr size_t kMaxDecided = 1024;
 // Parts are fractions whose sum may be slightly below that of the integers.
 constexpr double kRounding = 1e-6;
+// Loans of at least this part of a rate count as the whole of it: one of many
+// frontends that is down makes no difference to a workspace.
+constexpr double kWholePart = 0.9;
 
 double AllowedInWindow(const ServingWorkspace& workspace) {
   const std::chrono::duration<double> window = SlidingWindowCounter::kWindow;
@@ -123,6 +126,11 @@
   const double part = std::min(sum, 1.0);
   const double gained = std::max(part - shard.part, 0.0);
   shard.part = part;
+  if (part < kWholePart) {
+    shard.whole_since.reset();
+  } else if (!shard.whole_since) {
+    shard.whole_since = at;
+  }
   for (auto& [name, usage] : shard.usage) {
     const ServingWorkspace& workspace = usage.workspace;
     usage.bucket.SetRate(workspace.rate_per_second * part,
@@ -131,6 +139,11 @@
   }
 }
 
+bool RateHolder::IsSettling(const Shard& shard, TimePoint now) {
+  return !shard.whole_since ||
+         now - *shard.whole_since < SlidingWindowCounter::kWindow;
+}
+
 RateHolder::Usage& RateHolder::UsageOf(Shard& shard,
                                        const ServingWorkspace& workspace,
                                        TimePoint now) {
@@ -187,6 +200,7 @@
   if (counted + 1 > AllowedInWindow(*workspace) * shard.part + kRounding ||
       !usage.bucket.TrySpend(1 - kRounding, now)) {
     decision.outcome = RateOutcome::kExceeded;
+    decision.is_settling = IsSettling(shard, now);
     decision.retry_after = usage.bucket.WaitFor(1, now, kMaxRetryAfter);
     return decision;
   }
--- a/src/process/limits/rate_holder.h
+++ b/src/process/limits/rate_holder.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "connection/rate_message.h"
@@ -59,8 +60,10 @@
     SlidingWindowCounter granted;
   };
   struct Shard {
-    std::map<std::string, Loan> loans;   // by node of the lender
-    double part = 0;                     // sum of the loans
+    std::map<std::string, Loan> loans;  // by node of the lender
+    double part = 0;                    // sum of the loans
+    // Since when the loans are the whole rate; not set while they are less.
+    std::optional<TimePoint> whole_since;
     std::map<std::string, Usage> usage;  // by workspace
   };
 
@@ -69,6 +72,9 @@
   void ExpireLoans(Shard& shard, TimePoint now);
   // Changes the buckets of the shard after its loans changed at `at`.
   static void UpdatePart(Shard& shard, TimePoint at);
+  // Whether a workspace may lack tokens because loans were missing a short time
+  // ago.
+  static bool IsSettling(const Shard& shard, TimePoint now);
   static Usage& UsageOf(Shard& shard,
                         const ServingWorkspace& workspace,
                         TimePoint now);
--- a/src/process/limits/rate_wait_limit.cc
+++ b/src/process/limits/rate_wait_limit.cc
@@ -7,6 +7,8 @@
 
 // Fraction of the latency target within which a refusal costs a client little.
 constexpr double kPromptFraction = 0.25;
+// Fraction of the latency target after which a request can still be in time.
+constexpr double kInTimeFraction = 0.5;
 // Fraction of the time left that a request which came back may wait. The rest
 // is enough to run it.
 constexpr double kReturningFraction = 0.4;
@@ -18,14 +20,20 @@
 
 }  // namespace
 
-TimePoint RateWaitLimit(const RateWaitInput& input) {
+RateWaitLimits RateWaitLimitsOf(const RateWaitInput& input) {
   const Duration left = std::max(input.deadline - input.arrived, Duration(0));
   const Duration longest = Part(kReturningFraction, left);
-  const Duration wait =
-      input.is_returning
-          ? std::min<Duration>(longest, kMaxReturningWait)
-          : std::min(longest, Part(kPromptFraction, input.latency_target));
-  return input.arrived + wait;
+  const Duration prompt =
+      std::min(longest, Part(kPromptFraction, input.latency_target));
+  if (!input.is_returning) {
+    return {.settling_until = input.arrived + prompt,
+            .exceeded_until = input.arrived + prompt};
+  }
+  const Duration in_time =
+      std::min(longest, Part(kInTimeFraction, input.latency_target));
+  return {.settling_until =
+              input.arrived + std::min<Duration>(longest, kMaxReturningWait),
+          .exceeded_until = input.arrived + in_time};
 }
 
 }  // namespace carawayrelay
--- a/src/process/limits/rate_wait_queue.cc
+++ b/src/process/limits/rate_wait_queue.cc
@@ -10,11 +10,10 @@
 
 }  // namespace
 
-bool RateWaitQueue::HasPlace(const RateWaiter& waiter, TimePoint ask_at) const {
-  const auto known = count_by_workspace_.find(waiter.workspace);
+bool RateWaitQueue::HasPlace(const std::string& workspace) const {
+  const auto known = count_by_workspace_.find(workspace);
   const size_t count = known == count_by_workspace_.end() ? 0 : known->second;
-  return ask_at <= waiter.wait_until && waiters_.size() < kMaxWaiters &&
-         count < kMaxWaitersOfWorkspace;
+  return waiters_.size() < kMaxWaiters && count < kMaxWaitersOfWorkspace;
 }
 
 void RateWaitQueue::Add(RateWaiter waiter, TimePoint ask_at) {
--- a/src/process/limits/rate_wait_queue.h
+++ b/src/process/limits/rate_wait_queue.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "process/limits/rate_verdict.h"
+#include "process/limits/rate_wait_limit.h"
 #include "request/boot_clock.h"
 
 namespace carawayrelay {
@@ -14,8 +15,7 @@
 // A request that waits until its workspace's rate can admit it.
 struct RateWaiter {
   std::string workspace;
-  // It is refused if the rate does not admit it until then.
-  TimePoint wait_until{};
+  RateWaitLimits limits;
   RateVerdictCallback done;
 };
 
@@ -26,9 +26,8 @@
 // Used on the event loop thread.
 class RateWaitQueue {
  public:
-  // Whether a request may wait until `ask_at`: there is a place for it, and it
-  // does not have to be refused before.
-  bool HasPlace(const RateWaiter& waiter, TimePoint ask_at) const;
+  // Whether there is a place for one more request of the workspace.
+  bool HasPlace(const std::string& workspace) const;
   // Adds a request for which HasPlace() is true.
   void Add(RateWaiter waiter, TimePoint ask_at);
   // Removes and returns the requests whose time has come, earliest first.
--- a/tests/connection/rate_message_test.cc
+++ b/tests/connection/rate_message_test.cc
@@ -23,12 +23,14 @@
   const auto decision = DecodeRateMessage(
       EncodeRateMessage(RateDecision{.id = RateRequestId{7},
                                      .outcome = RateOutcome::kExceeded,
-                                     .retry_after = milliseconds(250)}));
+                                     .retry_after = milliseconds(250),
+                                     .is_settling = true}));
   REQUIRE(decision);
   const auto& read = std::get<RateDecision>(decision.value());
   CHECK(read.id == RateRequestId{7});
   CHECK(read.outcome == RateOutcome::kExceeded);
   CHECK(read.retry_after == milliseconds(250));
+  CHECK(read.is_settling);
 }
 
 // Guards against a recall that ends the loans of the wrong process.
--- a/tests/serving/rate_fleet_fixture.h
+++ b/tests/serving/rate_fleet_fixture.h
@@ -182,7 +182,9 @@
                std::chrono::milliseconds max_wait = {}) {
     const auto is_local = std::make_shared<bool>(true);
     frontends[i].rates->Admit(
-        workspace, now(), now() + max_wait,
+        workspace, now(),
+        {.settling_until = now() + max_wait,
+         .exceeded_until = now() + max_wait},
         [this, is_local, name = workspace.name](const RateVerdict& v) {
           std::visit(Overloaded{
                          [&](const RateAdmitted&) {
--- a/tests/serving/rate_loans_test.cc
+++ b/tests/serving/rate_loans_test.cc
@@ -194,6 +194,50 @@
   CHECK(decide() == RateOutcome::kExceeded);
 }
 
+// Guards against requests that wait behind a workspace over its rate, and
+// against refusing at once while a rate is not whole: the holder tells the two
+// apart.
+TEST_CASE_FIXTURE(
+    RateFleetFixture,
+    "RateHolder, over the rate, settling until it was whole for a "
+    "window") {
+  RateHolder holder;
+  holder.SetConfig(std::make_shared<ServingConfig>(
+      ServingConfig::Parts{.workspaces = workspaces}));
+  RateShardSet all;
+  all.set();
+  const auto lend = [&](const char* node, double part) {
+    holder.AddLoan({.node = node,
+                    .request_sent_at =
+                        std::chrono::duration_cast<std::chrono::microseconds>(
+                            now().time_since_epoch()),
+                    .duration = milliseconds(60000),
+                    .part = part,
+                    .shards = all},
+                   now());
+  };
+  std::uint64_t id = 0;
+  const auto is_settling = [&] {
+    for (int n = 0; n < 1000; ++n) {
+      const RateDecision decision =
+          holder.Decide({.id = RateRequestId{++id}, .workspace = "w"}, now());
+      if (decision.outcome == RateOutcome::kExceeded) {
+        return decision.is_settling;
+      }
+    }
+    FAIL("the rate has no limit");
+    return false;
+  };
+  lend("a", 0.5);
+  CHECK(is_settling());
+  Advance(milliseconds(6000));
+  CHECK(is_settling());
+  lend("b", 0.5);
+  CHECK(is_settling());
+  Advance(milliseconds(5001));
+  CHECK_FALSE(is_settling());
+}
+
 // Guards against a part that is lent to two frontends at a time.
 TEST_CASE_FIXTURE(RateFleetFixture,
                   "RateLender, requests of several frontends, lent to one") {
