--- a/src/process/forward/backend_directory.cc
+++ b/src/process/forward/backend_directory.cc
@@ -393,7 +393,11 @@
       (1 << std::min(backend.consecutive_failures, kMaxAvoidanceDoublings));
   ++backend.consecutive_failures;
   backend.avoid_until = now + avoidance;
-  BeginSlowStart(backend, reason);
+  // One failure of a sound backend server, such as a lost answer, does not mean
+  // that it has to recover.
+  if (backend.consecutive_failures > 1) {
+    BeginSlowStart(backend, reason);
+  }
   LogDecision(LogEvent::kBackendAvoided, "runner", backend.registration.id,
               "failures", backend.consecutive_failures, "avoid_ms",
               avoidance.count(), "reason", reason);
