--- a/src/process/batch/batch_api_thread.cc
+++ b/src/process/batch/batch_api_thread.cc
@@ -59,7 +59,7 @@
                     *batch_request->config, now);
     queued_bytes_ -= batch_request->request.body.size();
     batch_request->exchange->Respond(response.http_status, response.headers,
-                                     std::move(response.body));
+                                     response.body);
     if (response.event) {
       deliver_(*std::move(response.event));
     }
--- a/src/process/dispatch/client_responses.cc
+++ b/src/process/dispatch/client_responses.cc
@@ -48,7 +48,7 @@
     if (!action.content_type.empty()) {
       headers.emplace_back("Content-Type", std::move(action.content_type));
     }
-    exchange->Respond(action.http_status, headers, std::move(action.body));
+    exchange->Respond(action.http_status, headers, action.body);
   }
 }
 
@@ -72,7 +72,7 @@
   }
   StartStream(it->second);
   std::string data = WithoutDoneEvent(std::move(action.data));
-  if (data.empty() || it->second.exchange->SendPart(std::move(data))) {
+  if (data.empty() || it->second.exchange->SendPart(data)) {
     return true;
   }
   clients_.erase(it);
--- a/src/process/serving/frontend_process.cc
+++ b/src/process/serving/frontend_process.cc
@@ -264,7 +264,7 @@
             return false;
           },
           [&](ResponseBodyPart& part) {
-            exchange->SendPart(std::move(part.bytes));
+            exchange->SendPart(part.bytes);
             return false;
           },
           [&](ResponseEnd&) {
@@ -276,14 +276,12 @@
             return true;
           },
           [&](CompleteResponse& complete) {
-            exchange->Respond(complete.status, complete.headers,
-                              std::move(complete.body));
+            exchange->Respond(complete.status, complete.headers, complete.body);
             return true;
           },
           [&](Refusal& refusal) {
             CompleteResponse complete = platform::EncodeRefusal(refusal);
-            exchange->Respond(complete.status, complete.headers,
-                              std::move(complete.body));
+            exchange->Respond(complete.status, complete.headers, complete.body);
             return true;
           },
       },
--- a/tools/standins/platform_backend_standin.cc
+++ b/tools/standins/platform_backend_standin.cc
@@ -173,7 +173,7 @@
     FinishRun(*run, "run_broken");
     return;
   }
-  run->exchange->SendPart(std::move(event));
+  run->exchange->SendPart(event);
   server_.After(options_.step, [this, run] { SendNextEvent(run); });
 }
 
