review: case 7, a store that is full of ended jobs

Claim (LOST): nothing drops the objects of batch jobs that are finished, read and ended. Once they fill the store's 400 MB, the results of an accepted job can't be written: its items run to their end and are never listed.

--- a/review/common-2/fleet.py
+++ b/review/common-2/fleet.py
@@ -102,11 +102,19 @@
     def __init__(self, handle):
         self.handle = handle
         self.server = None
+        self.writers = set()
+
+    def abort(self):
+        """Resets all channels and listens no more, as when the process ends."""
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
 
     async def start(self, port):
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", port, limit=1 << 20, backlog=1024)
 
     async def _serve(self, reader, writer):
+        self.writers.add(writer)
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError, asyncio.LimitOverrunError, OSError):
             while True:
                 line, headers, body = await read_message(reader)
@@ -123,6 +131,7 @@
                 await writer.drain()
                 if headers.get("connection", "").lower() == "close":
                     break
+        self.writers.discard(writer)
         with contextlib.suppress(Exception):
             writer.close()
 
@@ -185,7 +194,8 @@
         self.changed = asyncio.Event()
         self.link = SharedLink(self.BLOB_MB_S)
         self.part_free, self.calls = {}, {"read": [0, 0.0], "write": [0, 0.0]}
-        self.refused = 0
+        self.refused = 0  # calls over the rates
+        self.full = 0     # writes of objects that found no room
         self.fault = None  # async function(request) -> answer bytes, None to go on, or "drop"
         self.blob_reads = {"begun": 0, "whole": 0, "left": 0}
         self.server = HttpServer(self._handle)
@@ -193,6 +203,9 @@
     async def start(self, port):
         await self.server.start(port)
 
+    def stored(self):
+        return sum(map(len, self.blobs.values()))
+
     def put(self, table, key, value, part=""):
         """A write of the operator or of a runner."""
         data = base64.b64encode(json.dumps(value).encode()).decode()
@@ -319,7 +332,8 @@
         if request.path.startswith("/blob-put/"):
             if len(request.body) > self.BLOB_BYTES:
                 return response(413)
-            if sum(map(len, self.blobs.values())) + len(request.body) > self.BLOB_TOTAL:
+            if self.stored() + len(request.body) > self.BLOB_TOTAL:
+                self.full += 1
                 return response(507)
             await self.link.take(len(request.body))
             if request.headers.get("if-none-match") == "*" and name in self.blobs:
@@ -372,15 +386,31 @@
         self.events, self.step_s = events, step_s
         self.running, self.waiting, self.runs = 0, 0, []
         self.slot = asyncio.Condition()
-        self.behaviour = None  # async function(request, id) -> answer bytes, "drop", or None for a sound run
+        self.behaviour = None  # async function(request, id, stamp) -> answer bytes, "drop", or None for a sound run
+        self.first_id, self.is_up, self.crashes, self.born = name, True, 0, int(time.time() * 1000)
         self.server = HttpServer(self._handle)
 
     async def start(self):
         await self.server.start(self.port)
 
+    async def crash(self, seconds):
+        """Ends without notice and comes back under another id."""
+        if not self.is_up:
+            return
+        self.is_up = False
+        self.crashes += 1
+        self.record.write(f"{self.id}: crashes")
+        self.server.abort()
+        await asyncio.sleep(seconds)
+        self.id, self.running, self.waiting = f"{self.first_id}-{self.crashes}", 0, 0
+        self.slot, self.born = asyncio.Condition(), int(time.time() * 1000)
+        self.server = HttpServer(self._handle)
+        await self.start()
+        self.is_up = True
+
     def entry(self, service, zone, sequence):
         return {"service": service, "address": f"127.0.0.1:{self.port}", "zone": zone, "version": "v1", "capacity": self.slots,
-                "state": "ready", "coldLeftMs": 0, "sequence": sequence, "born": 1700000000000}
+                "state": "ready", "coldLeftMs": 0, "sequence": sequence, "born": self.born}
 
     async def _handle(self, request):
         if request.path == "/report":
@@ -402,18 +432,25 @@
             finally:
                 self.waiting -= 1
             self.running += 1
+        life, slot = self.crashes, self.slot
         try:
             return await self._run(request, request_id)
         finally:
-            self.running -= 1
-            async with self.slot:
-                self.slot.notify()
+            if life == self.crashes:
+                self.running -= 1
+                async with slot:
+                    slot.notify()
 
     async def _run(self, request, request_id):
+        return await self.run_events(request, request_id, events_of(request_id, self.events), self.step_s)
+
+    async def run_events(self, request, request_id, texts, step_s):
         after = int(request.headers.get("last-event-id") or 0)
         run = {"id": request_id, "runner": self.id, "after": after, "sent": after, "begun": time.monotonic(), "ended": None}
         self.runs.append(run)
-        self.record.write(f"{self.id}: run of {request_id} begins after event {after}")
+        has_rest = after < len(texts)  # runs with nothing left to send are counted, but not written down one by one
+        if has_rest:
+            self.record.write(f"{self.id}: run of {request_id} begins after event {after}")
         stamp = {"X-Carawayrelay-Request-Id": request_id, "X-Carawayrelay-Server-Stamp": f"{self.id}.{len(self.runs)}",
                  "X-Carawayrelay-Server-Load": f"{self.running},{self.waiting},{self.slots}"}
         try:
@@ -426,10 +463,10 @@
             writer = request.writer
             head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
             writer.write((head + "".join(f"{k}: {v}\r\n" for k, v in stamp.items()) + "\r\n").encode())
-            for number, text in enumerate(events_of(request_id, self.events), 1):
+            for number, text in enumerate(texts, 1):
                 if number <= after:
                     continue
-                await asyncio.sleep(self.step_s)
+                await asyncio.sleep(step_s)
                 if writer.is_closing() or request.reader.at_eof():
                     self.record.write(f"{self.id}: run of {request_id} is dropped after event {run['sent']}: its channel closed")
                     return None
@@ -439,7 +476,8 @@
                 run["sent"] = number
             writer.write(b"0\r\n\r\n")
             run["whole"] = True
-            self.record.write(f"{self.id}: run of {request_id} is complete")
+            if has_rest:
+                self.record.write(f"{self.id}: run of {request_id} is complete")
             return b""
         finally:
             run["ended"] = time.monotonic()
@@ -504,14 +542,14 @@
 
     HOST, PREFIX, SERVICE = "nony24.example", "/pule252/", "huvo11a"
 
-    def __init__(self, record_path, frontends=3, runners=4, frontend_mb=130, worker_mb=192, runner_options=None):
+    def __init__(self, record_path, frontends=3, runners=4, frontend_mb=130, worker_mb=192, runner_options=None, runner_class=Runner):
         self.record = Record(record_path)
         self.folder = Path(tempfile.mkdtemp(prefix="carawayrelay-review-"))
         self.zones = ["kattendijk", "bonaparte", "willem", "lefebvre"]
         ports = free_ports(1 + runners * 2 + frontends * 4)
         self.store_port = ports.pop()
         self.store = Store(self.record)
-        self.runners = [Runner(f"i-{n:04d}", ports.pop(), self.record, **(runner_options or {})) for n in range(runners)]
+        self.runners = [runner_class(f"i-{n:04d}", ports.pop(), self.record, **(runner_options or {})) for n in range(runners)]
         self.workers, self.frontends = [], []
         for n in range(runners):
             self.workers.append(Process(self, "worker", f"side-{n}", {
@@ -563,11 +601,17 @@
         await asyncio.sleep(3)
 
     async def _beat(self):
-        sequence = 0
+        """Runners write their entries every 1.2 s; one is removed after three of these of silence."""
+        sequence, last = 0, {}
         while True:
             sequence += 1
             for n, runner in enumerate(self.runners):
-                self.store.put("servers", runner.id, runner.entry(self.SERVICE, self.zones[n % 4], sequence))
+                if runner.is_up:
+                    self.store.put("servers", runner.id, runner.entry(self.SERVICE, self.zones[n % 4], sequence))
+                    last[runner.id] = sequence
+            for name in [name for name, at in last.items() if sequence - at > 3]:
+                self.store.drop("servers", name)
+                del last[name]
             await asyncio.sleep(1.2)
 
     async def wait_ready(self, process, seconds=20):
@@ -607,6 +651,11 @@
         self.record.write(f"client: job {job}, {len(items)} items, {len(body)} bytes, to port {port}: answer {status}")
         return status
 
+    async def end(self, port, job, timeout=4.0):
+        status, _, _ = await call(port, "DELETE", f"/lots/{job}", self.KEY, timeout=timeout)
+        self.record.write(f"client: end of job {job}: answer {status}")
+        return status
+
     async def results(self, port, job, after=0, timeout=4.0):
         status, _, body = await call(port, "GET", f"/lots/{job}?after={after}", self.KEY, timeout=timeout)
         return (status, json.loads(body)) if status == 200 else (status, None)
