--- a/review/9/run.py
+++ b/review/9/run.py
@@ -1,85 +1,94 @@
-"""Many clients read the results of one job at once. Do the frontends stay within the memory of their machines?"""
+"""Runners crash just after they have begun to write an answer on a part of the prompt. Are requests with it held back?"""
 import asyncio
-import signal
 import sys
 import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common-2"))
-from fleet import Fleet, Runner, call, main  # noqa: E402
+from fleet import Fleet, Runner, main  # noqa: E402
 
-MEMORY_MB = 130        # of an edge machine of this site
-CLIENTS = 300
-ITEMS, EVENTS, EVENT_BYTES = 200, 60, 85  # the site file: 166 events on average, of 85 bytes
-JOB = "7c41e09b52d6a3f8"
-ENDS = 3               # "three times in the day"
-MACHINES = 2           # "on a tenth of the machines in use (two at least)"
-ROUNDS = 7
+PART, FIRST = "dead01", "5c1e07a2"  # the part that crashes runners, and the first part, which sound requests share
+CONTACT_S = 3.0
+CRASHES, MORE = 5, 3                # "after the fifth crash", "more than three"
+DOWN_S = 3.0                        # "the runner is back after some seconds"
+WATCH_S, SOUND_PER_S, DEADLY_PER_S = 40, 4, 1
 
 
-class TextRunner(Runner):
-    async def _run(self, request, request_id):
-        return await self.run_events(request, request_id, [f"{request_id}-{n}".ljust(EVENT_BYTES, "x") for n in range(EVENTS)], 0.02)
-
+class FragileRunner(Runner):
+    """Crashes when it has written the head and the first event of an answer on the part."""
 
-async def platform(fleet, process, ends, most):
-    """What the platform does: "A process that exceeds `memoryMb` is killed", and is restarted after a short delay."""
-    while True:
-        used = process.memory_mb()
-        most[process.name] = max(most[process.name], used)
-        if used > MEMORY_MB:
-            fleet.record.write(f"{process.name}: holds {used:.0f} MB of {MEMORY_MB} and is killed by the platform")
-            ends[process.name] += 1
-            process.kill(signal.SIGKILL)
-            process.popen.wait()
-            await asyncio.sleep(0.5)
-            process.start()
-        await asyncio.sleep(0.01)
+    part, arrivals, ends = None, [], []
 
+    async def _run(self, request, request_id):
+        parts = [p.split(":")[0].strip() for p in request.headers.get("x-carawayrelay-prompt-prefix", "").split(",")[:-1]]
+        if self.part not in parts:
+            return await super()._run(request, request_id)
+        self.arrivals.append((time.monotonic(), request_id))
+        self.record.write(f"{self.id}: {request_id} with the part {self.part} begins to run")
+        event = f"id: 1\ndata: {request_id}-1\n\n".encode()
+        request.writer.write((
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+            f"X-Carawayrelay-Request-Id: {request_id}\r\nX-Carawayrelay-Server-Stamp: {self.id}.{len(self.arrivals)}\r\n\r\n"
+        ).encode() + b"%x\r\n%s\r\n" % (len(event), event))
+        await request.writer.drain()
+        await asyncio.sleep(0.05)
+        if self.is_up and getattr(self, "doomed", -1) != self.crashes:
+            self.doomed = self.crashes
+            self.ends.append(time.monotonic())
+            self.crash_task = asyncio.create_task(self.crash(DOWN_S))
+        await asyncio.sleep(1)
+        return None
 
-async def crowd(fleet, process, at_once):
-    """Each client reads from position 0 once, on a new channel, and reads its answer at full speed."""
-    async def read():
-        return (await call(process.port, "GET", f"/lots/{JOB}?after=0", fleet.KEY, timeout=5.5))[0]
 
-    begun = time.monotonic()
-    if at_once:
-        answers = await asyncio.gather(*[read() for _ in range(CLIENTS)])
-    else:
-        answers = []
-        for _ in range(CLIENTS // 10):  # ten at a time
-            answers += await asyncio.gather(*[read() for _ in range(10)])
-    counts = ", ".join(f"{answers.count(s)} x {s or 'no answer'}" for s in sorted(set(answers)))
-    fleet.record.write(f"clients: {CLIENTS} reads at {process.name} in {time.monotonic() - begun:.1f} s: {counts}")
+async def stream(fleet, n, parts, counts, name):
+    """A stream that may not be repeated."""
+    port = fleet.frontends[n % 3].port
+    request_id = f"{0x9c41000000000000 + n:016x}"
+    head = (f"POST /lohu930/2f HTTP/1.1\r\nHost: once.example\r\nX-Api-Key: {fleet.KEY['X-Api-Key']}\r\nContent-Length: 2\r\n"
+            f"X-Carawayrelay-Request-Id: {request_id}\r\nX-Carawayrelay-Model: m\r\nX-Carawayrelay-Token-Count: 450,80\r\n"
+            f"X-Carawayrelay-Prompt-Prefix: {parts},{n:08x}:250\r\nX-Carawayrelay-Deadline-Ms: 5000\r\n\r\n{{}}")
+    status = "no answer"
+    try:
+        async with asyncio.timeout(6):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(head.encode())
+            line = (await reader.readuntil(b"\r\n")).decode()
+            status = "cut in the answer" if " 200 " in line else line.split(" ")[1]
+            if " 200 " in line:
+                while True:  # the head, then the chunks
+                    if (await reader.readuntil(b"\r\n")) == b"0\r\n":
+                        status = "whole"
+                        break
+            writer.close()
+    except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+        pass
+    counts[status] = counts.get(status, 0) + 1
+    if status != "whole":
+        fleet.record.write(f"client: {name} stream {request_id}: {status}")
 
 
 async def run(trouble):
-    fleet = Fleet(Path(__file__).parent / "record.txt", frontends=3, runners=4, frontend_mb=MEMORY_MB, runner_class=TextRunner)
+    fleet = Fleet(Path(__file__).parent / "record.txt", frontends=3, runners=8, runner_class=FragileRunner,
+                  runner_options={"events": 12, "step_s": 0.2})
+    FragileRunner.part = PART if trouble else "none"
     await fleet.start()
     try:
-        if await fleet.submit(fleet.frontends[2].port, JOB, fleet.items(JOB, ITEMS, 100)) != 202:
-            raise RuntimeError("the job was not accepted")
-        for _ in range(40):
-            read = await fleet.all_results(JOB, 3)
-            if read and len(read[1]) == ITEMS:
-                break
-            await asyncio.sleep(0.5)
-        else:
-            raise RuntimeError("the job did not finish")
-        fleet.record.write(f"all {ITEMS} items listed, {sum(len(r['text']) for r in read[1])} bytes of text")
-        crowded = fleet.frontends[:MACHINES]
-        ends = {p.name: 0 for p in fleet.frontends}
-        most = {p.name: 0 for p in fleet.frontends}
-        fleet.tasks += [asyncio.create_task(platform(fleet, p, ends, most)) for p in fleet.frontends]
-        for _ in range(ROUNDS if trouble else 2):
-            for process in crowded:
-                if ends[process.name] < ENDS:
-                    await fleet.wait_ready(process)
-                    await crowd(fleet, process, trouble)
-        for process in fleet.frontends:
-            fleet.record.write(f"{process.name}: ended {ends[process.name]} times; held {most[process.name]:.0f} MB at most")
-        broken = sum(ends[p.name] >= ENDS for p in crowded) >= MACHINES
-        fleet.record.write("Fault: broken" if broken else "Fault: held")
+        sound, deadly, tasks = {}, {}, []
+        for n in range(WATCH_S * SOUND_PER_S):
+            tasks.append(asyncio.create_task(stream(fleet, n, f"{FIRST}:200", sound, "sound")))
+            if n % (SOUND_PER_S // DEADLY_PER_S) == 0:
+                tasks.append(asyncio.create_task(
+                    stream(fleet, 100000 + n, f"{FIRST}:200,{PART}:100", deadly, "other")))
+            await asyncio.sleep(1 / SOUND_PER_S)
+        await asyncio.gather(*tasks)
+        ends, late = FragileRunner.ends, []
+        if len(ends) >= CRASHES:
+            late = [a for a in FragileRunner.arrivals if a[0] > ends[CRASHES - 1] + CONTACT_S]
+            fleet.record.write(f"fifth crash {ends[CRASHES - 1] - fleet.record.start:.3f} s after the start; requests with the part at "
+                               f"runners later than {CONTACT_S} s after it: {len(late)}")
+        fleet.record.write(f"crashes of runners in all: {len(ends)}; sound streams: {sound}; streams with the part: {deadly}")
+        broken = len(late) > MORE
+        fleet.record.write("BUDGET: broken" if broken else "BUDGET: held")
         return not broken
     finally:
         await fleet.stop()
