--- a/review/common-2/fleet.py
+++ b/review/common-2/fleet.py
@@ -266,8 +266,8 @@
         if request.path == "/rows-get":
             return self._read(q)
         if request.path == "/rows-parts":
-            parts = sorted({k[1] for k in self.rows if k[0] == q["table"]} - {None})
-            return response(200, self._about_rows(parts=[p for p in parts if p > q.get("after", "")] or parts, hasMore=False))
+            parts, after = sorted({k[1] for k in self.rows if k[0] == q["table"]}), q.get("after")
+            return response(200, self._about_rows(parts=[p for p in parts if after is None or p > after], hasMore=False))
         return response(404, {})
 
     def _read(self, q):
