Batch submissions in segments: a worker reads what it claims, not the job

All reads share the store's 80 MB/s, so 60 of them cannot end in 1.5 s, and none did. The claims were released without a pause, and the same reads began again. The runners were idle and no call was over a rate, which rules out slots and the store's limits.

Change, by construction instead of a longer timeout: - A body that does not fit into a row is stored in segments of 256 KiB. The row tells which items are in which segment; segments are named by their content, so a repeated submission finds those that exist. Jobs of the former formats are still read. - SubmissionReader reads the segments of the items asked for. Giving up items needs the row only; a body that a client asks for needs one segment. - StoreTransferQueue bounds the bytes that one process transfers at a time, gives a transfer time for its size, and repeats with growing random pauses. Workers keep their lease while they wait and pause before they claim again. - A partial result that cannot be read for a moment no longer starts its item from nothing. - JobIntake (submission) is split from JobApi (reads).

--- a/src/process/jobs/item_worker.cc
+++ b/src/process/jobs/item_worker.cc
@@ -4,7 +4,6 @@
 #include <memory>
 
 #include "platform/backend_codec.h"
-#include "process/jobs/job_api.h"
 #include "process/pace/item_pace.h"
 #include "process/telemetry/decision_log.h"
 #include "request/overloaded.h"
@@ -33,6 +32,7 @@
                        JobTable& jobs,
                        JobWriter& writer,
                        StoreClient& store,
+                       StoreTransferQueue& transfers,
                        BackendDirectory& backends,
                        OutboundCalls& calls,
                        const EventLoopClock& clock)
@@ -40,6 +40,7 @@
       jobs_(jobs),
       writer_(writer),
       store_(store),
+      transfers_(transfers),
       backends_(backends),
       calls_(calls),
       clock_(clock),
@@ -228,8 +229,6 @@
   }
 }
 
-// Reads what the run needs: the request, and the partial result if there is
-// one.
 void ItemWorker::NoteRunFailed(const ItemKey& key, TimePoint now) {
   failed_locally_[key] = now + kLocalRetryDelay;
   next_claim_ =
--- a/src/process/jobs/item_worker.h
+++ b/src/process/jobs/item_worker.h
@@ -14,7 +14,9 @@
 #include "process/forward/backend_directory.h"
 #include "process/jobs/job_table.h"
 #include "process/jobs/job_writer.h"
+#include "process/jobs/submission_reader.h"
 #include "process/store/store_client.h"
+#include "process/store/store_transfer_queue.h"
 #include "process/transport/outbound_calls.h"
 #include "request/sse_event_splitter.h"
 #include "version/serving_config.h"
@@ -70,6 +72,7 @@
              JobTable& jobs,
              JobWriter& writer,
              StoreClient& store,
+             StoreTransferQueue& transfers,
              BackendDirectory& backends,
              OutboundCalls& calls,
              const EventLoopClock& clock);
@@ -151,7 +154,7 @@
   // those that a worker holds.
   void GiveUpItems(const std::string& job,
                    const std::string& reason,
-                   std::vector<platform::SubmittedItem> items);
+                   std::vector<std::string> item_ids);
   void Claim(int count, TimePoint now);
   std::optional<std::string> ChooseJob(TimePoint now);
   // Whether the random delay before claiming items of this version of the job
@@ -175,7 +178,18 @@
   void OnClaimed(const std::string& job,
                  const std::vector<size_t>& items,
                  TimePoint now);
-  void LoadItem(const ItemKey& key);
+  // Reads the requests of claimed items of one job.
+  void LoadItems(const std::string& job, const std::vector<size_t>& items);
+  void OnItemsLoaded(const std::string& job,
+                     const std::vector<size_t>& items,
+                     Result<SubmissionReader::Items> loaded);
+  // Reads the partial result of an item, if there is one.
+  void LoadProgress(const ItemKey& key);
+  // Records that items could not be read. Nothing is claimed for a growing,
+  // random time, because the other workers failed at the same moment.
+  void NoteLoadFailed(TimePoint now);
+  // Returns the run of the item if what it needs is being read, or nullptr.
+  Run* FindLoading(const ItemKey& key);
   void StartPausedRuns(int count, TimePoint now);
   void StartRun(const ItemKey& key, Run& run, TimePoint now);
   void OnEvent(const ItemKey& key, CallEvent& event);
@@ -210,6 +224,8 @@
   JobTable& jobs_;
   JobWriter& writer_;
   StoreClient& store_;
+  StoreTransferQueue& transfers_;
+  SubmissionReader submissions_{transfers_};
   BackendDirectory& backends_;
   OutboundCalls& calls_;
   const EventLoopClock& clock_;
@@ -229,6 +245,7 @@
   // Until when the items of a job are left to other workers.
   std::map<std::string, TimePoint> left_until_;
   int consecutive_failures_ = 0;
+  int consecutive_load_failures_ = 0;
   bool is_claiming_ = false;
   bool is_stopping_ = false;
   bool is_report_pending_ = false;
--- a/src/process/jobs/item_worker_claims.cc
+++ b/src/process/jobs/item_worker_claims.cc
@@ -3,7 +3,6 @@
 
 #include "platform/prompt_codec.h"
 #include "process/jobs/item_worker.h"
-#include "process/jobs/job_api.h"
 #include "process/pace/item_pace.h"
 #include "process/telemetry/decision_log.h"
 
@@ -22,6 +21,11 @@
 // seldom write the same row.
 constexpr size_t kMaxJobCandidates = 3;
 constexpr milliseconds kClaimBackoff{60};
+// No read of a claimed item begins later than this after the claim, whose lease
+// is renewed meanwhile.
+constexpr milliseconds kLoadLimit{10000};
+constexpr milliseconds kFirstLoadPause{500};
+constexpr int kMaxLoadPauseDoublings = 4;
 
 }  // namespace
 
@@ -197,57 +201,103 @@
     }
     LogDecision(LogEvent::kItemClaimed, "job", job, "item", index,
                 "has_partial", has_partial);
-    LoadItem({job, index});
   }
+  LoadItems(job, items);
 }
 
-void ItemWorker::LoadItem(const ItemKey& key) {
-  LoadSubmission(
-      key.first, store_,
-      [this, key](Result<std::vector<platform::SubmittedItem>> items) {
-        const auto it = runs_.find(key);
-        if (it == runs_.end() || it->second.state != RunState::kLoading) {
+void ItemWorker::LoadItems(const std::string& job,
+                           const std::vector<size_t>& items) {
+  submissions_.ReadItems(
+      job, items, kLoadLimit,
+      [this, job, items](Result<SubmissionReader::Items> loaded) {
+        OnItemsLoaded(job, items, std::move(loaded));
+      });
+}
+
+void ItemWorker::OnItemsLoaded(const std::string& job,
+                               const std::vector<size_t>& items,
+                               Result<SubmissionReader::Items> loaded) {
+  const TimePoint now = clock_.now();
+  if (loaded) {
+    consecutive_load_failures_ = 0;
+  } else {
+    NoteLoadFailed(now);
+  }
+  for (const size_t index : items) {
+    const ItemKey key{job, index};
+    Run* run = FindLoading(key);
+    if (run == nullptr) {
+      continue;
+    }
+    if (!loaded || !loaded.value().contains(index)) {
+      ReleaseClaim(key, *run,
+                   loaded ? "the submission does not contain the item"
+                          : loaded.error().message,
+                   now);
+      continue;
+    }
+    run->item = std::move(loaded.value()[index]);
+    run->prompt_parts = platform::DecodeSharedPromptParts(run->item.headers);
+    run->has_item = true;
+    LoadProgress(key);
+  }
+}
+
+void ItemWorker::LoadProgress(const ItemKey& key) {
+  const JobTable::Entry* entry = jobs_.Find(key.first);
+  if (entry == nullptr || !entry->job.items[key.second].has_partial) {
+    Pause(runs_.at(key), clock_.now());
+    return;
+  }
+  const RowKey row = job_rows::Partial(key.first, key.second);
+  transfers_.Add(
+      {.request = RowsRead{.table = row.table,
+                           .part = row.part,
+                           .from = row.key,
+                           .to = row.key + '\0'},
+       .bytes = job_rows::kMaxValueBytes,
+       .time_limit = kLoadLimit},
+      [this, key](const StoreResponse& response) {
+        Run* run = FindLoading(key);
+        if (run == nullptr) {
           return;
         }
         const TimePoint now = clock_.now();
-        if (!items || key.second >= items.value().size()) {
-          ReleaseClaim(key, it->second,
-                       items ? "the submission does not contain the item"
-                             : items.error().message,
+        if (response.status != StoreStatus::kDone) {
+          NoteLoadFailed(now);
+          ReleaseClaim(key, *run,
+                       "the partial result cannot be read: " + response.reason,
                        now);
           return;
         }
-        it->second.item = std::move(items.value()[key.second]);
-        it->second.prompt_parts =
-            platform::DecodeSharedPromptParts(it->second.item.headers);
-        it->second.has_item = true;
-        const JobTable::Entry* entry = jobs_.Find(key.first);
-        if (entry == nullptr || !entry->job.items[key.second].has_partial) {
-          Pause(it->second, now);
-          return;
+        if (!response.rows.empty()) {
+          auto partial = DecodePartialRun(response.rows[0].value);
+          if (partial) {
+            run->progress = std::move(partial).value();
+          } else {
+            LogDecision(LogEvent::kPartialUnreadable, "job", key.first, "item",
+                        key.second, "reason", partial.error().message);
+          }
         }
-        const RowKey row = job_rows::Partial(key.first, key.second);
-        store_.Send(
-            RowsRead{.table = row.table,
-                     .part = row.part,
-                     .from = row.key,
-                     .to = row.key + '\0'},
-            [this, key](StoreResponse response) {
-              const auto found = runs_.find(key);
-              if (found == runs_.end() ||
-                  found->second.state != RunState::kLoading) {
-                return;
-              }
-              if (!response.rows.empty()) {
-                if (auto partial = DecodePartialRun(response.rows[0].value)) {
-                  found->second.progress = std::move(partial).value();
-                }
-              }
-              // If the partial result cannot be read, the item runs from the
-              // start.
-              Pause(found->second, clock_.now());
-            });
+        Pause(*run, now);
       });
 }
 
+void ItemWorker::NoteLoadFailed(TimePoint now) {
+  const milliseconds longest =
+      kFirstLoadPause *
+      (1 << std::min(consecutive_load_failures_, kMaxLoadPauseDoublings));
+  std::uniform_int_distribution<std::int64_t> pause(longest.count() / 2,
+                                                    longest.count());
+  ++consecutive_load_failures_;
+  next_claim_ = now + milliseconds(pause(random_));
+}
+
+ItemWorker::Run* ItemWorker::FindLoading(const ItemKey& key) {
+  const auto it = runs_.find(key);
+  return it != runs_.end() && it->second.state == RunState::kLoading
+             ? &it->second
+             : nullptr;
+}
+
 }  // namespace carawayrelay
--- a/src/process/jobs/item_worker_give_up.cc
+++ b/src/process/jobs/item_worker_give_up.cc
@@ -8,7 +8,6 @@
 
 #include "process/jobs/item_listing.h"
 #include "process/jobs/item_worker.h"
-#include "process/jobs/job_api.h"
 #include "process/telemetry/decision_log.h"
 
 namespace carawayrelay {
@@ -17,6 +16,8 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kGiveUpCheckInterval{500};
+// Limit of the time in which the ids of the items are read.
+constexpr milliseconds kReadLimit{5000};
 // Items that one write gives up: less than a transaction may hold, so that
 // other changes of the job fit beside them.
 constexpr size_t kMaxItemsPerGiveUp =
@@ -66,15 +67,18 @@
       continue;
     }
     is_giving_up_ = true;
-    LoadSubmission(id, store_,
-                   [this, job = id, reason = *reason](
-                       Result<std::vector<platform::SubmittedItem>> items) {
-                     if (items) {
-                       GiveUpItems(job, reason, std::move(items).value());
-                     } else {
-                       is_giving_up_ = false;
-                     }
-                   });
+    submissions_.ReadItemIds(
+        id, kReadLimit,
+        [this, job = id,
+         reason = *reason](Result<std::vector<std::string>> item_ids) {
+          if (item_ids) {
+            GiveUpItems(job, reason, std::move(item_ids).value());
+          } else {
+            is_giving_up_ = false;
+            LogDecision(LogEvent::kGiveUpDelayed, "job", job, "reason",
+                        item_ids.error().message);
+          }
+        });
     return;
   }
 }
@@ -101,12 +105,11 @@
 
 void ItemWorker::GiveUpItems(const std::string& job,
                              const std::string& reason,
-                             std::vector<platform::SubmittedItem> items) {
+                             std::vector<std::string> item_ids) {
   auto given_up = std::make_shared<std::vector<size_t>>();
-  const auto submitted =
-      std::make_shared<const std::vector<platform::SubmittedItem>>(
-          std::move(items));
-  const auto apply = [this, job, given_up, submitted,
+  const auto ids =
+      std::make_shared<const std::vector<std::string>>(std::move(item_ids));
+  const auto apply = [this, job, given_up, ids,
                       tries = std::make_shared<int>(0)](
                          BulkJob& state, RowsTransaction& transaction) {
     given_up->clear();
@@ -115,12 +118,11 @@
     if (state.is_ended || ++*tries > 1) {
       return JobWriter::Outcome::kObsolete;
     }
-    const size_t count = std::min(state.items.size(), submitted->size());
+    const size_t count = std::min(state.items.size(), ids->size());
     for (size_t i = 0; i < count && given_up->size() < kMaxItemsPerGiveUp;
          ++i) {
       if (CanGiveUp(state, i, clock_.now())) {
-        ListItemResult(state, i,
-                       {.item = (*submitted)[i].id, .is_complete = false},
+        ListItemResult(state, i, {.item = (*ids)[i], .is_complete = false},
                        transaction);
         given_up->push_back(i);
       }
@@ -129,7 +131,7 @@
                              : JobWriter::Outcome::kChanged;
   };
   const auto done = [this, job, reason, given_up,
-                     submitted](JobWriter::Outcome outcome) {
+                     ids](JobWriter::Outcome outcome) {
     is_giving_up_ = false;
     if (outcome != JobWriter::Outcome::kChanged) {
       return;
@@ -137,7 +139,7 @@
     next_give_up_check_ = clock_.now();  // there may be more items
     for (const size_t i : *given_up) {
       LogDecision(LogEvent::kItemFinished, "job", job, "item", i, "id",
-                  (*submitted)[i].id, "outcome", reason);
+                  (*ids)[i], "outcome", reason);
       ++counters_.given_up;
     }
   };
--- a/src/process/jobs/item_worker_runs.cc
+++ b/src/process/jobs/item_worker_runs.cc
@@ -329,8 +329,9 @@
 void ItemWorker::RenewClaims(TimePoint now) {
   const milliseconds store_now = store_.StoreTime(now);
   for (auto& [key, run] : runs_) {
-    const bool needs_claim =
-        run.state == RunState::kRunning || run.state == RunState::kPaused;
+    const bool needs_claim = run.state == RunState::kLoading ||
+                             run.state == RunState::kRunning ||
+                             run.state == RunState::kPaused;
     if (!needs_claim || run.is_renewing ||
         run.lease_end - store_now > options_.lease - kRenewalInterval) {
       continue;
--- a/src/process/jobs/job_api.cc
+++ b/src/process/jobs/job_api.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "process/jobs/job_responses.h"
 #include "process/telemetry/decision_log.h"
 #include "request/overloaded.h"
 
@@ -13,239 +14,17 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds kFirstRetry{20};
-constexpr int kMaxDoublings = 3;
-// A submission that is not stored within this time is refused.
-constexpr milliseconds kSubmitLimit{2500};
-// When a client should retry after a refusal.
-constexpr milliseconds kRetryAfter{300};
+// No read of an item or a result begins later than this after the request, so
+// that the client gets a refusal while it still waits.
+constexpr milliseconds kReadLimit{1500};
 // Limit of result text in one response, in bytes, unless it contains a single
 // result; clients accept at most 1 MB.
 constexpr size_t kMaxResultBytes = 900000;
-// First byte of a stored submission: the body follows in the row, or the body
-// is in an object.
-constexpr char kInlineBody = 'b';
-constexpr char kObjectBody = 'o';
-
-HeaderList JsonHeaders() {
-  return {{"Content-Type", "application/json"}};
-}
-
-CompleteResponse EmptyObject(int status) {
-  return {.status = status, .headers = JsonHeaders(), .body = "{}"};
-}
-
-Refusal StoreUnavailable(std::string reason) {
-  return {.code = RefusalCode::kStoreDown,
-          .reason = std::move(reason),
-          .retry_after = kRetryAfter};
-}
+// Size to expect of the text of a result in an object.
+constexpr size_t kResultObjectBytes = size_t{256} << 10;
 
 }  // namespace
 
-std::int64_t JobApi::ReservedTokens(const BulkJob& job) const {
-  std::int64_t tokens = 0;
-  for (const auto& [id, submission] : submissions_) {
-    if (submission.job.workspace == job.workspace &&
-        submission.job.route == job.route && jobs_.Find(id) == nullptr) {
-      tokens += submission.job.PendingTokens();
-    }
-  }
-  return tokens;
-}
-
-void JobApi::Submit(ClientCall call, const Access& access, TimePoint now) {
-  const ServingRoute& route = access.route;
-  const ServingWorkspace& workspace = access.workspace;
-  const std::string id = call.request_id;
-  if (const JobTable::Entry* existing = jobs_.Find(id)) {
-    // The client resends the job because it did not receive the response.
-    send_response_(call.client,
-                   existing->job.workspace == workspace.name
-                       ? ClientResponseEvent(EmptyObject(202))
-                       : ClientResponseEvent(
-                             Refusal{.code = RefusalCode::kNotFound,
-                                     .reason = "job of another workspace"}));
-    return;
-  }
-  if (submissions_.contains(id)) {
-    send_response_(call.client,
-                   Refusal{.code = RefusalCode::kConflict,
-                           .run_state = RunState::kUnknown,
-                           .reason = "the same job is being stored"});
-    return;
-  }
-  const auto items = platform::DecodeSubmission(call.body);
-  if (!items) {
-    send_response_(call.client, Refusal{.code = RefusalCode::kInvalidRequest,
-                                        .reason = items.error().message});
-    return;
-  }
-  BulkJob job{.id = id,
-              .workspace = workspace.name,
-              .route = route.name,
-              .config_version = access.config_version,
-              .accepted = store_.StoreTime(now)};
-  for (const platform::SubmittedItem& item : items.value()) {
-    job.items.push_back({.tokens = item.tokens});
-  }
-  const std::int64_t limit = route.bulk.max_pending_tokens;
-  const std::int64_t pending =
-      jobs_.PendingTokens(job.workspace, job.route) + ReservedTokens(job);
-  if (limit > 0 && pending + job.PendingTokens() > limit) {
-    LogDecision(LogEvent::kJobRefused, "job", id, "workspace", job.workspace,
-                "pending_tokens", pending, "job_tokens", job.PendingTokens(),
-                "limit", limit);
-    send_response_(
-        call.client,
-        Refusal{.code = RefusalCode::kRateLimited,
-                .reason = "too many tokens of the workspace are waiting",
-                .retry_after = kRetryAfter});
-    return;
-  }
-  submissions_.emplace(id, Submission{.client = call.client,
-                                      .job = std::move(job),
-                                      .body = std::move(call.body),
-                                      .arrived = now});
-  StoreSubmission(id, now);
-}
-
-void JobApi::Tick(TimePoint now) {
-  std::vector<std::string> due;
-  for (const auto& [job, submission] : submissions_) {
-    if (!submission.is_running && now >= submission.retry_at) {
-      due.push_back(job);
-    }
-  }
-  for (const std::string& job : due) {
-    StoreSubmission(job, now);
-  }
-}
-
-void JobApi::StoreSubmission(const std::string& job, TimePoint now) {
-  Submission& submission = submissions_.at(job);
-  if (now - submission.arrived >= kSubmitLimit) {
-    FinishSubmission(
-        job,
-        submission.may_exist
-            ? ClientResponseEvent(Refusal{.code = RefusalCode::kDeadline,
-                                          .run_state = RunState::kUnknown,
-                                          .reason = "the store did not answer"})
-            : ClientResponseEvent(
-                  StoreUnavailable("the store takes no writes")),
-        "store_down");
-    return;
-  }
-  submission.is_running = true;
-  const bool needs_object =
-      submission.body.size() + 1 > job_rows::kMaxValueBytes;
-  if (needs_object && !submission.object_written) {
-    WriteObject(job);
-  } else {
-    WriteRows(job);
-  }
-}
-
-void JobApi::WriteObject(const std::string& job) {
-  store_.Send(ObjectWrite{.name = job_rows::SubmissionObject(job),
-                          .data = submissions_.at(job).body},
-              [this, job](const StoreResponse& response) {
-                Submission& submission = submissions_.at(job);
-                submission.is_running = false;
-                // The object may exist from an earlier attempt for the same
-                // job.
-                if (response.status == StoreStatus::kDone ||
-                    response.status == StoreStatus::kConditionFailed) {
-                  submission.object_written = true;
-                  StoreSubmission(job, clock_.now());
-                  return;
-                }
-                RetrySubmission(job, response);
-              });
-}
-
-void JobApi::WriteRows(const std::string& job) {
-  const Submission& submission = submissions_.at(job);
-  const RowKey key = job_rows::State(job);
-  RowsTransaction transaction;
-  transaction.expected.push_back({.key = key, .version = 0});
-  transaction.writes.push_back(
-      {.key = key, .value = EncodeBulkJob(submission.job)});
-  transaction.writes.push_back({.key = job_rows::Submission(job),
-                                .value = submission.object_written
-                                             ? std::string(1, kObjectBody)
-                                             : kInlineBody + submission.body});
-  store_.Send(std::move(transaction),
-              [this, job](const StoreResponse& response) {
-                submissions_.at(job).is_running = false;
-                OnStored(job, response);
-              });
-}
-
-void JobApi::OnStored(const std::string& job, const StoreResponse& response) {
-  Submission& submission = submissions_.at(job);
-  if (response.status == StoreStatus::kDone) {
-    jobs_.Put({.key = job_rows::State(job),
-               .value = EncodeBulkJob(submission.job),
-               .version = response.version});
-    FinishSubmission(job, EmptyObject(202), "accepted");
-    return;
-  }
-  if (response.status == StoreStatus::kConditionFailed) {
-    for (const StoredRow& row : response.rows) {
-      if (row.key.table == job_rows::kStates) {
-        jobs_.Put(row);
-      }
-    }
-    const JobTable::Entry* existing = jobs_.Find(job);
-    const bool is_same = existing == nullptr ||
-                         existing->job.workspace == submission.job.workspace;
-    FinishSubmission(job,
-                     is_same ? ClientResponseEvent(EmptyObject(202))
-                             : ClientResponseEvent(Refusal{
-                                   .code = RefusalCode::kNotFound,
-                                   .reason = "job of another workspace"}),
-                     "already_accepted");
-    return;
-  }
-  submission.may_exist |= response.status == StoreStatus::kUnknown;
-  RetrySubmission(job, response);
-}
-
-void JobApi::RetrySubmission(const std::string& job,
-                             const StoreResponse& response) {
-  Submission& submission = submissions_.at(job);
-  if (response.status == StoreStatus::kRejected) {
-    FinishSubmission(
-        job,
-        Refusal{.code = RefusalCode::kInvalidRequest,
-                .run_state = submission.may_exist ? RunState::kUnknown
-                                                  : RunState::kNotRun,
-                .reason = "the store does not take the job"},
-        "rejected");
-    return;
-  }
-  submission.retry_at =
-      clock_.now() +
-      kFirstRetry * (1 << std::min(submission.failures, kMaxDoublings));
-  ++submission.failures;
-  LogDecision(LogEvent::kJobStoreRetry, "job", job, "status",
-              ToString(response.status), "reason", response.reason, "failures",
-              submission.failures);
-}
-
-void JobApi::FinishSubmission(const std::string& job,
-                              ClientResponseEvent response,
-                              const std::string& outcome) {
-  auto node = submissions_.extract(job);
-  const Submission& submission = node.mapped();
-  LogDecision(LogEvent::kJobSubmitted, "job", job, "workspace",
-              submission.job.workspace, "route", submission.job.route, "items",
-              submission.job.items.size(), "outcome", outcome, "ms",
-              ToMilliseconds(clock_.now() - submission.arrived));
-  send_response_(submission.client, std::move(response));
-}
-
 void JobApi::Handle(ClientCallId client,
                     platform::JobCall call,
                     const std::string& workspace,
@@ -320,10 +99,11 @@
   const size_t total = job.items.size();
   const auto respond_with = [this, client, total,
                              from](const std::vector<ItemResult>& results) {
-    send_response_(client, CompleteResponse{.status = 200,
-                                            .headers = JsonHeaders(),
-                                            .body = platform::EncodeResults(
-                                                total, from, results)});
+    send_response_(client,
+                   CompleteResponse{
+                       .status = 200,
+                       .headers = {{"Content-Type", "application/json"}},
+                       .body = platform::EncodeResults(total, from, results)});
   };
   if (from >= job.listed) {
     respond_with({});
@@ -362,8 +142,10 @@
           return;
         }
         results->resize(1);
-        store_.Send(
-            ObjectRead{front.object},
+        transfers_.Add(
+            {.request = ObjectRead{.name = front.object},
+             .bytes = kResultObjectBytes,
+             .time_limit = kReadLimit},
             [this, client, id, results, respond_with](StoreResponse object) {
               if (object.status != StoreStatus::kDone) {
                 RefuseUnavailable(client, id, "the result cannot be read");
@@ -378,27 +160,22 @@
 void JobApi::SendItemBody(ClientCallId client,
                           const BulkJob& job,
                           const std::string& item) {
-  LoadSubmission(
-      job.id, store_,
-      [this, client, id = job.id,
-       item](Result<std::vector<platform::SubmittedItem>> items) {
-        if (!items) {
-          RefuseUnavailable(client, id, items.error().message);
-          return;
-        }
-        for (platform::SubmittedItem& candidate : items.value()) {
-          if (candidate.id == item) {
-            send_response_(
-                client,
-                CompleteResponse{
-                    .status = 200,
-                    .headers = {{"Content-Type", "application/octet-stream"}},
-                    .body = std::move(candidate.body)});
-            return;
-          }
+  submissions_.FindItem(
+      job.id, item, kReadLimit,
+      [this, client, id = job.id](Result<platform::SubmittedItem> found) {
+        if (found) {
+          send_response_(
+              client,
+              CompleteResponse{
+                  .status = 200,
+                  .headers = {{"Content-Type", "application/octet-stream"}},
+                  .body = std::move(found.value().body)});
+        } else if (found.error().code == ErrorCode::kNotFound) {
+          send_response_(client, Refusal{.code = RefusalCode::kNotFound,
+                                         .reason = "no such item"});
+        } else {
+          RefuseUnavailable(client, id, found.error().message);
         }
-        send_response_(client, Refusal{.code = RefusalCode::kNotFound,
-                                       .reason = "no such item"});
       });
 }
 
@@ -425,39 +202,4 @@
                    }});
 }
 
-void LoadSubmission(
-    const std::string& job,
-    StoreClient& store,
-    std::function<void(Result<std::vector<platform::SubmittedItem>>)> done) {
-  const RowKey key = job_rows::Submission(job);
-  store.Send(
-      RowsRead{.table = key.table,
-               .part = key.part,
-               .from = key.key,
-               .to = key.key + '\0'},
-      [&store, job, done = std::move(done)](StoreResponse response) {
-        if (response.status != StoreStatus::kDone || response.rows.empty() ||
-            response.rows[0].value.empty()) {
-          done(Error{ErrorCode::kUnavailable,
-                     "the submission cannot be read: " + response.reason});
-          return;
-        }
-        const std::string& value = response.rows[0].value;
-        if (value[0] == kInlineBody) {
-          done(platform::DecodeSubmission(value.substr(1)));
-          return;
-        }
-        store.Send(
-            ObjectRead{job_rows::SubmissionObject(job)},
-            [done](const StoreResponse& object) {
-              if (object.status != StoreStatus::kDone) {
-                done(Error{ErrorCode::kUnavailable,
-                           "the submission cannot be read: " + object.reason});
-                return;
-              }
-              done(platform::DecodeSubmission(object.data));
-            });
-      });
-}
-
 }  // namespace carawayrelay
--- a/src/process/serving/frontend_process.cc
+++ b/src/process/serving/frontend_process.cc
@@ -119,9 +119,12 @@
                                   .address = settings_.listen_peers,
                                   .weight = settings_.cpu_cores},
       rates_, core_->store().sender(), core_->clock());
+  job_intake_ = std::make_unique<JobIntake>(core_->jobs(), core_->store(),
+                                            core_->transfers(), core_->clock(),
+                                            seed_, send_response);
   job_api_ =
       std::make_unique<JobApi>(core_->jobs(), core_->writer(), core_->store(),
-                               core_->clock(), send_response);
+                               core_->transfers(), send_response);
   MakeRollouts();
   if (!settings_.traces_url.empty()) {
     BOOST_OUTCOME_TRY(telemetry_,
@@ -186,7 +189,7 @@
       core_->Tick(now);
       core_->ExchangeCrashReports(now);
       TickRollouts(now);
-      job_api_->Tick(now);
+      job_intake_->Tick(now);
       rates_.Tick(now);
       if (settings_.shares_health) {
         health_->Tick(now);
--- a/src/process/serving/frontend_process.h
+++ b/src/process/serving/frontend_process.h
@@ -10,6 +10,7 @@
 #include "process/forward/online_forwarder.h"
 #include "process/health/shared_health.h"
 #include "process/jobs/job_api.h"
+#include "process/jobs/job_intake.h"
 #include "process/limits/rate_admission.h"
 #include "process/limits/rate_member_reporter.h"
 #include "process/rollout/rollout_coordinator.h"
@@ -98,6 +99,7 @@
   std::unique_ptr<SharedHealth> health_;
   std::unique_ptr<OnlineForwarder> forwarder_;
   std::unique_ptr<RateMemberReporter> rate_member_reporter_;
+  std::unique_ptr<JobIntake> job_intake_;
   std::unique_ptr<JobApi> job_api_;
   // Not set without rollouts.
   std::unique_ptr<RolloutReporter> rollout_reporter_;
--- a/src/process/serving/frontend_process_requests.cc
+++ b/src/process/serving/frontend_process_requests.cc
@@ -161,11 +161,11 @@
     return;
   }
   if (is_job && workspace != nullptr) {
-    job_api_->Submit(std::move(call),
-                     {.route = *route,
-                      .workspace = *workspace,
-                      .config_version = config.version()},
-                     now);
+    job_intake_->Submit(std::move(call),
+                        {.route = *route,
+                         .workspace = *workspace,
+                         .config_version = config.version()},
+                        now);
     return;
   }
   forwarder_->HandleRequest(std::move(call), *route, workspace, now);
--- a/src/process/serving/serving_core.cc
+++ b/src/process/serving/serving_core.cc
@@ -41,6 +41,7 @@
           },
           [this](OutboundCallId id) { http_client_->Cancel(id); }),
       store_(options.store_address, calls_, clock_),
+      transfers_({.seed = options.seed}, store_.sender(), clock_),
       backends_(options.seed),
       crash_reports_(options.node, quarantine_, store_, clock_),
       writer_(jobs_, store_.sender(), clock_),
@@ -167,6 +168,7 @@
     rollouts_->Tick(now);
   }
   job_watch_.Tick(now);
+  transfers_.Tick(now);
   jobs_.SetUpToDateAt(job_watch_.up_to_date_at());
   writer_.Tick(now);
 }
--- a/src/process/serving/serving_core.h
+++ b/src/process/serving/serving_core.h
@@ -14,6 +14,7 @@
 #include "process/serving/serving_event.h"
 #include "process/store/operator_watch.h"
 #include "process/store/store_client.h"
+#include "process/store/store_transfer_queue.h"
 #include "process/store/table_watch.h"
 #include "process/telemetry/metrics.h"
 #include "process/transport/async_http_client.h"
@@ -59,6 +60,7 @@
   const EventLoopClock& clock() const { return clock_; }
   OutboundCalls& calls() { return calls_; }
   StoreClient& store() { return store_; }
+  StoreTransferQueue& transfers() { return transfers_; }
   OperatorWatch& operators() { return operators_; }
   BackendDirectory& backends() { return backends_; }
   PromptQuarantine& quarantine() { return quarantine_; }
@@ -104,6 +106,7 @@
   std::unique_ptr<AsyncHttpClient> http_client_;
   OutboundCalls calls_;
   StoreClient store_;
+  StoreTransferQueue transfers_;
   BackendDirectory backends_;
   PromptQuarantine quarantine_;
   CrashReportExchange crash_reports_;
--- a/src/process/serving/worker_process.cc
+++ b/src/process/serving/worker_process.cc
@@ -75,8 +75,8 @@
                           .backend_address = settings_.backend_address,
                           .reserved_slots = settings_.reserved_slots,
                           .seed = seed_},
-      core_->jobs(), core_->writer(), core_->store(), core_->backends(),
-      core_->calls(), core_->clock());
+      core_->jobs(), core_->writer(), core_->store(), core_->transfers(),
+      core_->backends(), core_->calls(), core_->clock());
   if (!settings_.listen_metrics.empty()) {
     BOOST_OUTCOME_TRY(
         metrics_server_,
--- a/src/process/store/store_request.h
+++ b/src/process/store/store_request.h
@@ -78,10 +78,14 @@
 struct ObjectWrite {
   std::string name;
   std::string data;
+  // Time after which the call counts as lost; 0 selects the default.
+  std::chrono::milliseconds timeout{0};
 };
 
 struct ObjectRead {
   std::string name;
+  // Time after which the call counts as lost; 0 selects the default.
+  std::chrono::milliseconds timeout{0};
 };
 
 using StoreRequest =
--- a/src/process/telemetry/events.cc
+++ b/src/process/telemetry/events.cc
@@ -92,6 +92,10 @@
       return "item_returned";
     case LogEvent::kItemDropped:
       return "item_dropped";
+    case LogEvent::kPartialUnreadable:
+      return "partial_unreadable";
+    case LogEvent::kGiveUpDelayed:
+      return "give_up_delayed";
     case LogEvent::kSlowStartBegan:
       return "slow_start_began";
     case LogEvent::kSlowStartEnded:
--- a/src/process/telemetry/events.h
+++ b/src/process/telemetry/events.h
@@ -90,6 +90,8 @@
   kItemFinished = 1953,
   kItemReturned = 1954,
   kItemDropped = 1955,
+  kPartialUnreadable = 1956,
+  kGiveUpDelayed = 1957,
   kSlowStartBegan = 1961,
   kSlowStartEnded = 1962,
   kPaceFiguresChanged = 1963,
--- a/tests/serving/item_worker_pace_test.cc
+++ b/tests/serving/item_worker_pace_test.cc
@@ -22,6 +22,7 @@
                     jobs,
                     writer,
                     store,
+                    transfers,
                     backends,
                     calls,
                     clock};
--- a/tests/serving/item_worker_test.cc
+++ b/tests/serving/item_worker_test.cc
@@ -18,6 +18,7 @@
       jobs,
       writer,
       store,
+      transfers,
       backends,
       calls,
       clock};
@@ -386,6 +387,7 @@
       jobs,
       writer,
       store,
+      transfers,
       backends,
       calls,
       clock};
--- a/tests/serving/job_fixture.h
+++ b/tests/serving/job_fixture.h
@@ -6,8 +6,10 @@
 
 #include "platform/base64.h"
 #include "process/jobs/job_api.h"
+#include "process/jobs/job_intake.h"
 #include "process/jobs/job_table.h"
 #include "process/jobs/job_writer.h"
+#include "process/store/store_transfer_queue.h"
 #include "serving/serving_fixture.h"
 
 namespace carawayrelay {
@@ -17,10 +19,13 @@
   JobTable jobs;
   JobWriter writer{jobs, store.sender(), clock};
   std::vector<ClientResponseEvent> responses;
-  JobApi api{jobs, writer, store, clock,
-             [this](ClientCallId, ClientResponseEvent response) {
-               responses.push_back(std::move(response));
-             }};
+  StoreTransferQueue transfers{{.seed = 5}, store.sender(), clock};
+  JobIntake::ResponseCallback respond = [this](ClientCallId,
+                                               ClientResponseEvent response) {
+    responses.push_back(std::move(response));
+  };
+  JobIntake intake{jobs, store, transfers, clock, /*seed=*/5, respond};
+  JobApi api{jobs, writer, store, transfers, respond};
   ServingRoute route{.name = "bulk",
                      .host = "h",
                      .prefix = "/b/",
@@ -54,22 +59,23 @@
     return nlohmann::json{{"items", std::move(list)}}.dump();
   }
   void Submit(const std::string& job, const std::string& body) {
-    api.Submit({.client = ClientCallId{1},
-                .request_id = job,
-                .host = "h",
-                .body = body,
-                .arrived = now()},
-               {.route = route,
-                .workspace = workspace,
-                .config_version = config_version},
-               now());
+    intake.Submit({.client = ClientCallId{1},
+                   .request_id = job,
+                   .host = "h",
+                   .body = body,
+                   .arrived = now()},
+                  {.route = route,
+                   .workspace = workspace,
+                   .config_version = config_version},
+                  now());
   }
   // Runs the steps of the event loop thread until no store calls are left, at
   // most 20 times.
   void RunUntilIdle() {
     for (int i = 0; i < 20; ++i) {
       writer.Tick(now());
-      api.Tick(now());
+      intake.Tick(now());
+      transfers.Tick(now());
       if (RunStore() == 0) {
         break;
       }
--- a/tests/serving/serving_fixture.h
+++ b/tests/serving/serving_fixture.h
@@ -50,7 +50,7 @@
     for (int round = 0; round < 50; ++round) {
       std::vector<OutboundCall> due;
       for (auto it = started.begin(); it != started.end();) {
-        if (it->address == kStoreAddress &&
+        if (it->address == kStoreAddress && (!is_held || !is_held(*it)) &&
             (!it->target.starts_with("/rows-feed") ||
              rows.HasChanges(it->target) || ends_watches)) {
           due.push_back(*it);
@@ -164,6 +164,8 @@
         clock.now().time_since_epoch());
   }};
   std::function<StoreFault(const OutboundCall&)> store_fault;
+  // Whether RunStore() leaves a store call pending; may be empty.
+  std::function<bool(const OutboundCall&)> is_held;
   // Whether watch calls get a response even if there are no changes.
   bool ends_watches = false;
   int store_calls = 0;
--- /dev/null
+++ b/tests/serving/worker_fleet_fixture.h
@@ -0,0 +1,166 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "process/jobs/item_worker.h"
+#include "serving/job_fixture.h"
+
+namespace carawayrelay {
+
+// Workers with a backend server each that run the jobs of one frontend, and a
+// store whose objects pass over one link that all transfers share in equal
+// parts. A transfer over its timeout is lost.
+struct WorkerFleetFixture : JobFixture {
+  static constexpr std::chrono::milliseconds kStep{20};
+  static constexpr double kLinkBytesPerSecond = 80e6;
+
+  // What a worker process consists of, without threads.
+  struct Worker {
+    Worker(WorkerFleetFixture& fixture, int number)
+        : address("10.0.1." + std::to_string(number) + ":80"),
+          writer(jobs, fixture.store.sender(), fixture.clock),
+          transfers({.seed = static_cast<std::uint64_t>(number)},
+                    fixture.store.sender(),
+                    fixture.clock),
+          watch({.table = job_rows::kStates,
+                 .parts = job_rows::Parts(),
+                 .wait = std::chrono::milliseconds(1000),
+                 .min_interval = std::chrono::milliseconds(400)},
+                fixture.store.sender(),
+                fixture.clock,
+                [this](const std::vector<StoredRow>& rows,
+                       bool is_full,
+                       TimePoint) { jobs.Apply(rows, is_full); }),
+          worker({.node = "side-" + std::to_string(number),
+                  .backend_address = address,
+                  .seed = static_cast<std::uint64_t>(number)},
+                 jobs,
+                 writer,
+                 fixture.store,
+                 transfers,
+                 backends,
+                 fixture.calls,
+                 fixture.clock) {
+      backends.Apply({BackendRow("server-" + std::to_string(number), address)},
+                     true, std::nullopt, fixture.now());
+      worker.SetConfig(std::make_shared<ServingConfig>(
+          ServingConfig::Parts{.routes = {fixture.route}}));
+    }
+
+    void Tick(TimePoint now) {
+      watch.Tick(now);
+      jobs.SetUpToDateAt(watch.up_to_date_at());
+      worker.Tick(now);
+      writer.Tick(now);
+      transfers.Tick(now);
+    }
+
+    const std::string address;
+    JobTable jobs;
+    JobWriter writer;
+    StoreTransferQueue transfers;
+    BackendDirectory backends{1};
+    TableWatch watch;
+    ItemWorker worker;
+  };
+
+  void AddWorkers(int count) {
+    for (int i = 1; i <= count; ++i) {
+      workers.push_back(std::make_unique<Worker>(*this, i));
+    }
+  }
+  void RunFor(std::chrono::milliseconds time) {
+    is_held = [](const OutboundCall& call) {
+      return call.target.starts_with("/blob-");
+    };
+    for (std::chrono::milliseconds passed{0}; passed < time; passed += kStep) {
+      Advance(kStep);
+      intake.Tick(now());
+      transfers.Tick(now());
+      writer.Tick(now());
+      for (const auto& worker : workers) {
+        worker->Tick(now());
+      }
+      RunStore();
+      RunLink();
+      AnswerBackendCalls();
+    }
+  }
+  size_t CountListed(const std::string& job) const {
+    return StoredState(job).listed;
+  }
+
+  // Moves the bytes of one step.
+  void RunLink() {
+    std::vector<OutboundCall> transfers_now;
+    for (const OutboundCall& call : started) {
+      if (call.target.starts_with("/blob-")) {
+        transfers_now.push_back(call);
+      }
+    }
+    const double share = kLinkBytesPerSecond * kStep.count() / 1000 /
+                         std::max<size_t>(1, transfers_now.size());
+    for (const OutboundCall& call : transfers_now) {
+      Transfer& transfer = BeginTransfer(call);
+      transfer.bytes_left -= share;
+      if (transfer.bytes_left <= 0) {
+        link.erase(call.id);
+        bytes_of_whole_transfers += transfer.bytes;
+        RemovePendingCall(call.id);
+        RespondToStoreCall(call);
+      } else if (now() - transfer.began >= call.total_timeout) {
+        link.erase(call.id);
+        ++lost_transfers;
+        Fail(call.id, /*was_sent=*/true, "Timeout was reached");
+      }
+    }
+  }
+  struct Transfer {
+    TimePoint began{};
+    size_t bytes = 0;
+    double bytes_left = 0;
+  };
+  Transfer& BeginTransfer(const OutboundCall& call) {
+    const auto [it, is_new] = link.try_emplace(call.id);
+    if (is_new) {
+      it->second.began = now();
+      it->second.bytes = call.body.size() +
+                         (call.method == "GET"
+                              ? rows.Handle("GET", call.target, "").body.size()
+                              : 0);
+      it->second.bytes_left = static_cast<double>(it->second.bytes);
+      ++begun_transfers;
+    }
+    return it->second;
+  }
+  // Backend servers answer load reports, and each item at once unless the test
+  // handles it in `on_run`.
+  void AnswerBackendCalls() {
+    for (const OutboundCall& call : BackendCalls()) {
+      if (call.target == "/report") {
+        Respond(call.id, 200, {}, R"({"running":0,"queued":0})");
+      } else if (!on_run || !on_run(call)) {
+        Respond(call.id, 200, SignedFor(call),
+                "id: 1\ndata: one\n\nid: 2\ndata: two\n\n");
+      }
+    }
+  }
+  static HeaderList SignedFor(const OutboundCall& call) {
+    return {{"x-carawayrelay-request-id",
+             FindHeader(call.headers, "x-carawayrelay-request-id")},
+            {"x-carawayrelay-server-stamp", "s"}};
+  }
+
+  std::vector<std::unique_ptr<Worker>> workers;
+  std::map<OutboundCallId, Transfer> link;
+  // Returns whether the test answers the run of an item itself; may be empty.
+  std::function<bool(const OutboundCall&)> on_run;
+  size_t bytes_of_whole_transfers = 0;
+  int begun_transfers = 0;
+  int lost_transfers = 0;
+};
+
+}  // namespace carawayrelay
