Quarantine: a crash inside an answer counts, and only a whole answer clears a part

A crash counted only before the first event, and the first event cleared all parts. Ruled out: evidence that is not exchanged (there was none to exchange).

Change: - A connection that the server drops anywhere in an answer is evidence (CallEnd::was_dropped, so that timeouts, limits and bytes that are no response are none). Only a whole answer clears a part. - As a crash now names all answers that it cuts, CrashEvidence looks for the part that explains most crashes. What one part explains accuses no other, and answers under way on a part are a hint for it. - A server that answers a call begun after it dropped connections did not crash; the report is withdrawn. - An answer without a length or chunks counts by what the server does next. - One crash is one entry of the report, however many answers it cut, and crashes whose parts were all answered since leave it. Before, the 32 entries of a mass failure drove out those that matter. - A quarantined part is tried again twice, by the process that saw the newest crash, so that a sound one is not refused for minutes.

The fixture of the crash tests lets crashed servers stay away for 3 s and return as another start, as the users' pages say; they used to answer at once, which now means that they had not crashed. Its bounds are the same. The bound of 32 entries is checked with 32 servers, as one server is one entry.

--- a/src/connection/outbound_call.h
+++ b/src/connection/outbound_call.h
@@ -48,6 +48,10 @@
   bool is_complete = false;
   // True when bytes of the request may have reached the server.
   bool was_sent = false;
+  // True when the server closed or reset the connection before the response was
+  // complete. False when a timeout, a limit or bytes that are no response ended
+  // the call.
+  bool was_dropped = false;
   std::string reason;  // empty when complete
 };
 
--- a/src/process/forward/online_forwarder.cc
+++ b/src/process/forward/online_forwarder.cc
@@ -223,6 +223,9 @@
   if (response.is_leaving && !response.is_misdirected) {
     backends_.NoteLeaving(request.backend_id, now);
   }
+  if (!response.is_misdirected) {
+    quarantine_.NoteAlive(request.backend_id, request.attempt_started_at, now);
+  }
   if (response.is_declined) {
     if (backend != nullptr && response.is_misdirected) {
       backends_.NoteReplaced(*backend, "its address belongs to another start");
@@ -267,7 +270,7 @@
     }
     return;
   }
-  NoteAnswerBegun(request, now);
+  request.has_attempt_event = true;
   request.last_progress_at = now;
   request.body += data.bytes;
   buffered_bytes_ += data.bytes.size();
@@ -289,7 +292,6 @@
   std::string complete_events;
   for (RawSseEvent& event : request.event_splitter.Feed(bytes)) {
     if (event.has_data) {
-      NoteAnswerBegun(request, now);
       NoteAttemptEvent(request, now);
     }
     // A resumed stream may repeat events that the client already has.
@@ -316,12 +318,11 @@
                                   const CallEnd& end,
                                   TimePoint now) {
   if (const auto reason = BreakReason(request, end)) {
-    if (end.was_sent && !request.has_attempt_event) {
-      quarantine_.NoteCrash(request.backend_id, request.call.prompt_parts, now);
-    }
+    NoteBrokenAnswer(request, end, now);
     FailAttempt(request, end.was_sent, *reason, now);
     return;
   }
+  NoteWholeAnswer(request, now);
   if (request.is_forwarding) {
     send_response_(request.call.client, ResponseEnd{});
     ++counters_.served;
--- a/src/process/forward/online_forwarder.h
+++ b/src/process/forward/online_forwarder.h
@@ -133,11 +133,14 @@
     HeaderList headers;
     std::string body;
     SseEventSplitter event_splitter;
-    bool has_attempt_event = false;  // a complete event with data arrived
+    // A complete event with data, or bytes of a buffered response, arrived.
+    bool has_attempt_event = false;
     // When the head or the latest complete event arrived. Single bytes and
     // comments do not count, so that a stalled server that sends some now and
     // then is noticed.
     TimePoint last_progress_at{};
+    // Whether the quarantine knows that the answer has gone on for long.
+    bool is_progress_noted = false;
     // Whether the silence of this attempt was recorded as a failure.
     bool is_silence_recorded = false;
     TimePoint attempt_started_at{};
@@ -147,6 +150,8 @@
     // State over all attempts.
     int attempts = 0;  // failed after the request was sent
     int sends = 0;     // limited by Options::max_sends
+    // The request tries a quarantined part of its prompt again.
+    bool is_trial = false;
     // A backend server may have started to run the request.
     bool may_have_run = false;
     bool head_sent = false;  // the response head was sent to the client
@@ -187,8 +192,11 @@
   void HandleEvent(Request& request, const CallHead& head, TimePoint now);
   void HandleEvent(Request& request, CallData& data, TimePoint now);
   void HandleEvent(Request& request, const CallEnd& end, TimePoint now);
-  // Records that the backend server began to answer the current attempt.
-  void NoteAnswerBegun(Request& request, TimePoint now);
+  // Tells the quarantine how the answer of the current attempt ended.
+  void NoteWholeAnswer(const Request& request, TimePoint now);
+  void NoteBrokenAnswer(const Request& request,
+                        const CallEnd& end,
+                        TimePoint now);
   // Refuses the request and returns true if backend servers crash on its
   // prompt.
   bool RefuseIfQuarantined(Request& request, TimePoint now);
--- a/src/process/forward/online_forwarder_attempts.cc
+++ b/src/process/forward/online_forwarder_attempts.cc
@@ -47,6 +47,7 @@
   ClearBody(request);
   request.event_splitter.Reset();
   request.has_attempt_event = false;
+  request.is_progress_noted = false;
   request.last_progress_at = now;
   request.is_silence_recorded = false;
   request.attempt_started_at = now;
@@ -96,15 +97,35 @@
   return std::nullopt;
 }
 
-void OnlineForwarder::NoteAnswerBegun(Request& request, TimePoint now) {
-  if (!std::exchange(request.has_attempt_event, true)) {
+void OnlineForwarder::NoteWholeAnswer(const Request& request, TimePoint now) {
+  if (request.ends_with_connection) {
+    quarantine_.NoteUndelimitedAnswer(request.backend_id,
+                                      request.call.prompt_parts, now);
+  } else {
     quarantine_.NoteAnswer(request.call.prompt_parts, now);
   }
 }
 
+void OnlineForwarder::NoteBrokenAnswer(const Request& request,
+                                       const CallEnd& end,
+                                       TimePoint now) {
+  if (!end.was_sent) {
+    quarantine_.NoteUnreachable(request.backend_id, now);
+  } else if (end.was_dropped || end.is_complete) {
+    quarantine_.NoteCrash(request.backend_id, request.call.prompt_parts, now);
+  }
+}
+
 bool OnlineForwarder::RefuseIfQuarantined(Request& request, TimePoint now) {
-  const auto match = quarantine_.Find(request.call.prompt_parts);
-  if (!match) {
+  if (request.is_trial && request.attempts == 0) {
+    return false;
+  }
+  const PromptQuarantine::Verdict verdict =
+      quarantine_.Admit(request.call.prompt_parts, now);
+  request.is_trial =
+      std::holds_alternative<PromptQuarantine::AdmittedAsTrial>(verdict);
+  const auto* match = std::get_if<PromptQuarantine::Match>(&verdict);
+  if (match == nullptr) {
     return false;
   }
   ++counters_.quarantined;
@@ -120,9 +141,16 @@
 
 void OnlineForwarder::NoteAttemptEvent(Request& request, TimePoint now) {
   ++request.attempt_events;
+  request.has_attempt_event = true;
   if (request.attempt_first_event) {
     request.attempt_longest_pause =
         std::max(request.attempt_longest_pause, now - request.last_progress_at);
+    const Duration since_first_event =
+        now - request.attempt_started_at - *request.attempt_first_event;
+    if (since_first_event >= PromptQuarantine::kLongAnswer &&
+        !std::exchange(request.is_progress_noted, true)) {
+      quarantine_.NoteProgress(request.call.prompt_parts, now);
+    }
   } else {
     request.attempt_first_event = now - request.attempt_started_at;
   }
--- a/src/process/quarantine/crash_report.h
+++ b/src/process/quarantine/crash_report.h
@@ -10,17 +10,17 @@
 
 namespace carawayrelay {
 
-// A backend server that broke the connection of a request before the first
-// event of its answer. It may have crashed on the prompt.
+// A backend server that dropped the connections of requests before their
+// answers were whole. It may have crashed on one of their prompts.
 struct BackendCrash {
   std::string backend_id;
   TimePoint at{};
   // Parts of the prompts of the broken requests, without those on which this
-  // process had just got an answer.
+  // process had just got a whole answer.
   PromptParts suspects;
 };
 
-// A part of a prompt on which a backend server began to answer.
+// A part of a prompt on which a backend server sent a whole answer.
 struct AnsweredPart {
   std::string part;
   TimePoint at{};
--- a/src/process/quarantine/crash_report_exchange.cc
+++ b/src/process/quarantine/crash_report_exchange.cc
@@ -74,15 +74,22 @@
       return true;
     });
   }
+  std::map<std::string, CrashReport> reports;
   for (const StoredRow& row : rows) {
-    ApplyRow(row, now);
+    ApplyRow(row, reports, now);
+  }
+  if (!reports.empty()) {
+    quarantine_.Apply(std::move(reports), now);
   }
 }
 
-void CrashReportExchange::ApplyRow(const StoredRow& row, TimePoint now) {
+void CrashReportExchange::ApplyRow(const StoredRow& row,
+                                   std::map<std::string, CrashReport>& reports,
+                                   TimePoint now) {
   const std::string& node = row.key.key;
   if (row.is_removed) {
     row_versions_.erase(node);
+    reports.erase(node);
     quarantine_.Remove(node, now);
     return;
   }
@@ -101,7 +108,7 @@
     return;
   }
   row_versions_[node] = row.version;
-  quarantine_.Apply(node, std::move(report).value(), now);
+  reports[node] = std::move(report).value();
 }
 
 void CrashReportExchange::Write(TimePoint now) {
--- a/src/process/quarantine/crash_report_exchange.h
+++ b/src/process/quarantine/crash_report_exchange.h
@@ -32,7 +32,11 @@
   void ApplyRows(const std::vector<StoredRow>& rows,
                  bool is_full,
                  TimePoint now);
-  void ApplyRow(const StoredRow& row, TimePoint now);
+  // Applies what a row says of this process, or that it was removed, and adds
+  // the report of another process to `reports`.
+  void ApplyRow(const StoredRow& row,
+                std::map<std::string, CrashReport>& reports,
+                TimePoint now);
   void Write(TimePoint now);
   // Removes the rows of processes that reported nothing for long; most of these
   // do not run any more.
--- a/src/process/quarantine/prompt_quarantine.cc
+++ b/src/process/quarantine/prompt_quarantine.cc
@@ -1,6 +1,8 @@
 #include "process/quarantine/prompt_quarantine.h"
 
 #include <algorithm>
+#include <array>
+#include <chrono>
 #include <iterator>
 #include <utility>
 
@@ -10,16 +12,10 @@
 namespace {
 
 using std::chrono::milliseconds;
+using namespace std::chrono_literals;
 
-// Crashes without an answer in between after which a part is quarantined.
-constexpr int kCrashesUntilQuarantine = 3;
 // Crashes after which a process that got an answer since tells the others.
 constexpr int kCrashesUntilReply = 2;
-// Crashes closer to each other count as one: a rack or zone that fails breaks
-// many requests at once, which says nothing about their prompts.
-constexpr milliseconds kMinCrashGap{100};
-// How long a crash counts, and how long a part is not sent after its last one.
-constexpr std::chrono::minutes kCrashLifetime{5};
 // A part with an answer this shortly before a crash is not suspected for it.
 constexpr milliseconds kRecentAnswer{2000};
 // How long answers on parts that nobody suspects are remembered. Longer than
@@ -29,20 +25,18 @@
 // Limit of crashes, and of answered parts, in the report of one process; older
 // ones are dropped.
 constexpr size_t kMaxReported = 32;
-
-// Counts the crashes after `after`, those close to each other once. `crashes`
-// must be in order.
-int CountCrashes(const std::vector<BackendCrash>& crashes, TimePoint after) {
-  int count = 0;
-  TimePoint last{};
-  for (const BackendCrash& crash : crashes) {
-    if (crash.at > after && (count == 0 || crash.at - last >= kMinCrashGap)) {
-      ++count;
-      last = crash.at;
-    }
-  }
-  return count;
-}
+// Limit of the ids of parts in the crashes of one report, so that it fits into
+// a row.
+constexpr size_t kMaxReportedParts = 600;
+constexpr size_t kMaxSuspects = 64;
+// Connections that a backend server drops within this time belong to the same
+// crash. A backend server that answers a call begun within this time after it
+// did not crash.
+constexpr milliseconds kSameCrash{1500};
+// How long a quarantined part waits for each trial after its newest crash.
+constexpr std::array<std::chrono::seconds, 2> kTrialDelays{10s, 60s};
+// A crash this long after the one before it ended a trial.
+constexpr std::chrono::seconds kTrialGap{9};
 
 template <class Entry>
 void DropOldest(std::vector<Entry>& entries) {
@@ -58,44 +52,131 @@
 }  // namespace
 
 void PromptQuarantine::NoteAnswer(const PromptParts& parts, TimePoint now) {
-  bool is_suspect = false;
+  bool clears_crashes = false;
   for (const std::string& part : parts) {
-    own_answers_[part] = now;
-    is_suspect |= suspects_.contains(part);
+    const TimePoint known =
+        std::max(OwnAnswers(part).whole, ReportedAnswerAt(part));
+    clears_crashes |= evidence_.CountCrashes(part, known) >= kCrashesUntilReply;
+    own_answers_[part].whole = now;
   }
-  if (is_suspect) {
+  if (clears_crashes) {
     UpdateQuarantine(now);
     ReportAnswers();
   }
 }
 
+void PromptQuarantine::NoteProgress(const PromptParts& parts, TimePoint now) {
+  for (const std::string& part : parts) {
+    own_answers_[part].in_progress = now;
+  }
+}
+
 void PromptQuarantine::NoteCrash(const std::string& backend_id,
                                  const PromptParts& parts,
                                  TimePoint now) {
+  PromptParts cut = TakeUnconfirmed(backend_id, now);
+  cut.insert(cut.begin(), parts.begin(), parts.end());
   PromptParts suspects;
-  std::copy_if(parts.begin(), parts.end(), std::back_inserter(suspects),
+  std::copy_if(cut.begin(), cut.end(), std::back_inserter(suspects),
                [&](const std::string& part) {
-                 const auto it = own_answers_.find(part);
-                 return it == own_answers_.end() ||
-                        now - it->second >= kRecentAnswer;
+                 return now - OwnAnswers(part).whole >= kRecentAnswer;
                });
   if (suspects.empty()) {
     return;
   }
   LogDecision(LogEvent::kCrashSuspected, "runner", backend_id, "suspects",
               JoinIds(suspects), "prompt_parts", JoinIds(parts));
-  auto& crashes = own_report_.crashes;
-  crashes.push_back(
-      {.backend_id = backend_id, .at = now, .suspects = std::move(suspects)});
-  DropOldest(crashes);
+  AddOwnCrash(backend_id, suspects, now);
   ++own_version_;
   Rebuild(now);
 }
 
-void PromptQuarantine::Apply(const std::string& node,
-                             CrashReport report,
+void PromptQuarantine::NoteUndelimitedAnswer(const std::string& backend_id,
+                                             const PromptParts& parts,
+                                             TimePoint now) {
+  if (!parts.empty()) {
+    unconfirmed_.push_back(
+        {.backend_id = backend_id, .parts = parts, .at = now});
+  }
+}
+
+PromptParts PromptQuarantine::TakeUnconfirmed(const std::string& backend_id,
+                                              TimePoint before) {
+  PromptParts parts;
+  std::erase_if(unconfirmed_, [&](const UnconfirmedAnswer& answer) {
+    if (answer.backend_id != backend_id || answer.at >= before) {
+      return false;
+    }
+    parts.insert(parts.end(), answer.parts.begin(), answer.parts.end());
+    return true;
+  });
+  return parts;
+}
+
+void PromptQuarantine::NoteUnreachable(const std::string& backend_id,
+                                       TimePoint now) {
+  const bool may_have_crashed =
+      std::ranges::any_of(unconfirmed_, [&](const UnconfirmedAnswer& answer) {
+        return answer.backend_id == backend_id;
+      });
+  if (may_have_crashed) {
+    NoteCrash(backend_id, {}, now);
+  }
+}
+
+void PromptQuarantine::AddOwnCrash(const std::string& backend_id,
+                                   const PromptParts& suspects,
+                                   TimePoint now) {
+  auto& crashes = own_report_.crashes;
+  const auto same =
+      std::ranges::find_if(crashes, [&](const BackendCrash& crash) {
+        return crash.backend_id == backend_id && now - crash.at < kSameCrash;
+      });
+  BackendCrash& crash = same != crashes.end()
+                            ? *same
+                            : crashes.emplace_back(BackendCrash{
+                                  .backend_id = backend_id, .at = now});
+  for (const std::string& part : suspects) {
+    if (crash.suspects.size() < kMaxSuspects &&
+        std::ranges::find(crash.suspects, part) == crash.suspects.end()) {
+      crash.suspects.push_back(part);
+    }
+  }
+  DropOldest(crashes);
+  size_t parts = 0;
+  for (const BackendCrash& reported : crashes) {
+    parts += reported.suspects.size();
+  }
+  while (parts > kMaxReportedParts) {
+    parts -= crashes.front().suspects.size();
+    crashes.erase(crashes.begin());
+  }
+}
+
+void PromptQuarantine::NoteAlive(const std::string& backend_id,
+                                 TimePoint since,
+                                 TimePoint now) {
+  const PromptParts confirmed = TakeUnconfirmed(backend_id, since);
+  if (!confirmed.empty()) {
+    NoteAnswer(confirmed, now);
+  }
+  const size_t refuted =
+      std::erase_if(own_report_.crashes, [&](const BackendCrash& crash) {
+        return crash.backend_id == backend_id && since > crash.at &&
+               now - crash.at < kSameCrash;
+      });
+  if (refuted > 0) {
+    LogDecision(LogEvent::kCrashRefuted, "runner", backend_id);
+    ++own_version_;
+    Rebuild(now);
+  }
+}
+
+void PromptQuarantine::Apply(std::map<std::string, CrashReport> reports,
                              TimePoint now) {
-  reports_[node] = std::move(report);
+  for (auto& [node, report] : reports) {
+    reports_[node] = std::move(report);
+  }
   Rebuild(now);
 }
 
@@ -118,136 +199,146 @@
   }
   next_prune_ = now + kPruneInterval;
   std::erase_if(own_answers_, [&](const auto& item) {
-    return now - item.second >= kAnswerMemory &&
-           !suspects_.contains(item.first);
+    const CrashEvidence::Answers& answers = item.second;
+    return now - std::max(answers.whole, answers.in_progress) >=
+               kAnswerMemory &&
+           !evidence_.IsSuspect(item.first);
+  });
+  std::erase_if(unconfirmed_, [now](const UnconfirmedAnswer& answer) {
+    return now - answer.at >= kAnswerMemory;
+  });
+  std::erase_if(trials_, [now](const auto& item) {
+    return HasExpired(item.second, now);
   });
   if (PruneOwnReport(now)) {
     ++own_version_;
   }
-  if (!suspects_.empty()) {
+  if (!evidence_.empty()) {
     Rebuild(now);
   }
 }
 
 bool PromptQuarantine::PruneOwnReport(TimePoint now) {
-  const auto has_expired = [now](const auto& item) {
-    return HasExpired(item.at, now);
-  };
-  const size_t crashes = std::erase_if(own_report_.crashes, has_expired);
-  const size_t answered = std::erase_if(own_report_.answered, has_expired);
+  // A crash whose parts were all answered since accuses none of them.
+  const size_t crashes =
+      std::erase_if(own_report_.crashes, [&](const BackendCrash& crash) {
+        return HasExpired(crash.at, now) ||
+               std::ranges::all_of(
+                   crash.suspects, [&](const std::string& part) {
+                     return std::max(ReportedAnswerAt(part),
+                                     OwnAnswers(part).whole) > crash.at;
+                   });
+      });
+  const size_t answered = std::erase_if(
+      own_report_.answered,
+      [now](const AnsweredPart& item) { return HasExpired(item.at, now); });
   return crashes + answered > 0;
 }
 
 void PromptQuarantine::Rebuild(TimePoint now) {
-  std::map<std::string, Suspect> suspects;
-  const auto add = [&](const CrashReport& report) {
-    for (const BackendCrash& crash : report.crashes) {
-      if (HasExpired(crash.at, now)) {
-        continue;
-      }
-      for (const std::string& part : crash.suspects) {
-        suspects[part].crashes.push_back(crash);
-      }
-    }
-  };
-  const auto clear = [&](const CrashReport& report) {
+  evidence_ = CrashEvidence();
+  reported_answers_.clear();
+  const auto add = [&](const CrashReport& report, bool is_own) {
+    evidence_.Add(report, is_own, now);
     for (const AnsweredPart& item : report.answered) {
-      if (const auto it = suspects.find(item.part); it != suspects.end()) {
-        it->second.answered_at = std::max(it->second.answered_at, item.at);
-      }
+      TimePoint& at = reported_answers_[item.part];
+      at = std::max(at, item.at);
     }
   };
-  add(own_report_);
+  add(own_report_, /*is_own=*/true);
   for (const auto& [node, report] : reports_) {
-    add(report);
-  }
-  clear(own_report_);
-  for (const auto& [node, report] : reports_) {
-    clear(report);
-  }
-  for (auto& [part, suspect] : suspects) {
-    std::ranges::sort(suspect.crashes, {}, &BackendCrash::at);
+    add(report, /*is_own=*/false);
   }
-  suspects_ = std::move(suspects);
   UpdateQuarantine(now);
   ReportAnswers();
 }
 
 void PromptQuarantine::UpdateQuarantine(TimePoint now) {
+  const auto answers = [this](const std::string& part) {
+    CrashEvidence::Answers known = OwnAnswers(part);
+    known.whole = std::max(known.whole, ReportedAnswerAt(part));
+    return known;
+  };
   std::map<std::string, Quarantine> quarantined;
-  for (const auto& [part, suspect] : suspects_) {
-    const TimePoint answered_at =
-        std::max(suspect.answered_at, OwnAnswerAt(part));
-    const int crashes = CountCrashes(suspect.crashes, answered_at);
-    if (crashes < kCrashesUntilQuarantine) {
-      continue;
+  for (const CrashEvidence::Accused& accused : evidence_.FindAccused(answers)) {
+    const Quarantine quarantine = MakeQuarantine(accused);
+    for (const std::string& part : accused.parts) {
+      quarantined.emplace(part, quarantine);
     }
-    const Quarantine quarantine = MakeQuarantine(suspect.crashes, answered_at);
-    if (!quarantined_.contains(part)) {
+  }
+  const std::map<std::string, Quarantine> before =
+      std::exchange(quarantined_, std::move(quarantined));
+  LogChanges(before, now);
+}
+
+void PromptQuarantine::LogChanges(
+    const std::map<std::string, Quarantine>& before,
+    TimePoint now) const {
+  for (const auto& [part, quarantine] : quarantined_) {
+    if (!before.contains(part)) {
       LogDecision(LogEvent::kPromptQuarantined, "part", part, "crashes",
-                  crashes, "for_ms", ToMilliseconds(quarantine.until - now));
+                  quarantine.crashes, "for_ms",
+                  ToMilliseconds(quarantine.until - now));
     }
-    quarantined.emplace(part, quarantine);
   }
-  for (auto& [part, quarantine] : quarantined) {
-    std::erase_if(quarantine.together, [&](const std::string& other) {
-      return !quarantined.contains(other);
-    });
-  }
-  for (const auto& [part, quarantine] : quarantined_) {
-    if (!quarantined.contains(part)) {
+  for (const auto& [part, quarantine] : before) {
+    if (!quarantined_.contains(part)) {
       LogDecision(LogEvent::kPromptReleased, "part", part, "reason",
-                  now < quarantine.until ? "a backend server answered on it"
-                                         : "the last crash is long ago");
+                  now < quarantine.until
+                      ? "a backend server answered on it, or another part "
+                        "explains the crashes"
+                      : "the last crash is long ago");
     }
   }
-  quarantined_ = std::move(quarantined);
 }
 
 PromptQuarantine::Quarantine PromptQuarantine::MakeQuarantine(
-    const std::vector<BackendCrash>& crashes,
-    TimePoint answered_at) {
-  Quarantine quarantine{.until = crashes.back().at + kCrashLifetime};
-  bool is_first = true;
-  for (const BackendCrash& crash : crashes) {
-    if (crash.at <= answered_at) {
-      continue;
-    }
-    const std::set<std::string> named(crash.suspects.begin(),
-                                      crash.suspects.end());
-    if (std::exchange(is_first, false)) {
-      quarantine.together = named;
-    } else {
-      std::erase_if(quarantine.together, [&](const std::string& part) {
-        return !named.contains(part);
-      });
-    }
+    const CrashEvidence::Accused& accused) {
+  const TimePoint newest = accused.crashes.back();
+  Quarantine quarantine{.until = newest + kCrashLifetime,
+                        .together = accused.parts,
+                        .crashes = accused.crashes.size(),
+                        .newest_crash = newest,
+                        .is_own = accused.is_own};
+  size_t failed_trials = 0;
+  for (size_t i = 1; i < accused.crashes.size(); ++i) {
+    failed_trials +=
+        accused.crashes[i] - accused.crashes[i - 1] >= kTrialGap ? 1 : 0;
+  }
+  if (failed_trials < kTrialDelays.size()) {
+    quarantine.trial_at = newest + kTrialDelays[failed_trials];
   }
   return quarantine;
 }
 
 void PromptQuarantine::ReportAnswers() {
-  for (auto& [part, suspect] : suspects_) {
-    const TimePoint answered_at = OwnAnswerAt(part);
-    const int known = CountCrashes(suspect.crashes, suspect.answered_at);
+  for (const std::string& part : evidence_.Suspects()) {
+    const TimePoint reported_at = ReportedAnswerAt(part);
+    const TimePoint answered_at = OwnAnswers(part).whole;
+    const int known = evidence_.CountCrashes(part, reported_at);
     if (known < kCrashesUntilReply ||
-        CountCrashes(suspect.crashes, answered_at) >= known) {
+        evidence_.CountCrashes(part, answered_at) >= known) {
       continue;
     }
     auto& answered = own_report_.answered;
-    std::erase_if(answered, [&part = part](const AnsweredPart& item) {
-      return item.part == part;
-    });
+    std::erase_if(answered,
+                  [&](const AnsweredPart& item) { return item.part == part; });
     answered.push_back({.part = part, .at = answered_at});
     DropOldest(answered);
-    suspect.answered_at = answered_at;
+    reported_answers_[part] = answered_at;
     ++own_version_;
   }
 }
 
-TimePoint PromptQuarantine::OwnAnswerAt(const std::string& part) const {
+CrashEvidence::Answers PromptQuarantine::OwnAnswers(
+    const std::string& part) const {
   const auto it = own_answers_.find(part);
-  return it == own_answers_.end() ? TimePoint{} : it->second;
+  return it == own_answers_.end() ? CrashEvidence::Answers{} : it->second;
+}
+
+TimePoint PromptQuarantine::ReportedAnswerAt(const std::string& part) const {
+  const auto it = reported_answers_.find(part);
+  return it == reported_answers_.end() ? TimePoint{} : it->second;
 }
 
 std::optional<PromptQuarantine::Match> PromptQuarantine::Find(
@@ -265,6 +356,24 @@
   return std::nullopt;
 }
 
+PromptQuarantine::Verdict PromptQuarantine::Admit(const PromptParts& parts,
+                                                  TimePoint now) {
+  const std::optional<Match> match = Find(parts);
+  if (!match) {
+    return Admitted{};
+  }
+  const Quarantine& quarantine = quarantined_.at(match->part);
+  TimePoint& tried = trials_[match->part];
+  if (!quarantine.is_own || !quarantine.trial_at ||
+      now < *quarantine.trial_at || tried == quarantine.newest_crash) {
+    return *match;
+  }
+  tried = quarantine.newest_crash;
+  LogDecision(LogEvent::kPromptTried, "part", match->part, "crashes",
+              quarantine.crashes);
+  return AdmittedAsTrial{};
+}
+
 std::vector<std::string> PromptQuarantine::ExpiredReports(TimePoint now) const {
   const auto has_expired = [now](const auto& item) {
     return HasExpired(item.at, now);
--- a/src/process/quarantine/prompt_quarantine.h
+++ b/src/process/quarantine/prompt_quarantine.h
@@ -1,13 +1,16 @@
 #pragma once
 
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
-#include <utility>
+#include <variant>
 #include <vector>
 
+#include "process/quarantine/crash_evidence.h"
 #include "process/quarantine/crash_report.h"
 #include "request/boot_clock.h"
 #include "request/prompt_parts.h"
@@ -17,35 +20,61 @@
 // Finds parts of prompts that crash the backend servers that answer them (a
 // query of death), so that requests with such a part are no longer sent.
 //
-// A crash breaks all requests on the backend server, and the crashing one is
-// among those that had no event yet. Each process reports the parts of these to
-// the others. A part is quarantined once several crashes named it and no
-// process has got an answer on it since. A sound part shares a crash or two
-// with the crashing one, but is answered in between.
+// A crash cuts all answers of the backend server, whatever they hold. Each
+// process reports the parts of the prompts whose answers were cut to the
+// others. A part is quarantined once several crashes named it and no process
+// has got a whole answer on it since; a crashing part never gets one.
 //
-// Parts that every crash names together cannot be told apart. Only requests
-// with all of them are refused, so that the sound ones are still answered.
+// A backend server that answers soon after has only dropped connections, which
+// is no evidence. A part that the crashes of another part explain is not
+// accused for them. Parts that the same crashes name cannot be told apart; only
+// requests with all of them are refused, so that the sound ones are still
+// answered.
+//
+// A quarantined part is tried again a few times, by one process at a time: the
+// one that saw the newest crash.
 //
 // Not thread-safe: used on the event loop thread, with the time passed in.
 class PromptQuarantine {
  public:
+  // An answer that is under way for this long is reported as progress.
+  static constexpr std::chrono::milliseconds kLongAnswer{1000};
+
   // A quarantined part, and when it may be tried again.
   struct Match {
     std::string part;
     TimePoint until{};
   };
+  struct Admitted {};
+  // The request tries a quarantined part again.
+  struct AdmittedAsTrial {};
+  using Verdict = std::variant<Admitted, AdmittedAsTrial, Match>;
 
-  // Records that a backend server sent the first event of an answer.
+  // Records that a backend server sent a whole answer.
   void NoteAnswer(const PromptParts& parts, TimePoint now);
-  // Records that the connection of a request broke after it was sent and before
-  // the first event.
+  // Records that an answer has gone on for kLongAnswer since its first event.
+  // This is a hint that its parts are sound, and no proof.
+  void NoteProgress(const PromptParts& parts, TimePoint now);
+  // The same for an answer whose end looks like a dropped connection. It counts
+  // as whole once the backend server is seen alive, and as cut if the backend
+  // server drops connections or cannot be reached shortly after.
+  void NoteUndelimitedAnswer(const std::string& backend_id,
+                             const PromptParts& parts,
+                             TimePoint now);
+  // Records that the backend server closed or reset the connection of a request
+  // before its answer was whole.
   void NoteCrash(const std::string& backend_id,
                  const PromptParts& parts,
                  TimePoint now);
+  // Records that the backend server answered a call that began at `since`. A
+  // connection that it dropped shortly before was no crash.
+  void NoteAlive(const std::string& backend_id, TimePoint since, TimePoint now);
+  // Records that no connection to the backend server could be opened.
+  void NoteUnreachable(const std::string& backend_id, TimePoint now);
   // Takes over the report of the previous run of this process.
   void TakeOver(const CrashReport& report, TimePoint now);
-  // Replaces what is known of another process, `node`.
-  void Apply(const std::string& node, CrashReport report, TimePoint now);
+  // Replaces what is known of other processes, by node.
+  void Apply(std::map<std::string, CrashReport> reports, TimePoint now);
   // Forgets the report of a process whose row was removed.
   void Remove(const std::string& node, TimePoint now);
   // Drops what has expired.
@@ -53,6 +82,9 @@
 
   // Returns a quarantined part for which a request with these parts is refused.
   std::optional<Match> Find(const PromptParts& parts) const;
+  // Decides whether a request with these parts may be sent. A trial counts as
+  // sent.
+  Verdict Admit(const PromptParts& parts, TimePoint now);
   // Number of quarantined parts.
   size_t size() const { return quarantined_.size(); }
 
@@ -63,35 +95,57 @@
   std::vector<std::string> ExpiredReports(TimePoint now) const;
 
  private:
-  struct Suspect {
-    std::vector<BackendCrash> crashes;  // that name the part, in order
-    TimePoint answered_at{};            // newest answer that a report tells of
-  };
   struct Quarantine {
     TimePoint until{};
-    // The quarantined parts that all crashes name together with this one,
-    // itself included. Requests without one of them are served.
+    // The quarantined parts that the same crashes name, itself included.
+    // Requests without one of them are served.
     std::set<std::string> together;
+    size_t crashes = 0;
+    // When the process that saw the newest crash may try the part again;
+    // nullopt after the last trial.
+    std::optional<TimePoint> trial_at;
+    TimePoint newest_crash{};
+    // Whether this process saw the newest crash.
+    bool is_own = false;
+  };
+
+  // An answer of which it is not known yet whether it is whole.
+  struct UnconfirmedAnswer {
+    std::string backend_id;
+    PromptParts parts;
+    TimePoint at{};
   };
 
-  // Collects the suspects from all reports and updates the quarantine.
+  // Removes and returns the parts of unconfirmed answers of a backend server.
+  PromptParts TakeUnconfirmed(const std::string& backend_id, TimePoint before);
+  // Adds a crash to the own report, or the suspects to one that just was added.
+  void AddOwnCrash(const std::string& backend_id,
+                   const PromptParts& suspects,
+                   TimePoint now);
+  // Collects the evidence of all reports and updates the quarantine.
   void Rebuild(TimePoint now);
   void UpdateQuarantine(TimePoint now);
-  // Returns the quarantine of a part with these crashes.
-  static Quarantine MakeQuarantine(const std::vector<BackendCrash>& crashes,
-                                   TimePoint answered_at);
+  static Quarantine MakeQuarantine(const CrashEvidence::Accused& accused);
+  void LogChanges(const std::map<std::string, Quarantine>& before,
+                  TimePoint now) const;
   // Tells the others of answers that clear a suspect.
   void ReportAnswers();
   bool PruneOwnReport(TimePoint now);
-  // Returns the time of the newest own answer on the part.
-  TimePoint OwnAnswerAt(const std::string& part) const;
+  CrashEvidence::Answers OwnAnswers(const std::string& part) const;
+  // Returns the time of the newest whole answer that a report tells of.
+  TimePoint ReportedAnswerAt(const std::string& part) const;
 
   CrashReport own_report_;
   std::uint64_t own_version_ = 0;
-  std::map<std::string, CrashReport> reports_;     // of the other processes
-  std::map<std::string, Suspect> suspects_;        // by part
-  std::map<std::string, Quarantine> quarantined_;  // by part
-  std::map<std::string, TimePoint> own_answers_;   // newest, by part
+  std::map<std::string, CrashReport> reports_;  // of the other processes
+  CrashEvidence evidence_;
+  // Newest whole answers that reports tell of, the own one included, by part.
+  std::map<std::string, TimePoint> reported_answers_;
+  std::map<std::string, Quarantine> quarantined_;              // by part
+  std::map<std::string, CrashEvidence::Answers> own_answers_;  // by part
+  // The newest crash of each part when this process tried it.
+  std::map<std::string, TimePoint> trials_;
+  std::vector<UnconfirmedAnswer> unconfirmed_;
   TimePoint next_prune_{};
 };
 
--- a/src/process/telemetry/events.cc
+++ b/src/process/telemetry/events.cc
@@ -52,6 +52,10 @@
       return "runner_replaced";
     case LogEvent::kCrashSuspected:
       return "crash_suspected";
+    case LogEvent::kCrashRefuted:
+      return "crash_refuted";
+    case LogEvent::kPromptTried:
+      return "prompt_tried";
     case LogEvent::kPromptQuarantined:
       return "prompt_quarantined";
     case LogEvent::kPromptReleased:
--- a/src/process/telemetry/events.h
+++ b/src/process/telemetry/events.h
@@ -78,6 +78,8 @@
   kAttemptDeclined = 1932,
   kAttemptFailed = 1933,
   kRequestEnded = 1934,
+  kCrashRefuted = 1936,
+  kPromptTried = 1937,
   kJobSubmitted = 1941,
   kJobRefused = 1942,
   kJobStoreRetry = 1943,
--- a/src/process/transport/async_http_client.cc
+++ b/src/process/transport/async_http_client.cc
@@ -312,10 +312,28 @@
       deliver_(CallEnd{.id = transfer->call.id,
                        .is_complete = code == CURLE_OK && transfer->has_head,
                        .was_sent = transfer->was_sent,
+                       .was_dropped = WasDropped(*transfer, code),
                        .reason = EndReason(*transfer, code)});
     }
   }
 
+  static bool WasDropped(const Transfer& transfer, CURLcode code) {
+    if (!transfer.was_sent || !transfer.abort_reason.empty()) {
+      return false;
+    }
+    switch (code) {
+      case CURLE_OK:
+        return !transfer.has_head;
+      case CURLE_GOT_NOTHING:
+      case CURLE_PARTIAL_FILE:
+      case CURLE_RECV_ERROR:
+      case CURLE_SEND_ERROR:
+        return true;
+      default:
+        return false;
+    }
+  }
+
   static std::string EndReason(const Transfer& transfer, CURLcode code) {
     if (!transfer.abort_reason.empty()) {
       return transfer.abort_reason;
--- a/tests/serving/crashing_prompt_test.cc
+++ b/tests/serving/crashing_prompt_test.cc
@@ -10,7 +10,8 @@
 using std::chrono::milliseconds;
 
 // Two frontends that reach each other through the store only, and eight backend
-// servers that crash when they answer a prompt with the part "dead".
+// servers that crash when they answer a prompt with the part "dead". A crashed
+// one is back after three seconds, as another start.
 struct CrashingPromptFixture : ServingFixture {
   struct Frontend {
     Frontend(CrashingPromptFixture& fixture, const std::string& node)
@@ -25,13 +26,8 @@
                     [&fixture](ClientCallId, ClientResponseEvent response) {
                       fixture.responses.push_back(std::move(response));
                     }) {
-      std::vector<StoredRow> rows;
-      for (int i = 0; i < 8; ++i) {
-        const std::string number = std::to_string(i);
-        rows.push_back(
-            BackendRow("server-" + number, "1.1.1." + number + ":1"));
-      }
-      backends.Apply(rows, true, std::nullopt, fixture.now());
+      backends.Apply(fixture.Registrations(), true, std::nullopt,
+                     fixture.now());
     }
 
     BackendDirectory backends{1};
@@ -44,6 +40,7 @@
   void Run(milliseconds time) {
     for (milliseconds passed{0}; passed < time; passed += milliseconds(50)) {
       Advance(milliseconds(50));
+      RestartServers();
       first.reports.Tick(now());
       second.reports.Tick(now());
       RunStore();
@@ -76,23 +73,67 @@
     }
     Run(milliseconds(300));
   }
-  // A crash closes the connection; without a length or chunks that looks like
-  // the end of the answer.
+  // A crash closes the connections of all answers; without a length or chunks
+  // that looks like their end.
   void Crash(const OutboundCall& call, const std::string& id) {
-    if (!is_undelimited) {
+    if (events_before_crash > 0 || is_undelimited) {
+      HeaderList headers = {{"x-carawayrelay-request-id", id},
+                            {"x-carawayrelay-server-stamp", "s"}};
+      if (!is_undelimited) {
+        headers.emplace_back("transfer-encoding", "chunked");
+      }
+      Head(call.id, 200, std::move(headers));
+    }
+    for (int i = 1; i <= events_before_crash; ++i) {
+      Data(call.id, "id: " + std::to_string(i) + "\ndata: a\n\n");
+    }
+    if (is_undelimited) {
+      End(call.id);
+    } else {
       Fail(call.id, /*was_sent=*/true, "Transferred a partial file");
-      return;
     }
-    Head(call.id, 200,
-         {{"x-carawayrelay-request-id", id},
-          {"x-carawayrelay-server-stamp", "s"}});
-    End(call.id);
+    servers[NumberOf(call.address)].down_until = now() + milliseconds(3000);
+    RegisterServers();
+  }
+  std::vector<StoredRow> Registrations() {
+    std::vector<StoredRow> registrations;
+    for (const auto& [number, server] : servers) {
+      if (!server.down_until) {
+        const std::string name = std::to_string(number);
+        registrations.push_back(
+            BackendRow("server-" + name + "-" + std::to_string(server.starts),
+                       "1.1.1." + name + ":1"));
+      }
+    }
+    return registrations;
+  }
+  void RegisterServers() {
+    first.backends.Apply(Registrations(), true, std::nullopt, now());
+    second.backends.Apply(Registrations(), true, std::nullopt, now());
+  }
+  void RestartServers() {
+    for (auto& [number, server] : servers) {
+      if (server.down_until && now() >= *server.down_until) {
+        server.down_until.reset();
+        ++server.starts;
+        RegisterServers();
+      }
+    }
+  }
+  static int NumberOf(const std::string& address) {
+    return std::stoi(address.substr(address.rfind('.') + 1));
   }
   bool IsServed() const {
     return !responses.empty() &&
            std::holds_alternative<ResponseEnd>(responses.back());
   }
 
+  struct Server {
+    std::optional<TimePoint> down_until;
+    int starts = 1;
+  };
+  std::map<int, Server> servers{{0, {}}, {1, {}}, {2, {}}, {3, {}},
+                                {4, {}}, {5, {}}, {6, {}}, {7, {}}};
   std::vector<ClientResponseEvent> responses;
   ServingRoute route{.name = "r",
                      .host = "h",
@@ -107,6 +148,7 @@
   std::uint64_t requests = 0;
   int runs_of_dead = 0;
   bool is_undelimited = false;  // whether crashes come within such an answer
+  int events_before_crash = 0;
 };
 
 // Guards against requests with one crashing part that take down the backend
@@ -154,6 +196,22 @@
   CHECK(runs_of_dead <= 5);
 }
 
+// Guards against crashes after the first events of an answer, which were no
+// evidence, and against an answer that clears a part before it is whole.
+TEST_CASE_FIXTURE(CrashingPromptFixture,
+                  "Frontends, part crashes servers after events, later "
+                  "requests with it are not sent") {
+  events_before_crash = 3;
+  Run(milliseconds(500));
+  for (int i = 0; i < 20; ++i) {
+    const std::string caller = "caller-" + std::to_string(i);
+    Send(i % 2 == 0 ? first : second, {"common", caller, "dead"});
+    Send(i % 3 == 0 ? first : second, {"common", caller});
+    CHECK(IsServed());
+  }
+  CHECK(runs_of_dead <= 5);
+}
+
 // Guards against a retry that crashes one more server each: a request that may
 // be repeated counts as often as it is sent.
 TEST_CASE_FIXTURE(CrashingPromptFixture,
--- a/tests/serving/prompt_quarantine_test.cc
+++ b/tests/serving/prompt_quarantine_test.cc
@@ -24,7 +24,7 @@
     const auto tell = [this](const std::string& node, PromptQuarantine& from,
                              std::initializer_list<PromptQuarantine*> others) {
       for (PromptQuarantine* other : others) {
-        other->Apply(node, from.own_report(), now);
+        other->Apply({{node, from.own_report()}}, now);
       }
     };
     tell("node-a", a, {&b, &c});
@@ -157,11 +157,170 @@
                   "PromptQuarantine, many crashes, report stays bounded") {
   for (int i = 0; i < 500; ++i) {
     Advance(milliseconds(1));
-    a.NoteCrash("server", {"part-" + std::to_string(i)}, now);
+    a.NoteCrash("server-" + std::to_string(i), {"part-" + std::to_string(i)},
+                now);
   }
   CHECK(a.own_report().crashes.size() == 32);
 }
 
+// Guards against a report that does not fit into its row, and against the crash
+// of one server that drives all others out of the report: it cuts many answers
+// at once.
+TEST_CASE_FIXTURE(PromptQuarantineFixture,
+                  "PromptQuarantine, one crash cuts many answers, is one "
+                  "entry") {
+  const auto part = [](int number) {
+    return std::string(24, 'p') + std::to_string(10'000'000 + number);
+  };
+  for (int crash = 0; crash < 40; ++crash) {
+    Advance(milliseconds(200));
+    for (int answer = 0; answer < 20; ++answer) {
+      PromptParts parts;
+      for (int i = 0; i < 16; ++i) {
+        parts.push_back(part(crash * 1000 + answer * 16 + i));
+      }
+      a.NoteCrash("server-" + std::to_string(crash), parts, now);
+    }
+  }
+  CHECK(a.own_report().crashes.back().backend_id == "server-39");
+  CHECK(a.own_report().crashes.size() >= 8);
+  const ClockPair clocks{.local = now, .store = minutes(10)};
+  CHECK(EncodeCrashReport(a.own_report(), clocks).size() < 45000);
+}
+
+// Guards against sound parts that are refused because servers drop connections
+// without crashing.
+TEST_CASE_FIXTURE(PromptQuarantineFixture,
+                  "PromptQuarantine, server answers soon after, was no "
+                  "crash") {
+  for (int i = 0; i < 20; ++i) {
+    Advance(milliseconds(300));
+    const std::string server = "server-" + std::to_string(i % 8);
+    a.NoteCrash(server, {"rare"}, now);
+    const TimePoint asked = now + milliseconds(20);
+    Advance(milliseconds(60));
+    a.NoteAlive(server, asked, now);
+    Exchange();
+  }
+  CHECK_FALSE(b.Find({"rare"}));
+  CHECK(a.own_report().IsEmpty());
+}
+
+// Guards against a crash that is forgotten because the server answers after its
+// next start, under the same id, or had answered just before.
+TEST_CASE_FIXTURE(PromptQuarantineFixture,
+                  "PromptQuarantine, server back after seconds, had crashed") {
+  for (int i = 0; i < 3; ++i) {
+    Advance(milliseconds(4000));
+    const TimePoint asked = now - milliseconds(10);
+    a.NoteCrash("server", {"deadly"}, now);
+    a.NoteAlive("server", asked, now + milliseconds(1));
+    a.NoteAlive("server", now + milliseconds(3000), now + milliseconds(3100));
+    Exchange();
+  }
+  CHECK(b.Find({"deadly"}));
+}
+
+// Guards against a crash that looks like the end of an answer without a length:
+// what comes next tells whether the server lived on.
+TEST_CASE_FIXTURE(PromptQuarantineFixture,
+                  "PromptQuarantine, undelimited answers, count by what "
+                  "follows") {
+  for (int i = 0; i < 3; ++i) {
+    Advance(milliseconds(300));
+    const std::string server = "server-" + std::to_string(i);
+    a.NoteUndelimitedAnswer(server, {"deadly"}, now);
+    b.NoteUndelimitedAnswer(server, {"deadly"}, now);
+    a.NoteUnreachable(server, now + milliseconds(50));
+    Exchange();
+  }
+  CHECK(b.Find({"deadly"}));
+  Advance(milliseconds(300));
+  c.NoteUndelimitedAnswer("server-9", {"deadly"}, now);
+  c.NoteAlive("server-9", now + milliseconds(10), now + milliseconds(20));
+  Exchange();
+  CHECK_FALSE(a.Find({"deadly"}));
+}
+
+// Guards against refusing a sound caller whose streams are cut by the crashes
+// that another part causes.
+TEST_CASE_FIXTURE(PromptQuarantineFixture,
+                  "PromptQuarantine, crashes explained by another part, accuse "
+                  "no bystander") {
+  for (int i = 0; i < 5; ++i) {
+    Advance(milliseconds(300));
+    const std::string server = "server-" + std::to_string(i);
+    a.NoteCrash(server, {"caller-" + std::to_string(i), "deadly"}, now);
+    b.NoteCrash(server, {"bystander"}, now + milliseconds(5));
+    Exchange();
+    if (i == 0) {
+      // Only the crashing part stands at every crash.
+      c.NoteAnswer({"bystander"}, now + milliseconds(10));
+      Advance(milliseconds(20));
+      Exchange();
+    }
+  }
+  CHECK(c.Find({"deadly", "x"}));
+  CHECK_FALSE(c.Find({"bystander"}));
+}
+
+// Guards against a part that all requests share and that is refused because no
+// answer ended between three crashes.
+TEST_CASE_FIXTURE(PromptQuarantineFixture,
+                  "PromptQuarantine, answers under way on a part, the other "
+                  "part is accused") {
+  for (int i = 0; i < 4; ++i) {
+    Advance(milliseconds(300));
+    a.NoteCrash("server-" + std::to_string(i), {"common", "deadly"}, now);
+    a.NoteProgress({"common"}, now + milliseconds(100));
+  }
+  Advance(milliseconds(300));
+  a.NoteCrash("server-9", {"common"}, now);
+  CHECK(a.Find({"common", "deadly"}));
+  CHECK_FALSE(a.Find({"common", "other"}));
+}
+
+// Guards against a sound part that is refused for minutes, and against trials
+// of a crashing part by many processes.
+TEST_CASE_FIXTURE(PromptQuarantineFixture,
+                  "PromptQuarantine, trials, are few and by one process") {
+  for (int i = 0; i < 5; ++i) {
+    Crash(i % 2 == 0 ? a : b, {"deadly"});
+  }
+  int trials = 0;
+  for (int i = 0; i < 2800; ++i) {
+    Advance(milliseconds(100));
+    for (PromptQuarantine* process : {&a, &b, &c}) {
+      const auto verdict = process->Admit({"deadly"}, now);
+      if (!std::holds_alternative<PromptQuarantine::Match>(verdict)) {
+        ++trials;
+        process->NoteCrash("server-t" + std::to_string(i), {"deadly"}, now);
+        Exchange();
+      }
+    }
+  }
+  CHECK(trials >= 1);
+  CHECK(trials <= 3);
+}
+
+TEST_CASE_FIXTURE(PromptQuarantineFixture,
+                  "PromptQuarantine, trial is answered, part is released") {
+  for (int i = 0; i < 3; ++i) {
+    Crash(a, {"rare"});
+  }
+  Advance(std::chrono::seconds(11));
+  CHECK(
+      std::holds_alternative<PromptQuarantine::Match>(b.Admit({"rare"}, now)));
+  CHECK(std::holds_alternative<PromptQuarantine::AdmittedAsTrial>(
+      a.Admit({"rare"}, now)));
+  CHECK(
+      std::holds_alternative<PromptQuarantine::Match>(a.Admit({"rare"}, now)));
+  a.NoteAnswer({"rare"}, now);
+  Exchange();
+  CHECK_FALSE(a.Find({"rare"}));
+  CHECK_FALSE(b.Find({"rare"}));
+}
+
 // Guards against reports of other writers that end the process or never expire.
 TEST_CASE_FIXTURE(PromptQuarantineFixture,
                   "DecodeCrashReport, damaged text, reads what it can") {
--- a/tests/serving/serving_fixture.h
+++ b/tests/serving/serving_fixture.h
@@ -129,7 +129,10 @@
   }
   void Fail(OutboundCallId id, bool was_sent, const std::string& reason) {
     RemovePendingCall(id);
-    Deliver(CallEnd{.id = id, .was_sent = was_sent, .reason = reason});
+    Deliver(CallEnd{.id = id,
+                    .was_sent = was_sent,
+                    .was_dropped = was_sent,
+                    .reason = reason});
   }
   void Respond(OutboundCallId id,
                int status,
