Workers tell and ask the quarantine: items of a crashing part are held

After events of an answer their crashes were not even counted by the worker itself.

Cause: a worker counted only breaks of its own before the first event, and gave the item to other workers, which knew nothing of them. The quarantine was neither told nor asked by workers.

Change: a worker reports crashes and whole answers to the quarantine and asks it before each run. An item with a quarantined part keeps its claim for 10 s without a run, then it is looked at again, until the retention time of its job. Workers exchange crash reports while a job is open.

--- a/src/process/jobs/item_worker.cc
+++ b/src/process/jobs/item_worker.cc
@@ -34,6 +34,7 @@
                        StoreClient& store,
                        StoreTransferQueue& transfers,
                        BackendDirectory& backends,
+                       PromptQuarantine& quarantine,
                        OutboundCalls& calls,
                        const EventLoopClock& clock)
     : options_(std::move(options)),
@@ -42,6 +43,7 @@
       store_(store),
       transfers_(transfers),
       backends_(backends),
+      quarantine_(quarantine),
       calls_(calls),
       clock_(clock),
       random_(options_.seed) {}
@@ -124,25 +126,28 @@
   next_report_ = now + options_.report_interval;
   auto body = std::make_shared<std::string>();
   calls_.Start(platform::EncodeReportCall(options_.backend_address),
-               [this, body](CallEvent& event) {
-                 std::visit(Overloaded{
-                                [&](CallHead& head) { OnReportHead(head); },
-                                [&](CallData& data) { *body += data.bytes; },
-                                [&](CallEnd& end) {
-                                  is_report_pending_ = false;
-                                  const auto load =
-                                      platform::DecodeReport(*body);
-                                  if (end.is_complete && load) {
-                                    OnLoadReport(load.value(), clock_.now());
-                                  }
-                                },
-                            },
-                            event);
+               [this, body, now](CallEvent& event) {
+                 std::visit(
+                     Overloaded{
+                         [&](CallHead& head) { OnReportHead(head, now); },
+                         [&](CallData& data) { *body += data.bytes; },
+                         [&](CallEnd& end) {
+                           is_report_pending_ = false;
+                           const auto load = platform::DecodeReport(*body);
+                           if (end.is_complete && load) {
+                             OnLoadReport(load.value(), clock_.now());
+                           }
+                         },
+                     },
+                     event);
                });
 }
 
-void ItemWorker::OnReportHead(const CallHead& head) {
+void ItemWorker::OnReportHead(const CallHead& head, TimePoint asked_at) {
   const BackendDirectory::Backend* backend = LocalBackend();
+  if (backend != nullptr) {
+    quarantine_.NoteAlive(backend->registration.id, asked_at, clock_.now());
+  }
   NoteLocalPace(platform::DecodeBackendResponseHead(head).load, clock_.now());
   if (backend != nullptr && platform::AnnouncesLeaving(head.headers)) {
     backends_.NoteLeaving(backend->registration.id, clock_.now());
--- a/src/process/jobs/item_worker.h
+++ b/src/process/jobs/item_worker.h
@@ -15,6 +15,7 @@
 #include "process/jobs/job_table.h"
 #include "process/jobs/job_writer.h"
 #include "process/jobs/submission_reader.h"
+#include "process/quarantine/prompt_quarantine.h"
 #include "process/store/store_client.h"
 #include "process/store/store_transfer_queue.h"
 #include "process/transport/outbound_calls.h"
@@ -57,6 +58,9 @@
     // server. Longer than the random delay before a claim, so that one of them
     // can claim.
     std::chrono::milliseconds leave_time{800};
+    // How long an item is held whose prompt crashes backend servers, until it
+    // is looked at again.
+    std::chrono::milliseconds hold_time{10000};
     // A run without progress for this long is stopped and resumed.
     std::chrono::milliseconds silence_limit{2500};
   };
@@ -66,6 +70,7 @@
     std::uint64_t given_up = 0;  // listed without a complete result
     std::uint64_t yielded = 0;   // runs that were stopped for online requests
     std::uint64_t released = 0;  // claims that were released without a result
+    std::uint64_t held = 0;      // because of their prompts
   };
 
   ItemWorker(Options options,
@@ -74,6 +79,7 @@
              StoreClient& store,
              StoreTransferQueue& transfers,
              BackendDirectory& backends,
+             PromptQuarantine& quarantine,
              OutboundCalls& calls,
              const EventLoopClock& clock);
 
@@ -109,6 +115,11 @@
     int failures = 0;
     // Runs in a row that broke before their first event.
     int early_breaks = 0;
+    // The run tries a quarantined part of its prompt again.
+    bool is_trial = false;
+    // Whether the quarantine knows that the answer has gone on for long.
+    bool is_progress_noted = false;
+    TimePoint first_event_at{};
     std::chrono::milliseconds lease_end{0};
     bool is_renewing = false;
     // State of the current call to the backend server.
@@ -129,7 +140,7 @@
   };
 
   void RequestLoadReport(TimePoint now);
-  void OnReportHead(const CallHead& head);
+  void OnReportHead(const CallHead& head, TimePoint asked_at);
   void OnLoadReport(const BackendLoad& load, TimePoint now);
   // Stops up to `count` runs.
   void PreemptRuns(int count, TimePoint now);
@@ -192,11 +203,23 @@
   Run* FindLoading(const ItemKey& key);
   void StartPausedRuns(int count, TimePoint now);
   void StartRun(const ItemKey& key, Run& run, TimePoint now);
+  // Holds the item and returns true if backend servers crash on its prompt.
+  bool HoldIfQuarantined(const ItemKey& key, Run& run, TimePoint now);
+  // Stops the run but keeps its claim for `hold_time`, so that no worker runs
+  // the item. It is released for its retention time in any case.
+  void HoldItem(const ItemKey& key,
+                Run& run,
+                const std::string& part,
+                TimePoint now);
+  // Tells the quarantine how the answer of the run ended.
+  void NoteAnswerEnd(const Run& run, const CallEnd& end, TimePoint now);
   void OnEvent(const ItemKey& key, CallEvent& event);
   void AppendEvents(Run& run, const std::string& bytes, TimePoint now);
   void OnEnd(const ItemKey& key, Run& run, const CallEnd& end, TimePoint now);
   // Whether the run has sent all events of its item.
   static bool IsRunComplete(const Run& run, const CallEnd& end);
+  // Whether the backend server dropped the connection inside the answer.
+  static bool IsAnswerCut(const Run& run, const CallEnd& end);
   // Whether the connection of the run broke before its first event, as when
   // the backend server crashes on the item.
   static bool IsBrokenBeforeEvent(const Run& run, const CallEnd& end);
@@ -227,6 +250,7 @@
   StoreTransferQueue& transfers_;
   SubmissionReader submissions_{transfers_};
   BackendDirectory& backends_;
+  PromptQuarantine& quarantine_;
   OutboundCalls& calls_;
   const EventLoopClock& clock_;
   ServingConfigPtr config_;
--- a/src/process/jobs/item_worker_runs.cc
+++ b/src/process/jobs/item_worker_runs.cc
@@ -28,6 +28,9 @@
 // to other workers, and for how long: the item may crash its backend server.
 constexpr int kMaxEarlyBreaks = 3;
 constexpr std::chrono::seconds kCrashRetryDelay{15};
+// How much longer other workers leave a held item to the worker that held it,
+// which may be the one that tries its prompt again.
+constexpr milliseconds kHoldPriority{2000};
 
 }  // namespace
 
@@ -67,6 +70,9 @@
     ReleaseClaim(key, run, "the local backend server is too slow", now);
     return;
   }
+  if (HoldIfQuarantined(key, run, now)) {
+    return;
+  }
   run.state = RunState::kRunning;
   run.state_since = now;
   run.status = 0;
@@ -76,6 +82,7 @@
   run.is_text_too_long = false;
   run.event_splitter.Reset();
   run.has_run_event = false;
+  run.is_progress_noted = false;
   run.last_progress_at = now;
   run.started_at = now;
   run.backend_id = backend->registration.id;
@@ -96,6 +103,74 @@
       [this, key](CallEvent& event) { OnEvent(key, event); });
 }
 
+bool ItemWorker::HoldIfQuarantined(const ItemKey& key,
+                                   Run& run,
+                                   TimePoint now) {
+  if (run.is_trial) {
+    return false;
+  }
+  const PromptQuarantine::Verdict verdict =
+      quarantine_.Admit(run.prompt_parts, now);
+  run.is_trial =
+      std::holds_alternative<PromptQuarantine::AdmittedAsTrial>(verdict);
+  const auto* match = std::get_if<PromptQuarantine::Match>(&verdict);
+  if (match == nullptr) {
+    return false;
+  }
+  HoldItem(key, run, match->part, now);
+  return true;
+}
+
+void ItemWorker::HoldItem(const ItemKey& key,
+                          Run& run,
+                          const std::string& part,
+                          TimePoint now) {
+  Pause(run, now);
+  run.state = RunState::kReleasing;
+  ++counters_.held;
+  failed_locally_[key] = now + options_.hold_time;
+  LogDecision(LogEvent::kItemHeld, "job", key.first, "item", key.second, "id",
+              run.item.id, "part", part, "for_ms", options_.hold_time.count());
+  milliseconds lease_end =
+      store_.StoreTime(now) + options_.hold_time + kHoldPriority;
+  const JobTable::Entry* entry = jobs_.Find(key.first);
+  const ServingRoute* route =
+      entry == nullptr ? nullptr : FindRoute(entry->job);
+  if (route != nullptr && route->bulk.item_expiry.count() > 0) {
+    lease_end =
+        std::min(lease_end, entry->job.accepted + route->bulk.item_expiry);
+  }
+  const auto apply = [key, lease_end, progress = run.progress,
+                      node = options_.node](BulkJob& state,
+                                            RowsTransaction& transaction) {
+    JobItemState& item = state.items[key.second];
+    if (item.state != ItemState::kClaimed || item.owner != node) {
+      return JobWriter::Outcome::kAlreadyApplied;
+    }
+    item.lease_end = lease_end;
+    StorePartialRun(state, key.second, progress, transaction);
+    return JobWriter::Outcome::kChanged;
+  };
+  const auto done = [this, key](JobWriter::Outcome) { runs_.erase(key); };
+  writer_.Add(key.first, {.apply = apply, .done = done});
+}
+
+void ItemWorker::NoteAnswerEnd(const Run& run,
+                               const CallEnd& end,
+                               TimePoint now) {
+  if (!end.was_sent) {
+    quarantine_.NoteUnreachable(run.backend_id, now);
+  } else if (IsAnswerCut(run, end)) {
+    quarantine_.NoteCrash(run.backend_id, run.prompt_parts, now);
+  } else if (!end.is_complete || run.is_declined || run.is_response_invalid) {
+    return;
+  } else if (run.ends_with_connection) {
+    quarantine_.NoteUndelimitedAnswer(run.backend_id, run.prompt_parts, now);
+  } else {
+    quarantine_.NoteAnswer(run.prompt_parts, now);
+  }
+}
+
 void ItemWorker::OnEvent(const ItemKey& key, CallEvent& event) {
   const auto it = runs_.find(key);
   if (it == runs_.end()) {
@@ -109,6 +184,9 @@
                    const platform::BackendResponseHead response =
                        platform::DecodeBackendResponseHead(head);
                    NoteLocalPace(response.load, now);
+                   if (!response.is_misdirected) {
+                     quarantine_.NoteAlive(run.backend_id, run.started_at, now);
+                   }
                    if (response.is_leaving && !response.is_misdirected) {
                      backends_.NoteLeaving(run.backend_id, now);
                    }
@@ -162,6 +240,12 @@
     }
     progress.text += event.data;
     progress.last_event = *event.id;
+    if (!run.has_run_event) {
+      run.first_event_at = now;
+    } else if (now - run.first_event_at >= PromptQuarantine::kLongAnswer &&
+               !std::exchange(run.is_progress_noted, true)) {
+      quarantine_.NoteProgress(run.prompt_parts, now);
+    }
     run.last_progress_at = now;
     run.has_run_event = true;
     run.early_breaks = 0;
@@ -188,6 +272,13 @@
          run.progress.last_event > 0;
 }
 
+bool ItemWorker::IsAnswerCut(const Run& run, const CallEnd& end) {
+  const bool ends_early = run.event_splitter.HasPartialEvent() ||
+                          (run.ends_with_connection && !run.has_run_event);
+  return end.was_dropped ||
+         (end.is_complete && run.status == kOk && ends_early);
+}
+
 bool ItemWorker::IsBrokenBeforeEvent(const Run& run, const CallEnd& end) {
   const bool is_broken =
       !end.is_complete ||
@@ -202,6 +293,8 @@
                        const CallEnd& end,
                        TimePoint now) {
   run.early_breaks += IsBrokenBeforeEvent(run, end) ? 1 : 0;
+  run.is_trial = false;
+  NoteAnswerEnd(run, end, now);
   const JobTable::Entry* entry = jobs_.Find(key.first);
   const ServingRoute* route =
       entry == nullptr ? nullptr : FindRoute(entry->job);
--- a/src/process/serving/serving_core.h
+++ b/src/process/serving/serving_core.h
@@ -73,7 +73,7 @@
   // Continues the watches of the store and runs periodic work that is due.
   void Tick(TimePoint now);
   // Tells the other processes of crashes and reads theirs. Frontends call this
-  // in each iteration of the event loop.
+  // in each iteration of the event loop, workers while a job is open.
   void ExchangeCrashReports(TimePoint now);
   // Stops the HTTP client thread.
   void Stop();
--- a/src/process/serving/worker_process.cc
+++ b/src/process/serving/worker_process.cc
@@ -76,7 +76,7 @@
                           .reserved_slots = settings_.reserved_slots,
                           .seed = seed_},
       core_->jobs(), core_->writer(), core_->store(), core_->transfers(),
-      core_->backends(), core_->calls(), core_->clock());
+      core_->backends(), core_->quarantine(), core_->calls(), core_->clock());
   if (!settings_.listen_metrics.empty()) {
     BOOST_OUTCOME_TRY(
         metrics_server_,
@@ -103,6 +103,9 @@
     if (now >= next_tick) {
       next_tick = now + TickInterval();
       RunStep([&] {
+        if (worker_->HasOpenJob()) {
+          core_->ExchangeCrashReports(now);
+        }
         worker_->Tick(now);
         // Sends the job changes that the worker added.
         core_->Tick(now);
@@ -164,6 +167,7 @@
   count("given_up", c.given_up);
   count("yielded", c.yielded);
   count("released", c.released);
+  count("held", c.held);
   core_->UpdateMetrics(now);
 }
 
--- a/src/process/telemetry/events.cc
+++ b/src/process/telemetry/events.cc
@@ -100,6 +100,8 @@
       return "partial_unreadable";
     case LogEvent::kGiveUpDelayed:
       return "give_up_delayed";
+    case LogEvent::kItemHeld:
+      return "item_held";
     case LogEvent::kSlowStartBegan:
       return "slow_start_began";
     case LogEvent::kSlowStartEnded:
--- a/src/process/telemetry/events.h
+++ b/src/process/telemetry/events.h
@@ -94,6 +94,7 @@
   kItemDropped = 1955,
   kPartialUnreadable = 1956,
   kGiveUpDelayed = 1957,
+  kItemHeld = 1958,
   kSlowStartBegan = 1961,
   kSlowStartEnded = 1962,
   kPaceFiguresChanged = 1963,
--- a/tests/serving/item_worker_pace_test.cc
+++ b/tests/serving/item_worker_pace_test.cc
@@ -15,6 +15,7 @@
 
 struct ItemWorkerPaceFixture : JobFixture {
   BackendDirectory backends{1};
+  PromptQuarantine quarantine;
   ItemWorker worker{{.node = "side-1",
                      .backend_address = kOwnAddress,
                      .seed = 3,
@@ -24,6 +25,7 @@
                     store,
                     transfers,
                     backends,
+                    quarantine,
                     calls,
                     clock};
   // Fourth figure of the load header of reports; none if empty.
--- a/tests/serving/item_worker_test.cc
+++ b/tests/serving/item_worker_test.cc
@@ -13,6 +13,7 @@
 
 struct ItemWorkerFixture : JobFixture {
   BackendDirectory backends{1};
+  PromptQuarantine quarantine;
   ItemWorker worker{
       {.node = "side-1", .backend_address = kLocalAddress, .seed = 3},
       jobs,
@@ -20,6 +21,7 @@
       store,
       transfers,
       backends,
+      quarantine,
       calls,
       clock};
   int running = 0;
@@ -389,6 +391,7 @@
       store,
       transfers,
       backends,
+      quarantine,
       calls,
       clock};
   restarted.SetConfig(
--- a/tests/serving/worker_fleet_fixture.h
+++ b/tests/serving/worker_fleet_fixture.h
@@ -2,10 +2,12 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "process/jobs/item_worker.h"
+#include "process/quarantine/crash_report_exchange.h"
 #include "serving/job_fixture.h"
 
 namespace carawayrelay {
@@ -25,6 +27,10 @@
           transfers({.seed = static_cast<std::uint64_t>(number)},
                     fixture.store.sender(),
                     fixture.clock),
+          crash_reports("side-" + std::to_string(number),
+                        quarantine,
+                        fixture.store,
+                        fixture.clock),
           watch({.table = job_rows::kStates,
                  .parts = job_rows::Parts(),
                  .wait = std::chrono::milliseconds(1000),
@@ -42,6 +48,7 @@
                  fixture.store,
                  transfers,
                  backends,
+                 quarantine,
                  fixture.calls,
                  fixture.clock) {
       backends.Apply({BackendRow("server-" + std::to_string(number), address)},
@@ -53,6 +60,7 @@
     void Tick(TimePoint now) {
       watch.Tick(now);
       jobs.SetUpToDateAt(watch.up_to_date_at());
+      crash_reports.Tick(now);
       worker.Tick(now);
       writer.Tick(now);
       transfers.Tick(now);
@@ -63,6 +71,8 @@
     JobWriter writer;
     StoreTransferQueue transfers;
     BackendDirectory backends{1};
+    PromptQuarantine quarantine;
+    CrashReportExchange crash_reports;
     TableWatch watch;
     ItemWorker worker;
   };
@@ -140,14 +150,22 @@
   // handles it in `on_run`.
   void AnswerBackendCalls() {
     for (const OutboundCall& call : BackendCalls()) {
-      if (call.target == "/report") {
+      if (down.contains(call.address)) {
+        Fail(call.id, /*was_sent=*/false, "Couldn't connect to server");
+      } else if (call.target == "/report") {
         Respond(call.id, 200, {}, R"({"running":0,"queued":0})");
       } else if (!on_run || !on_run(call)) {
         Respond(call.id, 200, SignedFor(call),
-                "id: 1\ndata: one\n\nid: 2\ndata: two\n\n");
+                EventsAfter(FindHeader(call.headers, "last-event-id")));
       }
     }
   }
+  // Returns the two events that follow the event `last`.
+  static std::string EventsAfter(const std::string& last) {
+    const int first = last.empty() ? 1 : std::stoi(last) + 1;
+    return "id: " + std::to_string(first) +
+           "\ndata: x\n\nid: " + std::to_string(first + 1) + "\ndata: y\n\n";
+  }
   static HeaderList SignedFor(const OutboundCall& call) {
     return {{"x-carawayrelay-request-id",
              FindHeader(call.headers, "x-carawayrelay-request-id")},
@@ -158,6 +176,7 @@
   std::map<OutboundCallId, Transfer> link;
   // Returns whether the test answers the run of an item itself; may be empty.
   std::function<bool(const OutboundCall&)> on_run;
+  std::set<std::string> down;  // addresses of backend servers
   size_t bytes_of_whole_transfers = 0;
   int begun_transfers = 0;
   int lost_transfers = 0;
