A status that is none is no answer, for every reader of answers

Cause: each of the four HTTP readers took what libcurl reports as status and only set aside what is below 200. libcurl accepts any three digits. 000 to 199 did not reach a client here, because their answers have no final head.

Change: CurlAnswer judges heads for AsyncHttpClient (online streams and answers, batch items, reports, reservations, the frontends' and workers' store), HttpClient (store of the role entry, commands, traces) and BackendClient (role agent): a final status is 200 to 599, anything else ends the call as one that may have run. LoadPoller takes a report only with 200; it used to take any answer.

Tests, seen to fail before: "status that is none" for AsyncHttpClient (600, 999), HttpClient (600) and BackendClient (600, 999). Not seen without the change: "LoadPoller, answer that is no success, is no report". A reset during a long upload is tested for all three readers at six delays: libcurl reports it as an error, so these held before.

--- a/src/process/agent/backend_client.cc
+++ b/src/process/agent/backend_client.cc
@@ -9,6 +9,7 @@
 #include <variant>
 
 #include "process/telemetry/log.h"
+#include "process/transport/curl_answer.h"
 #include "process/transport/ring.h"
 
 namespace carawayrelay {
@@ -72,6 +73,7 @@
     BackendResponse response;
     EasyPtr easy;
     ListPtr headers;
+    CurlAnswer answer;
     std::string check_error;  // empty unless the response failed a check
     bool is_connected = false;
   };
@@ -207,6 +209,10 @@
   static size_t OnHeader(char* data, size_t size, size_t count, void* user) {
     auto& transfer = *static_cast<Transfer*>(user);
     const std::string_view line(data, size * count);
+    if (!transfer.answer.AddHeaderLine(transfer.easy.get(), line)) {
+      transfer.check_error = transfer.answer.abort_reason();
+      return 0;  // makes libcurl end the call
+    }
     if (line == "\r\n" || line == "\n") {
       transfer.client->OnHeadersEnd(transfer);
     }
@@ -214,15 +220,13 @@
   }
 
   void OnHeadersEnd(Transfer& transfer) {
-    long status = 0;
-    const char* content_type = nullptr;
-    CURL* easy = transfer.easy.get();
-    curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
-    curl_easy_getinfo(easy, CURLINFO_CONTENT_TYPE, &content_type);
-    if (status < 200) {
+    if (!transfer.answer.has_head()) {
       return;
     }
-    transfer.response.OnHeaders(static_cast<int>(status),
+    const char* content_type = nullptr;
+    curl_easy_getinfo(transfer.easy.get(), CURLINFO_CONTENT_TYPE,
+                      &content_type);
+    transfer.response.OnHeaders(transfer.answer.status(),
                                 content_type == nullptr ? "" : content_type);
     if (transfer.response.IsSuccess()) {
       deliver_(BackendStarted{transfer.call.call});
@@ -262,6 +266,11 @@
     // server has a free slot when the admission controller reuses it.
     std::unique_ptr<Transfer> owned = RemoveTransfer(transfer.call.call);
     if (code == CURLE_OK) {
+      if (auto reason = owned->answer.IncompleteReason(
+              owned->easy.get(), owned->call.body.size())) {
+        DeliverEnd(owned->response.Fail(*std::move(reason), true));
+        return;
+      }
       BackendResponse::Outcome outcome = owned->response.Finish();
       if (!outcome.last_part.empty()) {
         deliver_(BackendPart{owned->call.call, std::move(outcome.last_part)});
--- a/src/process/agent/backend_response.cc
+++ b/src/process/agent/backend_response.cc
@@ -93,10 +93,6 @@
 }
 
 BackendResponse::Outcome BackendResponse::Finish() {
-  if (http_status_ == 0) {
-    // libcurl takes a response that ends inside its head for a complete one.
-    return {.end = Fail("response ended inside its head", true)};
-  }
   if (options_.kind == BackendKind::kService) {
     return MakeEnd("");
   }
--- a/src/process/agent/load_poller.cc
+++ b/src/process/agent/load_poller.cc
@@ -14,6 +14,7 @@
 
 constexpr std::chrono::milliseconds kPollTimeout{1000};
 constexpr size_t kMaxReportBytes = size_t{64} << 10;
+constexpr long kOk = 200;
 
 struct EasyDeleter {
   void operator()(CURL* easy) const { curl_easy_cleanup(easy); }
@@ -96,7 +97,9 @@
     if (code == CURLE_COULDNT_CONNECT) {
       return LoadReport{.is_reachable = false};
     }
-    if (code != CURLE_OK) {
+    long status = 0;
+    curl_easy_getinfo(easy_.get(), CURLINFO_RESPONSE_CODE, &status);
+    if (code != CURLE_OK || status != kOk) {
       return std::nullopt;
     }
     return ParseLoadReport(text);
--- a/src/process/transport/async_http_client.cc
+++ b/src/process/transport/async_http_client.cc
@@ -14,6 +14,7 @@
 #include <utility>
 #include <variant>
 
+#include "process/transport/curl_answer.h"
 #include "process/transport/ring.h"
 
 namespace carawayrelay {
@@ -102,7 +103,7 @@
     EasyPtr easy;
     ListPtr headers;
     bool was_sent = false;
-    bool has_head = false;  // the whole head of the response arrived
+    CurlAnswer answer;
     size_t head_bytes = 0;
     size_t body_bytes = 0;
     // Why this client ended the call itself; empty if it did not.
@@ -254,6 +255,10 @@
                               std::to_string(kMaxHeadBytes) + " bytes";
       return 0;  // makes libcurl end the call
     }
+    if (!transfer.answer.AddHeaderLine(transfer.easy.get(), line)) {
+      transfer.abort_reason = transfer.answer.abort_reason();
+      return 0;  // makes libcurl end the call
+    }
     if (line.starts_with("HTTP/")) {
       transfer.head.headers.clear();
       return line.size();
@@ -272,13 +277,10 @@
   }
 
   void OnHeadersEnd(Transfer& transfer) {
-    long status = 0;
-    curl_easy_getinfo(transfer.easy.get(), CURLINFO_RESPONSE_CODE, &status);
-    if (status < 200) {
+    if (!transfer.answer.has_head()) {
       return;
     }
-    transfer.has_head = true;
-    transfer.head.status = static_cast<int>(status);
+    transfer.head.status = transfer.answer.status();
     deliver_(std::move(transfer.head));
     transfer.head = {.id = transfer.call.id};
   }
@@ -309,11 +311,13 @@
       // Closes a connection that is not reused before CallEnd is delivered.
       const auto transfer =
           RemoveTransfer(static_cast<Transfer*>(user)->call.id);
-      deliver_(CallEnd{.id = transfer->call.id,
-                       .is_complete = code == CURLE_OK && transfer->has_head,
-                       .was_sent = transfer->was_sent,
-                       .was_dropped = WasDropped(*transfer, code),
-                       .reason = EndReason(*transfer, code)});
+      const std::string reason = EndReason(*transfer, code);
+      deliver_(
+          CallEnd{.id = transfer->call.id,
+                  .is_complete = reason.empty(),
+                  .was_sent = transfer->was_sent,
+                  .was_dropped = !reason.empty() && WasDropped(*transfer, code),
+                  .reason = reason});
     }
   }
 
@@ -323,7 +327,6 @@
     }
     switch (code) {
       case CURLE_OK:
-        return !transfer.has_head;
       case CURLE_GOT_NOTHING:
       case CURLE_PARTIAL_FILE:
       case CURLE_RECV_ERROR:
@@ -334,6 +337,7 @@
     }
   }
 
+  // Returns why the response is not whole, or an empty string.
   static std::string EndReason(const Transfer& transfer, CURLcode code) {
     if (!transfer.abort_reason.empty()) {
       return transfer.abort_reason;
@@ -341,8 +345,9 @@
     if (code != CURLE_OK) {
       return curl_easy_strerror(code);
     }
-    // libcurl takes a response that ends inside its head for a complete one.
-    return transfer.has_head ? "" : "the response ended inside its head";
+    return transfer.answer
+        .IncompleteReason(transfer.easy.get(), transfer.call.body.size())
+        .value_or("");
   }
 
   // Removes and returns a transfer, or nullptr if the id is unknown. libcurl
--- a/src/process/transport/http_client.cc
+++ b/src/process/transport/http_client.cc
@@ -6,6 +6,7 @@
 #include <cctype>
 #include <utility>
 
+#include "process/transport/curl_answer.h"
 #include "process/transport/endpoint.h"
 
 namespace carawayrelay {
@@ -26,8 +27,8 @@
 struct Reception {
   HttpResponse& response;
   size_t bytes_left;  // until the limit
-  // The head of the response, or of an interim response, arrived as a whole.
-  bool has_head = false;
+  CURL* easy;
+  CurlAnswer answer{};
 
   // Counts `size` more bytes. Returns false when they exceed the limit.
   bool Take(size_t size) {
@@ -64,7 +65,9 @@
   if (!reception.Take(line.size())) {
     return 0;
   }
-  reception.has_head = line == "\r\n" || line == "\n";
+  if (!reception.answer.AddHeaderLine(reception.easy, line)) {
+    return 0;
+  }
   const size_t colon = line.find(':');
   if (colon != std::string_view::npos) {
     std::string name(line.substr(0, colon));
@@ -115,23 +118,23 @@
       AddHeader(headers, header);
     }
     Reception reception{.response = response,
-                        .bytes_left = options_.max_response_bytes};
+                        .bytes_left = options_.max_response_bytes,
+                        .easy = curl_.get()};
     Prepare(call, headers.get(), reception);
     const CURLcode code = curl_easy_perform(curl_.get());
     if (code != CURLE_OK) {
+      const std::string& refused = reception.answer.abort_reason();
       return Error{WasSent() ? ErrorCode::kUnknown : ErrorCode::kUnavailable,
-                   options_.base_url + ": " + curl_easy_strerror(code)};
+                   options_.base_url + ": " +
+                       (refused.empty() ? curl_easy_strerror(code) : refused)};
     }
-    // libcurl takes a response that ends inside its head for a complete one.
-    if (!reception.has_head) {
-      return Error{ErrorCode::kUnknown,
-                   options_.base_url + ": the response ended inside its head"};
+    if (const auto reason =
+            reception.answer.IncompleteReason(curl_.get(), call.body.size())) {
+      return Error{ErrorCode::kUnknown, options_.base_url + ": " + *reason};
     }
-    long status = 0;
     long connects = 0;
-    curl_easy_getinfo(curl_.get(), CURLINFO_RESPONSE_CODE, &status);
     curl_easy_getinfo(curl_.get(), CURLINFO_NUM_CONNECTS, &connects);
-    response.status = static_cast<int>(status);
+    response.status = reception.answer.status();
     response.maybe_repeated = connects > 0 && has_connected_;
     has_connected_ = true;
     return response;
--- a/tests/process/truncated_answer_test.cc
+++ b/tests/process/truncated_answer_test.cc
@@ -1,14 +1,19 @@
 #include <doctest/doctest.h>
 
+#include <array>
+#include <asio/completion_condition.hpp>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/read.hpp>
 #include <asio/read_until.hpp>
 #include <asio/streambuf.hpp>
 #include <asio/write.hpp>
 #include <chrono>
+#include <memory>
 #include <string>
 #include <thread>
 #include <variant>
+#include <vector>
 
 #include "carawayrelay/process.h"
 
@@ -46,9 +51,251 @@
     call();
     server.join();
   }
+  // Sends `answer` while the request is still being written, and breaks the
+  // connection `delay` later, while `call` runs.
+  template <class Call>
+  void ServeAndReset(const std::string& answer,
+                     milliseconds delay,
+                     const Call& call) {
+    std::thread server([&] {
+      tcp::socket socket = acceptor.accept();
+      asio::streambuf request;
+      asio::read_until(socket, request, "\r\n\r\n");
+      asio::write(socket, asio::buffer(answer));
+      std::this_thread::sleep_for(delay);
+      socket.set_option(asio::socket_base::linger(true, 0));
+      socket.close();
+    });
+    call();
+    server.join();
+  }
+  // The same, but ends the own side of the connection before it breaks it.
+  template <class Call>
+  void ServeAndHalfClose(const std::string& answer, const Call& call) {
+    std::thread server([&] {
+      tcp::socket socket = acceptor.accept();
+      asio::streambuf request;
+      asio::read_until(socket, request, "\r\n\r\n");
+      asio::write(socket, asio::buffer(answer));
+      socket.shutdown(tcp::socket::shutdown_send);
+      std::this_thread::sleep_for(milliseconds(200));
+    });
+    call();
+    server.join();
+  }
+  // Reads a request with a body of `body_bytes`, sends the whole of `answer`
+  // and closes the connection.
+  template <class Call>
+  void ServeWhole(const std::string& answer,
+                  size_t body_bytes,
+                  const Call& call) {
+    std::thread server([&] {
+      tcp::socket socket = acceptor.accept();
+      asio::streambuf request;
+      const size_t head_bytes = asio::read_until(socket, request, "\r\n\r\n");
+      const size_t bytes = head_bytes + body_bytes;
+      if (request.size() < bytes) {
+        asio::read(socket, request,
+                   asio::transfer_exactly(bytes - request.size()));
+      }
+      asio::write(socket, asio::buffer(answer));
+    });
+    call();
+    server.join();
+  }
+  // Calls the server and returns the events up to the end.
+  std::vector<CallEvent> EventsOf(const std::string& body) const {
+    Ring<CallEvent> ring{64};
+    const auto client = AsyncHttpClient::Make({}, [&](CallEvent event) {
+                          ring.Push(std::move(event));
+                        }).value();
+    client->Start({.id = OutboundCallId{1},
+                   .address = address(),
+                   .method = "POST",
+                   .target = "/",
+                   .body = body});
+    std::vector<CallEvent> events;
+    const TimePoint limit = BootClock::now() + milliseconds(5000);
+    while (auto event = ring.PopUntil(limit)) {
+      events.push_back(*std::move(event));
+      if (std::holds_alternative<CallEnd>(events.back())) {
+        return events;
+      }
+    }
+    FAIL("the call did not end");
+    return events;
+  }
+  // Calls the server as the role agent does and returns the last event.
+  BackendEvent LastEventOf(BackendKind kind, const std::string& body) const {
+    Ring<BackendEvent> ring{64};
+    const auto client =
+        BackendClient::Make(
+            {.url = "http://" + address(), .kind = kind},
+            [&](BackendEvent event) { ring.Push(std::move(event)); })
+            .value();
+    client->Start(
+        {.call = CallId{1}, .method = "POST", .path = "/", .body = body});
+    const TimePoint limit = BootClock::now() + milliseconds(5000);
+    while (auto event = ring.PopUntil(limit)) {
+      if (std::holds_alternative<BackendEnd>(*event) ||
+          std::holds_alternative<BackendFailed>(*event)) {
+        return *std::move(event);
+      }
+    }
+    FAIL("the call did not end");
+    return BackendFailed{};
+  }
+
   static constexpr size_t kHeadBytes = std::char_traits<char>::length(kHead);
+  // More than the buffers of a connection hold.
+  static constexpr size_t kLongUpload = size_t{32} << 20;
+  static constexpr std::array<milliseconds, 6> kDelays = {
+      milliseconds(0),  milliseconds(1),  milliseconds(5),
+      milliseconds(20), milliseconds(60), milliseconds(200)};
+  static constexpr const char* kPartOfAnswer =
+      "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\npart";
+  // Statuses that no answer has.
+  static constexpr std::array<const char*, 6> kNoStatuses = {
+      "000", "001", "099", "100", "600", "999"};
+  static std::string AnswerWithStatus(const std::string& status) {
+    return "HTTP/1.1 " + status +
+           " Odd\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\n"
+           "text";
+  }
 };
 
+// Guards against a part of an answer that is taken for the whole: the server
+// answers a long upload without a length and resets the connection while the
+// upload is still being written.
+TEST_CASE_FIXTURE(TruncatedAnswerFixture,
+                  "AsyncHttpClient, reset during the upload, call is not "
+                  "complete") {
+  for (const milliseconds delay : kDelays) {
+    CAPTURE(delay.count());
+    ServeAndReset(kPartOfAnswer, delay, [&] {
+      const std::vector<CallEvent> events =
+          EventsOf(std::string(kLongUpload, 'x'));
+      const auto& end = std::get<CallEnd>(events.back());
+      CHECK_FALSE(end.is_complete);
+      CHECK(end.was_dropped);
+      CHECK_FALSE(end.reason.empty());
+    });
+  }
+}
+
+TEST_CASE_FIXTURE(TruncatedAnswerFixture,
+                  "HttpClient, reset during the upload, fails with unknown") {
+  const auto client =
+      HttpClient::Make({.base_url = "http://" + address()}).value();
+  for (const milliseconds delay : kDelays) {
+    CAPTURE(delay.count());
+    ServeAndReset(kPartOfAnswer, delay, [&] {
+      const auto response =
+          client->Send({.method = "PUT",
+                        .target = "/a",
+                        .body = std::string(kLongUpload, 'x')});
+      REQUIRE_FALSE(response);
+      CHECK(response.error().code == ErrorCode::kUnknown);
+    });
+  }
+}
+
+TEST_CASE_FIXTURE(TruncatedAnswerFixture,
+                  "BackendClient, reset during the upload, call fails") {
+  for (const milliseconds delay : kDelays) {
+    CAPTURE(delay.count());
+    ServeAndReset(kPartOfAnswer, delay, [&] {
+      const BackendEvent last =
+          LastEventOf(BackendKind::kService, std::string(kLongUpload, 'x'));
+      REQUIRE(std::holds_alternative<BackendFailed>(last));
+      CHECK(std::get<BackendFailed>(last).run_state != RunState::kNotRun);
+    });
+  }
+}
+
+// Guards against calls that fail although their answers are whole: they end
+// with the connection, or come before the upload is over.
+TEST_CASE_FIXTURE(TruncatedAnswerFixture,
+                  "HTTP clients, whole answers without a length, are "
+                  "complete") {
+  const std::string body(1000, 'x');
+  ServeWhole(kPartOfAnswer, body.size(), [&] {
+    const std::vector<CallEvent> events = EventsOf(body);
+    CHECK(std::get<CallEnd>(events.back()).is_complete);
+  });
+  ServeWhole(kPartOfAnswer, body.size(), [&] {
+    CHECK(std::holds_alternative<BackendEnd>(
+        LastEventOf(BackendKind::kService, body)));
+  });
+  const auto client =
+      HttpClient::Make({.base_url = "http://" + address()}).value();
+  ServeWhole(kPartOfAnswer, body.size(), [&] {
+    CHECK(client->Send({.method = "PUT", .target = "/a", .body = body}));
+  });
+  ServeAndReset(AnswerWithStatus("413"), milliseconds(100), [&] {
+    const std::vector<CallEvent> events =
+        EventsOf(std::string(kLongUpload, 'x'));
+    CHECK(std::get<CallEnd>(events.back()).is_complete);
+  });
+}
+
+// Guards against bytes with a status that is none and that reach a client as an
+// answer.
+TEST_CASE_FIXTURE(TruncatedAnswerFixture,
+                  "AsyncHttpClient, status that is none, is no answer") {
+  for (const char* status : kNoStatuses) {
+    CAPTURE(std::string(status));
+    ServeWhole(AnswerWithStatus(status), 1, [&] {
+      const std::vector<CallEvent> events = EventsOf("x");
+      CHECK(events.size() == 1);
+      CHECK_FALSE(std::get<CallEnd>(events.back()).is_complete);
+    });
+  }
+}
+
+TEST_CASE_FIXTURE(TruncatedAnswerFixture,
+                  "HttpClient, status that is none, fails with unknown") {
+  for (const char* status : kNoStatuses) {
+    CAPTURE(std::string(status));
+    const auto client =
+        HttpClient::Make({.base_url = "http://" + address()}).value();
+    ServeWhole(AnswerWithStatus(status), 0, [&] {
+      const auto response = client->Send({.method = "PUT", .target = "/a"});
+      REQUIRE_FALSE(response);
+      CHECK(response.error().code == ErrorCode::kUnknown);
+    });
+  }
+}
+
+TEST_CASE_FIXTURE(TruncatedAnswerFixture,
+                  "BackendClient, status that is none, call fails") {
+  for (const char* status : kNoStatuses) {
+    CAPTURE(std::string(status));
+    ServeWhole(AnswerWithStatus(status), 1, [&] {
+      CHECK(std::holds_alternative<BackendFailed>(
+          LastEventOf(BackendKind::kService, "x")));
+    });
+  }
+}
+
+// Guards against a report of load that is none.
+TEST_CASE_FIXTURE(TruncatedAnswerFixture,
+                  "LoadPoller, answer that is no success, is no report") {
+  for (const char* status : {"000", "600", "500"}) {
+    CAPTURE(std::string(status));
+    Ring<LoadReport> reports{64};
+    std::unique_ptr<LoadPoller> poller;
+    ServeWhole(AnswerWithStatus(status), 0, [&] {
+      poller = LoadPoller::Make(
+                   {.url = "http://" + address(), .interval = milliseconds(50)},
+                   [&](LoadReport report) { reports.TryPush(report); })
+                   .value();
+      CHECK_FALSE(reports.PopUntil(BootClock::now() + milliseconds(300)));
+      poller->Stop();
+    });
+  }
+}
+
 // Guards against an answer that breaks off inside its head and is taken for a
 // whole one with an empty body.
 TEST_CASE_FIXTURE(TruncatedAnswerFixture,
