An answer without a length that ends during the upload is not whole

Cause: libcurl takes the end of the connection for the end of such an answer, whether or not the request was sent. A plain reset is an error for it and was reported as such; but when the server ends its side first and resets after, all three readers took the part as complete.

Change: an answer that ends with its connection is whole only if the whole request was sent before (CurlAnswer::IncompleteReason). Answers with a length, or in chunks, may still come before the upload is over, and small requests are not concerned.

Test: "HTTP clients, answer without a length ends during the upload" failed on the former sources for AsyncHttpClient and HttpClient (it stopped there); it covers BackendClient as well. "Whole answers without a length, are complete" keeps sound answers sound.

--- a/src/process/transport/curl_answer.cc
+++ b/src/process/transport/curl_answer.cc
@@ -56,6 +56,13 @@
   if (!has_head_) {
     return "the response ended inside its head";
   }
+  curl_off_t sent = 0;
+  curl_easy_getinfo(easy, CURLINFO_SIZE_UPLOAD_T, &sent);
+  if (!IsDelimited() && static_cast<size_t>(sent) < request_bytes) {
+    // The end of such an answer cannot be told from a broken connection.
+    return "the connection ended before the request was sent, in a response "
+           "without a length";
+  }
   return std::nullopt;
 }
 
--- a/tests/process/truncated_answer_test.cc
+++ b/tests/process/truncated_answer_test.cc
@@ -213,6 +213,32 @@
   }
 }
 
+// The same when the server ends its side of the connection first: libcurl takes
+// that for the end of the answer.
+TEST_CASE_FIXTURE(TruncatedAnswerFixture,
+                  "HTTP clients, answer without a length ends during the "
+                  "upload, is not complete") {
+  const std::string upload(kLongUpload, 'x');
+  ServeAndHalfClose(kPartOfAnswer, [&] {
+    const std::vector<CallEvent> events = EventsOf(upload);
+    const auto& end = std::get<CallEnd>(events.back());
+    CHECK_FALSE(end.is_complete);
+    CHECK(end.was_dropped);
+  });
+  const auto client =
+      HttpClient::Make({.base_url = "http://" + address()}).value();
+  ServeAndHalfClose(kPartOfAnswer, [&] {
+    const auto response =
+        client->Send({.method = "PUT", .target = "/a", .body = upload});
+    REQUIRE_FALSE(response);
+    CHECK(response.error().code == ErrorCode::kUnknown);
+  });
+  ServeAndHalfClose(kPartOfAnswer, [&] {
+    CHECK(std::holds_alternative<BackendFailed>(
+        LastEventOf(BackendKind::kService, upload)));
+  });
+}
+
 // Guards against calls that fail although their answers are whole: they end
 // with the connection, or come before the upload is over.
 TEST_CASE_FIXTURE(TruncatedAnswerFixture,
