Workers: a long text that cannot be written is written again, its item is not run again

The backend server got the finished item once more, the write failed again, and so on without a pause; meanwhile the lease was not renewed.

Change: the text goes through StoreTransferQueue, which repeats the write with growing random pauses, and the lease is renewed while it waits (RunState::kStoring).

--- a/src/process/jobs/item_worker.h
+++ b/src/process/jobs/item_worker.h
@@ -102,6 +102,7 @@
     kLoading,   // the request or partial result is being read
     kPaused,    // waiting for a free slot
     kRunning,   // a call to the backend server is running
+    kStoring,   // the text of the result is being written to an object
     kListing,   // the result is being written
     kReleasing  // the claim is being released
   };
@@ -199,8 +200,8 @@
   // Records that items could not be read. Nothing is claimed for a growing,
   // random time, because the other workers failed at the same moment.
   void NoteLoadFailed(TimePoint now);
-  // Returns the run of the item if what it needs is being read, or nullptr.
-  Run* FindLoading(const ItemKey& key);
+  // Returns the run of the item if it is in this state, or nullptr.
+  Run* FindRun(const ItemKey& key, RunState state);
   void StartPausedRuns(int count, TimePoint now);
   void StartRun(const ItemKey& key, Run& run, TimePoint now);
   // Holds the item and returns true if backend servers crash on its prompt.
@@ -231,6 +232,8 @@
                   bool is_complete,
                   const std::string& reason,
                   TimePoint now);
+  // Writes a text that is too long for a row to an object, then lists it.
+  void StoreText(const ItemKey& key, Run& run, ItemResult result);
   void ListResult(const ItemKey& key, const ItemResult& result);
   void ReleaseClaim(const ItemKey& key,
                     Run& run,
--- a/src/process/jobs/item_worker_claims.cc
+++ b/src/process/jobs/item_worker_claims.cc
@@ -225,7 +225,7 @@
   }
   for (const size_t index : items) {
     const ItemKey key{job, index};
-    Run* run = FindLoading(key);
+    Run* run = FindRun(key, RunState::kLoading);
     if (run == nullptr) {
       continue;
     }
@@ -258,7 +258,7 @@
        .bytes = job_rows::kMaxValueBytes,
        .time_limit = kLoadLimit},
       [this, key](const StoreResponse& response) {
-        Run* run = FindLoading(key);
+        Run* run = FindRun(key, RunState::kLoading);
         if (run == nullptr) {
           return;
         }
@@ -293,11 +293,9 @@
   next_claim_ = now + milliseconds(pause(random_));
 }
 
-ItemWorker::Run* ItemWorker::FindLoading(const ItemKey& key) {
+ItemWorker::Run* ItemWorker::FindRun(const ItemKey& key, RunState state) {
   const auto it = runs_.find(key);
-  return it != runs_.end() && it->second.state == RunState::kLoading
-             ? &it->second
-             : nullptr;
+  return it != runs_.end() && it->second.state == state ? &it->second : nullptr;
 }
 
 }  // namespace carawayrelay
--- a/src/process/jobs/item_worker_runs.cc
+++ b/src/process/jobs/item_worker_runs.cc
@@ -18,6 +18,9 @@
 // How often a claim is renewed and the text so far is stored with it. What a
 // run produced since then is lost if the VM of the worker fails.
 constexpr milliseconds kRenewalInterval{3000};
+// No attempt to write the text of a result begins later than this after the end
+// of its run. The lease is renewed meanwhile.
+constexpr milliseconds kStoreLimit{20000};
 constexpr int kOk = 200;
 // Status of a backend server that can never process the item.
 constexpr int kUnprocessable = 422;
@@ -341,13 +344,13 @@
                             bool is_complete,
                             const std::string& reason,
                             TimePoint now) {
-  run.state = RunState::kListing;
   run.state_since = now;
   LogDecision(LogEvent::kItemFinished, "job", key.first, "item", key.second,
               "id", run.item.id, "outcome", reason, "events",
               run.progress.last_event, "failures", run.failures);
   ++(is_complete ? counters_.completed : counters_.given_up);
   ItemResult result{.item = run.item.id, .is_complete = is_complete};
+  run.state = RunState::kListing;
   if (!is_complete) {
     ListResult(key, result);
     return;
@@ -357,23 +360,32 @@
     ListResult(key, result);
     return;
   }
+  StoreText(key, run, std::move(result));
+}
+
+void ItemWorker::StoreText(const ItemKey& key, Run& run, ItemResult result) {
+  run.state = RunState::kStoring;
   result.text.clear();
   result.object = job_rows::ResultObject(key.first, key.second);
-  store_.Send(ObjectWrite{.name = result.object, .data = run.progress.text},
-              [this, key, result](const StoreResponse& response) {
-                const auto it = runs_.find(key);
-                if (it == runs_.end()) {
-                  return;
-                }
-                if (response.status == StoreStatus::kDone ||
-                    response.status == StoreStatus::kConditionFailed) {
-                  ListResult(key, result);
-                } else {
-                  // The text is complete, so the resumed run ends at once and
-                  // the result is written again.
-                  Pause(it->second, clock_.now());
-                }
-              });
+  transfers_.Add(
+      {.request = ObjectWrite{.name = result.object, .data = run.progress.text},
+       .bytes = run.progress.text.size(),
+       .time_limit = kStoreLimit},
+      [this, key, result](const StoreResponse& response) {
+        Run* storing = FindRun(key, RunState::kStoring);
+        if (storing == nullptr) {
+          return;
+        }
+        if (response.status == StoreStatus::kDone ||
+            response.status == StoreStatus::kConditionFailed) {
+          storing->state = RunState::kListing;
+          ListResult(key, result);
+        } else {
+          // The text is complete, so the resumed run ends at once and the
+          // result is written again.
+          Pause(*storing, clock_.now());
+        }
+      });
 }
 
 void ItemWorker::ListResult(const ItemKey& key, const ItemResult& result) {
@@ -422,9 +434,9 @@
 void ItemWorker::RenewClaims(TimePoint now) {
   const milliseconds store_now = store_.StoreTime(now);
   for (auto& [key, run] : runs_) {
-    const bool needs_claim = run.state == RunState::kLoading ||
-                             run.state == RunState::kRunning ||
-                             run.state == RunState::kPaused;
+    const bool needs_claim =
+        run.state == RunState::kLoading || run.state == RunState::kRunning ||
+        run.state == RunState::kStoring || run.state == RunState::kPaused;
     if (!needs_claim || run.is_renewing ||
         run.lease_end - store_now > options_.lease - kRenewalInterval) {
       continue;
--- a/tests/serving/large_job_test.cc
+++ b/tests/serving/large_job_test.cc
@@ -110,6 +110,36 @@
   CHECK(resumed_after == "7");
 }
 
+// Guards against items that run again and again because their long texts cannot
+// be written for a moment.
+TEST_CASE_FIXTURE(WorkerFleetFixture,
+                  "ItemWorker, long text not writable for a moment, item runs "
+                  "once") {
+  AddWorkers(1);
+  int refusals = 0;
+  store_fault = [&](const OutboundCall& call) {
+    return call.target.starts_with("/blob-put/") && refusals++ < 5
+               ? StoreFault::kRefuse
+               : StoreFault::kNone;
+  };
+  int runs = 0;
+  on_run = [&](const OutboundCall& call) {
+    ++runs;
+    const std::string event = "data: " + std::string(60000, 'x') + "\n\n";
+    Respond(call.id, 200, SignedFor(call),
+            FindHeader(call.headers, "last-event-id").empty()
+                ? "id: 1\n" + event
+                : "");
+    return true;
+  };
+  RunFor(milliseconds(500));
+  Submit("j", Submission(1));
+  RunFor(seconds(10));
+  CHECK(refusals > 5);
+  CHECK(runs == 1);
+  CHECK(CountListed("j") == 1);
+}
+
 // Guards against jobs that a former version accepted and that no worker of this
 // version can run.
 TEST_CASE_FIXTURE(WorkerFleetFixture,
