TableWatch: a read of the whole table goes on after a failed call

While calls fail now and then, each process read the first parts again and again and seldom came to the end.

Change: the read goes on behind the rows that it has, for up to 5 s. What changed meanwhile comes with the watch that follows, which begins at the lowest version read.

--- a/src/process/store/table_watch.cc
+++ b/src/process/store/table_watch.cc
@@ -13,6 +13,9 @@
 // followed.
 constexpr std::chrono::milliseconds kShortTimeout{500};
 constexpr std::chrono::milliseconds kLongTimeout{2000};
+// A read of the whole table that takes longer starts again, because its first
+// rows are old by then.
+constexpr std::chrono::milliseconds kMaxReadTime{5000};
 
 }  // namespace
 
@@ -34,11 +37,16 @@
     Watch(now);
     return;
   }
-  part_ = 0;
-  from_.clear();
-  rows_.clear();
-  read_version_ = 0;
-  read_started_at_ = now;
+  if (!is_reading_ || now - read_started_at_ >= kMaxReadTime) {
+    is_reading_ = true;
+    part_ = 0;
+    from_.clear();
+    rows_.clear();
+    read_version_ = 0;
+    read_started_at_ = now;
+  }
+  // A read that failed goes on behind the rows that it has: the watch that
+  // follows it returns what has changed since its first call.
   ReadNextPart(now);
 }
 
@@ -79,6 +87,7 @@
     return;
   }
   is_running_ = false;
+  is_reading_ = false;
   is_synced_ = true;
   version_ = read_version_;
   RecordSuccess(read_started_at_, now);
--- a/src/process/store/table_watch.h
+++ b/src/process/store/table_watch.h
@@ -65,6 +65,7 @@
   std::optional<TimePoint> up_to_date_at_;
   std::optional<TimePoint> reconnected_at_;
   // State of the current read of the whole table.
+  bool is_reading_ = false;
   size_t part_ = 0;
   std::string from_;
   std::vector<StoredRow> rows_;
--- a/tests/serving/table_watch_test.cc
+++ b/tests/serving/table_watch_test.cc
@@ -49,6 +49,30 @@
   CHECK(full_reads == 1);
 }
 
+// Guards against a table that is read from its first row again after each
+// failure, and never to its end while calls fail now and then.
+TEST_CASE_FIXTURE(TableWatchFixture,
+                  "TableWatch, every second call fails, reads the whole "
+                  "table") {
+  rows.Put("t", "p0", "a", "1");
+  rows.Put("t", "p1", "b", "2");
+  int calls_made = 0;
+  store_fault = [&](const OutboundCall&) {
+    return ++calls_made % 2 == 0 ? StoreFault::kRefuse : StoreFault::kNone;
+  };
+  for (int i = 0; i < 10 && full_reads == 0; ++i) {
+    Advance(milliseconds(200));
+    Step();
+  }
+  CHECK(full_reads == 1);
+  rows.Put("t", "p0", "a", "3");
+  for (int i = 0; i < 10; ++i) {
+    Advance(milliseconds(200));
+    Step();
+  }
+  CHECK(seen == std::map<std::string, std::string>{{"a", "3"}, {"b", "2"}});
+}
+
 // Guards against missing changes after the store dropped its history.
 TEST_CASE_FIXTURE(TableWatchFixture,
                   "TableWatch, history lost, reads the whole table again") {
