Pauses between attempts in one place; what the linter found

RandomBackoff() stands for three pauses that were written alike (claims after a failed read, rows of a submission, transfers). kSameCrash is defined once. A trial of a quarantined part is recognized although the time of a crash that several processes reported moves by some milliseconds with each report.

--- a/src/process/jobs/item_worker_claims.cc
+++ b/src/process/jobs/item_worker_claims.cc
@@ -5,6 +5,7 @@
 #include "process/jobs/item_worker.h"
 #include "process/pace/item_pace.h"
 #include "process/telemetry/decision_log.h"
+#include "request/random_backoff.h"
 
 namespace carawayrelay {
 namespace {
@@ -284,13 +285,9 @@
 }
 
 void ItemWorker::NoteLoadFailed(TimePoint now) {
-  const milliseconds longest =
-      kFirstLoadPause *
-      (1 << std::min(consecutive_load_failures_, kMaxLoadPauseDoublings));
-  std::uniform_int_distribution<std::int64_t> pause(longest.count() / 2,
-                                                    longest.count());
+  next_claim_ = now + RandomBackoff(kFirstLoadPause, consecutive_load_failures_,
+                                    kMaxLoadPauseDoublings, random_);
   ++consecutive_load_failures_;
-  next_claim_ = now + milliseconds(pause(random_));
 }
 
 ItemWorker::Run* ItemWorker::FindRun(const ItemKey& key, RunState state) {
--- a/src/process/jobs/job_intake.cc
+++ b/src/process/jobs/job_intake.cc
@@ -1,11 +1,11 @@
 #include "process/jobs/job_intake.h"
 
-#include <algorithm>
 #include <utility>
 #include <vector>
 
 #include "process/jobs/job_responses.h"
 #include "process/telemetry/decision_log.h"
+#include "request/random_backoff.h"
 
 namespace carawayrelay {
 namespace {
@@ -67,7 +67,9 @@
   return true;
 }
 
-void JobIntake::Submit(ClientCall call, const Access& access, TimePoint now) {
+void JobIntake::Submit(const ClientCall& call,
+                       const Access& access,
+                       TimePoint now) {
   const std::string id = call.request_id;
   if (RespondWithoutWrite(call, access.workspace)) {
     return;
@@ -221,11 +223,9 @@
 
 void JobIntake::Retry(const std::string& job, const StoreResponse& response) {
   Submission& submission = submissions_.at(job);
-  const milliseconds longest =
-      kFirstRetry * (1 << std::min(submission.failures, kMaxDoublings));
-  std::uniform_int_distribution<std::int64_t> pause(longest.count() / 2,
-                                                    longest.count());
-  submission.retry_at = clock_.now() + milliseconds(pause(random_));
+  submission.retry_at =
+      clock_.now() +
+      RandomBackoff(kFirstRetry, submission.failures, kMaxDoublings, random_);
   ++submission.failures;
   LogDecision(LogEvent::kJobStoreRetry, "job", job, "status",
               ToString(response.status), "reason", response.reason, "failures",
--- a/src/process/jobs/job_intake.h
+++ b/src/process/jobs/job_intake.h
@@ -51,7 +51,7 @@
   // Stores a submission on a route that the workspace may use. Sends one
   // response: when the submission is refused, when it is stored, or when it
   // could not be stored in time.
-  void Submit(ClientCall call, const Access& access, TimePoint now);
+  void Submit(const ClientCall& call, const Access& access, TimePoint now);
   // Retries failed writes that are due, and refuses submissions that could not
   // be stored in time.
   void Tick(TimePoint now);
--- a/src/process/jobs/submission_reader.cc
+++ b/src/process/jobs/submission_reader.cc
@@ -52,10 +52,10 @@
   const auto first =
       layout.item_ids.begin() +
       static_cast<std::ptrdiff_t>(layout.segments[segment].first_item);
-  const auto last =
-      first + static_cast<std::ptrdiff_t>(layout.CountItems(segment));
-  return std::ranges::equal(items, std::ranges::subrange(first, last), {},
-                            &platform::SubmittedItem::id);
+  const auto has_id = [](const platform::SubmittedItem& item,
+                         const std::string& id) { return item.id == id; };
+  return items.size() == layout.CountItems(segment) &&
+         std::equal(items.begin(), items.end(), first, has_id);
 }
 
 }  // namespace
--- a/src/process/quarantine/crash_evidence.cc
+++ b/src/process/quarantine/crash_evidence.cc
@@ -14,9 +14,6 @@
 // Crashes closer to each other count as one: a rack or zone that fails breaks
 // many requests at once, which says nothing about their prompts.
 constexpr milliseconds kMinCrashGap{100};
-// Reports about one backend server that are not further apart tell of the same
-// crash. It takes longer to start again.
-constexpr milliseconds kSameCrash{1500};
 
 }  // namespace
 
--- a/src/process/quarantine/crash_evidence.h
+++ b/src/process/quarantine/crash_evidence.h
@@ -80,6 +80,10 @@
   std::map<std::string, std::map<size_t, TimePoint>> reports_on_;
 };
 
+// Connections that one backend server drops within this time belong to the same
+// crash, because it takes longer to start again. A backend server that answers
+// a call begun within this time after it did not crash.
+inline constexpr std::chrono::milliseconds kSameCrash{1500};
 // How long a crash counts, and how long a part is not sent after its last one.
 inline constexpr std::chrono::minutes kCrashLifetime{5};
 // Crashes without a whole answer in between after which a part is quarantined.
--- a/src/process/quarantine/prompt_quarantine.cc
+++ b/src/process/quarantine/prompt_quarantine.cc
@@ -12,7 +12,6 @@
 namespace {
 
 using std::chrono::milliseconds;
-using namespace std::chrono_literals;
 
 // Crashes after which a process that got an answer since tells the others.
 constexpr int kCrashesUntilReply = 2;
@@ -29,12 +28,9 @@
 // a row.
 constexpr size_t kMaxReportedParts = 600;
 constexpr size_t kMaxSuspects = 64;
-// Connections that a backend server drops within this time belong to the same
-// crash. A backend server that answers a call begun within this time after it
-// did not crash.
-constexpr milliseconds kSameCrash{1500};
 // How long a quarantined part waits for each trial after its newest crash.
-constexpr std::array<std::chrono::seconds, 2> kTrialDelays{10s, 60s};
+constexpr std::array<std::chrono::seconds, 2> kTrialDelays{
+    std::chrono::seconds(10), std::chrono::seconds(60)};
 // A crash this long after the one before it ended a trial.
 constexpr std::chrono::seconds kTrialGap{9};
 
@@ -174,9 +170,8 @@
 
 void PromptQuarantine::Apply(std::map<std::string, CrashReport> reports,
                              TimePoint now) {
-  for (auto& [node, report] : reports) {
-    reports_[node] = std::move(report);
-  }
+  reports.merge(reports_);  // keeps the new report of each node
+  reports_ = std::move(reports);
   Rebuild(now);
 }
 
@@ -365,7 +360,8 @@
   const Quarantine& quarantine = quarantined_.at(match->part);
   TimePoint& tried = trials_[match->part];
   if (!quarantine.is_own || !quarantine.trial_at ||
-      now < *quarantine.trial_at || tried == quarantine.newest_crash) {
+      now < *quarantine.trial_at ||
+      std::chrono::abs(quarantine.newest_crash - tried) < kSameCrash) {
     return *match;
   }
   tried = quarantine.newest_crash;
--- a/src/process/quarantine/prompt_quarantine.h
+++ b/src/process/quarantine/prompt_quarantine.h
@@ -143,7 +143,8 @@
   std::map<std::string, TimePoint> reported_answers_;
   std::map<std::string, Quarantine> quarantined_;              // by part
   std::map<std::string, CrashEvidence::Answers> own_answers_;  // by part
-  // The newest crash of each part when this process tried it.
+  // The newest crash of each part when this process tried it. The time of a
+  // crash that others reported too is only known to some milliseconds.
   std::map<std::string, TimePoint> trials_;
   std::vector<UnconfirmedAnswer> unconfirmed_;
   TimePoint next_prune_{};
--- a/src/process/serving/frontend_process_requests.cc
+++ b/src/process/serving/frontend_process_requests.cc
@@ -161,7 +161,7 @@
     return;
   }
   if (is_job && workspace != nullptr) {
-    job_intake_->Submit(std::move(call),
+    job_intake_->Submit(call,
                         {.route = *route,
                          .workspace = *workspace,
                          .config_version = config.version()},
--- a/src/process/store/store_transfer_queue.cc
+++ b/src/process/store/store_transfer_queue.cc
@@ -1,9 +1,9 @@
 #include "process/store/store_transfer_queue.h"
 
-#include <algorithm>
 #include <variant>
 
 #include "request/overloaded.h"
+#include "request/random_backoff.h"
 
 namespace carawayrelay {
 namespace {
@@ -103,7 +103,9 @@
   --running_;
   running_bytes_ -= entry->transfer.bytes;
   if (MayRetry(response.status)) {
-    entry->next_attempt = now + NextPause(entry->failures++);
+    entry->next_attempt = now + RandomBackoff(kFirstPause, entry->failures,
+                                              kMaxDoublings, random_);
+    ++entry->failures;
     entry->last_response = std::move(response);
     StartDue(now);
     return;
@@ -114,12 +116,4 @@
   done(std::move(response));
 }
 
-milliseconds StoreTransferQueue::NextPause(int failures) {
-  const milliseconds longest =
-      kFirstPause * (1 << std::min(failures, kMaxDoublings));
-  std::uniform_int_distribution<std::int64_t> pause(longest.count() / 2,
-                                                    longest.count());
-  return milliseconds(pause(random_));
-}
-
 }  // namespace carawayrelay
--- a/src/process/store/store_transfer_queue.h
+++ b/src/process/store/store_transfer_queue.h
@@ -70,7 +70,6 @@
   void StartDue(TimePoint now);
   void Start(EntryIt entry);
   void OnResponse(EntryIt entry, StoreResponse response);
-  std::chrono::milliseconds NextPause(int failures);
 
   Options options_;
   StoreSender store_;
