--- a/src/process/jobs/item_worker.h
+++ b/src/process/jobs/item_worker.h
@@ -207,7 +207,8 @@
   // Holds the item and returns true if backend servers crash on its prompt.
   bool HoldIfQuarantined(const ItemKey& key, Run& run, TimePoint now);
   // Stops the run but keeps its claim for `hold_time`, so that no worker runs
-  // the item. It is released for its retention time in any case.
+  // the item. The claim ends with the retention time of the job at the latest,
+  // so that the item can be given up then.
   void HoldItem(const ItemKey& key,
                 Run& run,
                 const std::string& part,
--- a/src/process/quarantine/prompt_quarantine.h
+++ b/src/process/quarantine/prompt_quarantine.h
@@ -52,15 +52,15 @@
 
   // Records that a backend server sent a whole answer.
   void NoteAnswer(const PromptParts& parts, TimePoint now);
-  // Records that an answer has gone on for kLongAnswer since its first event.
-  // This is a hint that its parts are sound, and no proof.
-  void NoteProgress(const PromptParts& parts, TimePoint now);
   // The same for an answer whose end looks like a dropped connection. It counts
   // as whole once the backend server is seen alive, and as cut if the backend
   // server drops connections or cannot be reached shortly after.
   void NoteUndelimitedAnswer(const std::string& backend_id,
                              const PromptParts& parts,
                              TimePoint now);
+  // Records that an answer has gone on for kLongAnswer since its first event.
+  // This is a hint that its parts are sound, and no proof.
+  void NoteProgress(const PromptParts& parts, TimePoint now);
   // Records that the backend server closed or reset the connection of a request
   // before its answer was whole.
   void NoteCrash(const std::string& backend_id,
