Test: LoadPoller asks once for each status, so that the test can fail

The test passed without the change that it guards: pollers repeated after 50 ms, and the connection that one left waiting was served in place of the next one's.

--- a/tests/process/truncated_answer_test.cc
+++ b/tests/process/truncated_answer_test.cc
@@ -304,7 +304,8 @@
   }
 }
 
-// Guards against a report of load that is none.
+// Guards against a report of load that is none. Each poller asks only once: a
+// connection left waiting would be served in place of the next poller's.
 TEST_CASE_FIXTURE(TruncatedAnswerFixture,
                   "LoadPoller, answer that is no success, is no report") {
   for (const char* status : {"000", "600", "500"}) {
@@ -312,10 +313,11 @@
     Ring<LoadReport> reports{64};
     std::unique_ptr<LoadPoller> poller;
     ServeWhole(AnswerWithStatus(status), 0, [&] {
-      poller = LoadPoller::Make(
-                   {.url = "http://" + address(), .interval = milliseconds(50)},
-                   [&](LoadReport report) { reports.TryPush(report); })
-                   .value();
+      poller =
+          LoadPoller::Make(
+              {.url = "http://" + address(), .interval = milliseconds(10000)},
+              [&](LoadReport report) { reports.TryPush(report); })
+              .value();
       CHECK_FALSE(reports.PopUntil(BootClock::now() + milliseconds(300)));
       poller->Stop();
     });
