Socket buffers: what waits in the kernel has a limit for each connection

Callers saw: a process that was told of 88 MB took more and would have been killed on a VM of that size; all its streams broke off.

Cause: a request is read from the socket only as it is parsed, so pipelined input waits in the kernel while a request is served, and responses wait there while a client reads nothing. No buffer had a limit of ours, so the kernel gave each connection up to megabytes, and the sum grew with the crowd up to 10,000 connections. The tests did not see it: they counted resident memory only, against 100 and 120 MB.

Change: the listening socket sets 16 KiB for each direction, before the first window is announced. A body over 16 KiB gets a window of 64 KiB, which is charged to its request and taken back when the request is complete or refused. The default of max_connections is what a quarter of the memory holds at 36 KiB each: 625 connections at 88 MB, 10,000 from 1.4 GB on. Above the limit the most silent connection makes way, as before.

--- a/src/process/transport/http_connection.cc
+++ b/src/process/transport/http_connection.cc
@@ -7,6 +7,7 @@
 
 #include "process/transport/http_exchange.h"
 #include "process/transport/http_response_head.h"
+#include "process/transport/socket_buffers.h"
 
 namespace carawayrelay {
 namespace {
@@ -187,13 +188,29 @@
     }
     if (parser_->has_head()) {
       SetPhase(Phase::kBody, loop_->options().body_timeout);
+      WidenWindow();
     }
     WaitForInput();
   }
 }
 
+void HttpConnection::WidenWindow() {
+  if (!has_wide_window_ && parser_->body_bytes() > kSocketReceiveBytes) {
+    has_wide_window_ = true;
+    SetReceiveBuffer(socket_, kLargeSocketReceiveBytes);
+  }
+}
+
+void HttpConnection::NarrowWindow() {
+  if (std::exchange(has_wide_window_, false)) {
+    SetReceiveBuffer(socket_, kSocketReceiveBytes);
+  }
+}
+
 bool HttpConnection::Charge() {
-  if (account_->Resize(kConnectionBytes + parser_->HeldBytes()) &&
+  const size_t window_bytes = has_wide_window_ ? kLargeSocketReceiveBytes : 0;
+  if (account_->Resize(kConnectionBytes + window_bytes +
+                       parser_->HeldBytes()) &&
       (!parser_->is_complete() || account_->SetComplete())) {
     return true;
   }
@@ -204,6 +221,7 @@
 void HttpConnection::Dispatch() {
   phase_ = Phase::kServing;
   deadline_.reset();
+  NarrowWindow();
   const bool keeps_connection = parser_->keeps_connection();
   HttpRequest request = parser_->Take();
   parser_.reset();
@@ -238,6 +256,7 @@
 void HttpConnection::Refuse(RefusalCode code, const std::string& reason) {
   parser_.reset();
   account_.reset();
+  NarrowWindow();
   SetPhase(Phase::kRefusing, loop_->options().write_timeout);
   const std::string body = RefusalBody(code, reason);
   HttpHeaders headers = {{"Content-Type", "application/json"}};
--- a/src/process/transport/http_connection.h
+++ b/src/process/transport/http_connection.h
@@ -69,6 +69,10 @@
   void Consume(std::string_view data);
   void ConsumeRequest(std::string_view data);
   void Discard(size_t bytes);
+  // Widens the window of a connection that sends a large body, so that the
+  // round trips to the client do not limit it.
+  void WidenWindow();
+  void NarrowWindow();
   // Sets the charge of the request and refuses it if there is no memory.
   // Returns false if it was refused.
   bool Charge();
@@ -94,6 +98,7 @@
   RequestNumber request_number_ = 0;
   std::optional<HttpRequestParser> parser_;
   std::unique_ptr<RequestMemoryBudget::Account> account_;
+  bool has_wide_window_ = false;
   bool is_waiting_for_input_ = false;
   size_t discarded_bytes_ = 0;
   std::deque<std::string> unsent_;
--- a/src/process/transport/http_request_parser.h
+++ b/src/process/transport/http_request_parser.h
@@ -32,6 +32,8 @@
   bool has_head() const { return has_head_; }
   bool is_complete() const { return is_complete_; }
   bool keeps_connection() const { return keeps_connection_; }
+  // Bytes of the body received so far.
+  size_t body_bytes() const { return request_.body.size(); }
   // Memory of the request, with the overhead of each header field.
   size_t HeldBytes() const;
   // Moves out a complete request.
--- a/src/process/transport/http_server_loop.cc
+++ b/src/process/transport/http_server_loop.cc
@@ -7,6 +7,7 @@
 
 #include "process/telemetry/decision_log.h"
 #include "process/transport/http_connection.h"
+#include "process/transport/socket_buffers.h"
 
 namespace carawayrelay {
 namespace {
@@ -36,6 +37,7 @@
   acceptor_.open(endpoint.protocol());
   acceptor_.set_option(asio::ip::tcp::acceptor::reuse_address(true));
   acceptor_.bind(endpoint);
+  LimitSocketBuffers(acceptor_);
   acceptor_.listen(asio::socket_base::max_listen_connections);
   Accept();
 }
--- a/src/process/transport/memory_limits.cc
+++ b/src/process/transport/memory_limits.cc
@@ -7,6 +7,8 @@
 #include <cmath>
 #include <utility>
 
+#include "process/transport/socket_buffers.h"
+
 namespace carawayrelay {
 namespace {
 
@@ -15,12 +17,17 @@
 constexpr double kMaxMemoryMegabytes = 1 << 20;
 constexpr double kMinRequestMegabytes = 1;
 constexpr double kMaxConnectionsSetting = 1000000;
-// Part of the memory of the VM that requests may take. A frontend without
-// requests holds 17 MB, and a request is copied once on its way to a backend
-// server.
+// Parts of the memory of the VM that requests and connections may take. A
+// frontend without requests holds 17 MB, and a request is copied once on its
+// way to a backend server.
 constexpr size_t kRequestFraction = 4;
+constexpr size_t kConnectionFraction = 4;
 constexpr size_t kMaxDefaultRequestBytes = size_t{1} << 30;
 constexpr size_t kMaxDefaultConnections = 10000;
+// Objects of a connection without a request.
+constexpr size_t kConnectionObjectBytes = size_t{4} << 10;
+constexpr size_t kConnectionBytes =
+    kConnectionObjectBytes + kSocketReceiveBytes + kSocketSendBytes;
 constexpr size_t kMinConnections = 16;
 // The largest deployment has 115 backend servers.
 constexpr size_t kMinReservedDescriptors = 128;
@@ -47,6 +54,11 @@
       2 * max_body_bytes);
 }
 
+size_t DefaultConnections(size_t memory_bytes) {
+  return std::clamp(memory_bytes / kConnectionFraction / kConnectionBytes,
+                    kMinConnections, kMaxDefaultConnections);
+}
+
 }  // namespace
 
 MemoryLimits ReadMemoryLimits(JsonReader& reader,
@@ -71,12 +83,12 @@
   return {.request_bytes = request_bytes,
           .max_connections = static_cast<size_t>(reader.OptionalNumber(
               "max_connections", kMinConnections, kMaxConnectionsSetting,
-              static_cast<double>(kMaxDefaultConnections)))};
+              static_cast<double>(DefaultConnections(memory_bytes))))};
 }
 
 MemoryLimits DefaultMemoryLimits(size_t max_body_bytes) {
   return {.request_bytes = DefaultRequestBytes(MemoryOfVm(), max_body_bytes),
-          .max_connections = kMaxDefaultConnections};
+          .max_connections = DefaultConnections(MemoryOfVm())};
 }
 
 size_t ConnectionsFor(size_t descriptors) {
