Heap: memory of freed bodies returns to the system

Callers saw: an entry or frontend over the memory of its VM under bodies of 4 MB that stop just short, although the request memory kept its limit.

Cause: the GNU C library raises the size from which blocks are mapped on their own to that of the largest block that was freed, up to 32 MB. After the first refused body the next ones come from the heap of the thread, where a freed block below a used one stays resident. The account of a request also had the size of a body and not what it had reserved, and an evicted request kept its memory until its connection had its turn.

Change: all roles fix the threshold at 128 KiB. Below it a body is charged with its capacity; above, pages that were not written are not resident. An eviction on the thread of the connection takes effect before the next byte is read. The operators' decision of who is evicted is unchanged.

--- a/src/process/agent/agent_process.cc
+++ b/src/process/agent/agent_process.cc
@@ -10,6 +10,7 @@
 
 #include "process/commands/exit_code.h"
 #include "process/telemetry/log.h"
+#include "process/transport/heap_settings.h"
 
 namespace carawayrelay {
 namespace {
@@ -260,6 +261,7 @@
     std::fprintf(stderr, "%s\n", findings.ToText().c_str());
     return static_cast<int>(ExitCode::kInvalidInput);
   }
+  SetUpHeap();
   InitLog(settings->node, LogLevel::kInfo);
   // The threads started below inherit the mask, so that the signals reach only
   // sigwait() in this thread.
--- a/src/process/commands/entry_command.cc
+++ b/src/process/commands/entry_command.cc
@@ -9,6 +9,7 @@
 #include "process/entry/entry_process.h"
 #include "process/entry/entry_services.h"
 #include "process/telemetry/log.h"
+#include "process/transport/heap_settings.h"
 
 namespace carawayrelay {
 namespace {
@@ -42,6 +43,7 @@
     std::cerr << findings.ToText();
     return 2;
   }
+  SetUpHeap();
   InitLog(settings->node, settings->log_level);
   settings->dispatcher.seed = RandomSeed();
 
--- a/src/process/serving/serving_command.cc
+++ b/src/process/serving/serving_command.cc
@@ -10,6 +10,7 @@
 #include "process/serving/frontend_process.h"
 #include "process/serving/worker_process.h"
 #include "process/telemetry/decision_log.h"
+#include "process/transport/heap_settings.h"
 
 namespace carawayrelay {
 namespace {
@@ -61,6 +62,7 @@
     std::cerr << file << ":\n" << findings.ToText();
     return static_cast<int>(ExitCode::kInvalidInput);
   }
+  SetUpHeap();
   const sigset_t signals = BlockSignals();
   StartDecisionLog(settings->node);
   {
--- a/src/process/transport/http_connection.cc
+++ b/src/process/transport/http_connection.cc
@@ -161,7 +161,7 @@
                                              loop = std::weak_ptr(loop_),
                                              request = request_number_] {
       if (const auto alive = loop.lock()) {
-        alive->Post([weak, request] {
+        alive->RunOrPost([weak, request] {
           if (const auto self = weak.lock()) {
             self->OnEvicted(request);
           }
--- a/src/process/transport/http_request_parser.cc
+++ b/src/process/transport/http_request_parser.cc
@@ -5,6 +5,8 @@
 #include <limits>
 #include <utility>
 
+#include "process/transport/heap_settings.h"
+
 namespace carawayrelay {
 namespace {
 
@@ -81,7 +83,13 @@
 }
 
 size_t HttpRequestParser::HeldBytes() const {
-  return stored_bytes_ + field_.size() + value_.size() + request_.body.size();
+  return stored_bytes_ + field_.size() + value_.size() + BodyMemory();
+}
+
+// Of a large block only the pages that were written are resident.
+size_t HttpRequestParser::BodyMemory() const {
+  return request_.body.capacity() < kMappedBlockBytes ? request_.body.capacity()
+                                                      : request_.body.size();
 }
 
 HttpRequest HttpRequestParser::Take() {
--- a/src/process/transport/http_request_parser.h
+++ b/src/process/transport/http_request_parser.h
@@ -34,12 +34,14 @@
   bool keeps_connection() const { return keeps_connection_; }
   // Bytes of the body received so far.
   size_t body_bytes() const { return request_.body.size(); }
-  // Memory of the request, with the overhead of each header field.
+  // Memory of the request, with the overhead of each header field and what the
+  // body has reserved.
   size_t HeldBytes() const;
   // Moves out a complete request.
   HttpRequest Take();
 
  private:
+  size_t BodyMemory() const;
   static const http_parser_settings& Callbacks();
   void AppendField(std::string_view text);
   void AppendValue(std::string_view text);
--- a/src/process/transport/http_server_loop.cc
+++ b/src/process/transport/http_server_loop.cc
@@ -75,6 +75,14 @@
   }
 }
 
+void HttpServerLoop::RunOrPost(std::function<void()> action) {
+  if (io_.get_executor().running_in_this_thread()) {
+    action();
+  } else {
+    Post(std::move(action));
+  }
+}
+
 void HttpServerLoop::Accept() {
   if (is_accepting_ || !acceptor_.is_open()) {
     return;
--- a/src/process/transport/http_server_loop.h
+++ b/src/process/transport/http_server_loop.h
@@ -37,6 +37,9 @@
   // Runs `action` on the thread of the server, or not at all after Stop(). Any
   // thread.
   void Post(std::function<void()> action);
+  // Runs `action` at once on the thread of the server, and otherwise like
+  // Post(). Any thread.
+  void RunOrPost(std::function<void()> action);
 
   const HttpServer::Options& options() const { return options_; }
   const HttpServer::Handler& handler() const { return handler_; }
--- a/src/process/transport/request_memory_budget.cc
+++ b/src/process/transport/request_memory_budget.cc
@@ -1,6 +1,7 @@
 #include "process/transport/request_memory_budget.h"
 
 #include <iterator>
+#include <vector>
 
 namespace carawayrelay {
 
@@ -11,26 +12,37 @@
 }
 
 bool RequestMemoryBudget::Account::Resize(size_t bytes) {
-  const std::lock_guard lock(budget_->mutex_);
-  if (is_evicted_) {
+  std::vector<std::function<void()>> evictions;
+  const bool has_fit = budget_->Resize(*this, bytes, evictions);
+  for (const auto& evict : evictions) {
+    evict();
+  }
+  return has_fit;
+}
+
+bool RequestMemoryBudget::Resize(
+    Account& account,
+    size_t bytes,
+    std::vector<std::function<void()>>& evictions) {
+  const std::lock_guard lock(mutex_);
+  if (account.is_evicted_) {
     return false;
   }
-  size_t& held = budget_->counters_.held_bytes;
-  auto& unfinished = budget_->unfinished_;
-  while (bytes > bytes_ && held - bytes_ + bytes > budget_->max_bytes_) {
+  size_t& held = counters_.held_bytes;
+  while (bytes > account.bytes_ && held - account.bytes_ + bytes > max_bytes_) {
     Account* const largest =
-        unfinished.empty() ? nullptr : unfinished.rbegin()->second;
-    if (largest == nullptr || largest == this || largest->bytes_ < bytes) {
-      ++budget_->counters_.refused_requests;
+        unfinished_.empty() ? nullptr : unfinished_.rbegin()->second;
+    if (largest == nullptr || largest == &account || largest->bytes_ < bytes) {
+      ++counters_.refused_requests;
       return false;
     }
-    budget_->Evict(*largest);
+    evictions.push_back(TakeBack(*largest));
   }
-  held += bytes - bytes_;
-  if (unfinished.erase({bytes_, this}) > 0) {
-    unfinished.emplace(bytes, this);
+  held += bytes - account.bytes_;
+  if (unfinished_.erase({account.bytes_, &account}) > 0) {
+    unfinished_.emplace(bytes, &account);
   }
-  bytes_ = bytes;
+  account.bytes_ = bytes;
   return true;
 }
 
@@ -64,15 +76,13 @@
   ++counters_.rejected_requests;
 }
 
-// The bytes count as returned at once. Until the connection has handled the
-// eviction, the process holds them in addition to the budget.
-void RequestMemoryBudget::Evict(Account& account) {
+std::function<void()> RequestMemoryBudget::TakeBack(Account& account) {
   unfinished_.erase({account.bytes_, &account});
   counters_.held_bytes -= account.bytes_;
   ++counters_.refused_requests;
   account.bytes_ = 0;
   account.is_evicted_ = true;
-  account.evict_();
+  return account.evict_;
 }
 
 }  // namespace carawayrelay
--- a/src/process/transport/request_memory_budget.h
+++ b/src/process/transport/request_memory_budget.h
@@ -7,6 +7,7 @@
 #include <mutex>
 #include <set>
 #include <utility>
+#include <vector>
 
 namespace carawayrelay {
 
@@ -63,7 +64,8 @@
   }
 
   // Opens the account of a request. `evict` is called at most once, on any
-  // thread and with the budget locked; it must not call the budget.
+  // thread that calls Resize() of another account, also after this account has
+  // been closed. The bytes count as returned before it is called.
   std::unique_ptr<Account> Open(std::function<void()> evict);
 
   Counters counters() const;
@@ -73,8 +75,14 @@
  private:
   explicit RequestMemoryBudget(size_t max_bytes) : max_bytes_(max_bytes) {}
 
-  // The mutex must be locked.
-  void Evict(Account& account);
+  // Sets the bytes of an account as Account::Resize() does. Appends what must
+  // be called, without the lock, for the requests that were evicted for it.
+  bool Resize(Account& account,
+              size_t bytes,
+              std::vector<std::function<void()>>& evictions);
+  // Returns what must be called, without the lock, to evict the request. The
+  // mutex must be locked.
+  std::function<void()> TakeBack(Account& account);
 
   const size_t max_bytes_;
   mutable std::mutex mutex_;
--- a/tests/process/untrusted_clients_test.cc
+++ b/tests/process/untrusted_clients_test.cc
@@ -188,6 +188,34 @@
   Check(kLargeCrowd, "G", "E", 1);
 }
 
+// Guards against memory beside the bytes that count: freed memory that stays
+// resident, reserved memory and copies.
+TEST_CASE_FIXTURE(UntrustedFrontendFixture,
+                  "Frontend, many bodies that stop just short, stays within "
+                  "its memory") {
+  Start();
+  Check(kLargeCrowd, Post("Content-Length: 4194304"),
+        std::string(kPayloadBytes, 'x'), 4 * kMegabyte);
+}
+
+// Guards against the same for bodies whose length is not announced.
+TEST_CASE_FIXTURE(UntrustedFrontendFixture,
+                  "Frontend, many chunked bodies that stop short, stays within "
+                  "its memory") {
+  Start();
+  Check(kLargeCrowd, Post("Transfer-Encoding: chunked"), LargeChunk(),
+        4 * kMegabyte);
+}
+
+// Guards against the same for chunked bodies that have no end.
+TEST_CASE_FIXTURE(UntrustedFrontendFixture,
+                  "Frontend, many chunked bodies without end, stays within its "
+                  "memory") {
+  Start();
+  Check(kLargeCrowd, Post("Transfer-Encoding: chunked"), LargeChunk(),
+        12 * kMegabyte);
+}
+
 // Guards against input that waits in the sockets while a request is served,
 // and against responses that wait there because nobody reads them.
 TEST_CASE_FIXTURE(UntrustedFrontendFixture,
--- a/tools/harness/fleet.cc
+++ b/tools/harness/fleet.cc
@@ -276,6 +276,14 @@
   return HttpUrl(entry_ports_[EntryIndex(node)].clients);
 }
 
+const EntryPorts& Fleet::PortsOfEntry(const std::string& node) const {
+  return entry_ports_[EntryIndex(node)];
+}
+
+const BackendPorts& Fleet::PortsOfBackend(const std::string& node) const {
+  return backend_ports_[BackendIndex(node)];
+}
+
 std::string Fleet::AdminUrl(const std::string& node) const {
   return HttpUrl(entry_ports_[EntryIndex(node)].admin);
 }
--- a/tools/harness/fleet.h
+++ b/tools/harness/fleet.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,8 @@
 struct EntryPlan {
   std::string node;
   std::string zone;
+  // Memory that the entry is told of; that of this machine without a value.
+  std::optional<int> memory_megabytes = std::nullopt;
 };
 
 struct BackendPlan {
@@ -102,6 +105,8 @@
   std::string EntryUrl(const std::string& node) const;
   std::string AdminUrl(const std::string& node) const;
   std::string BackendUrl(const std::string& node) const;
+  const EntryPorts& PortsOfEntry(const std::string& node) const;
+  const BackendPorts& PortsOfBackend(const std::string& node) const;
   static std::string BackendProcess(const std::string& node) {
     return node + "-backend";
   }
--- a/tools/harness/fleet_settings.cc
+++ b/tools/harness/fleet_settings.cc
@@ -28,13 +28,17 @@
 json EntrySettingsJson(const EntryPlan& plan,
                        const EntryPorts& ports,
                        const std::string& platform_url) {
-  return {{"node", plan.node},
-          {"zone", plan.zone},
-          {"listen_callers", LoopbackAddress(ports.clients)},
-          {"listen_admin", LoopbackAddress(ports.admin)},
-          {"listen_links", LoopbackAddress(ports.link)},
-          {"platform_url", platform_url},
-          {"traces_url", platform_url}};
+  json settings = {{"node", plan.node},
+                   {"zone", plan.zone},
+                   {"listen_callers", LoopbackAddress(ports.clients)},
+                   {"listen_admin", LoopbackAddress(ports.admin)},
+                   {"listen_links", LoopbackAddress(ports.link)},
+                   {"platform_url", platform_url},
+                   {"traces_url", platform_url}};
+  if (plan.memory_megabytes) {
+    settings["limits"] = {{"memory_mb", *plan.memory_megabytes}};
+  }
+  return settings;
 }
 
 }  // namespace carawayrelay::tools
