Request memory: who makes no progress is evicted, not who is largest

Callers saw: ordinary large requests refused with 503 for as long as small bodies that nobody finishes filled the request memory.

Cause: when the memory was used up, the largest request that was not whole was refused. 600 bodies of 40 KB are never the largest; one byte each second kept them below every time limit.

Evidence: `Frontend, small bodies that trickle, serves a large request` failed on the code before: no request of 4 MB was served in 60 s.

Change: progress is growth by 4 KiB. Of the 64 requests of oldest progress the one goes that has the largest product of its bytes and of the progress of others since. A trickle is no progress, and an ordinary small request between two packets has too few bytes to be chosen under a flood of large ones. The decision needs no clock.

--- a/src/process/transport/request_memory_budget.cc
+++ b/src/process/transport/request_memory_budget.cc
@@ -1,13 +1,12 @@
 #include "process/transport/request_memory_budget.h"
 
-#include <iterator>
 #include <vector>
 
 namespace carawayrelay {
 
 RequestMemoryBudget::Account::~Account() {
   const std::lock_guard lock(budget_->mutex_);
-  budget_->unfinished_.erase({bytes_, this});
+  budget_->unfinished_.erase({progress_, this});
   budget_->counters_.held_bytes -= bytes_;
 }
 
@@ -28,27 +27,26 @@
   if (account.is_evicted_) {
     return false;
   }
+  if (bytes >= account.progress_bytes_ + kProgressBytes) {
+    MarkProgress(account, bytes);
+  }
   size_t& held = counters_.held_bytes;
   while (bytes > account.bytes_ && held - account.bytes_ + bytes > max_bytes_) {
-    Account* const largest =
-        unfinished_.empty() ? nullptr : unfinished_.rbegin()->second;
-    if (largest == nullptr || largest == &account || largest->bytes_ < bytes) {
+    Account* const victim = ChooseVictim();
+    if (victim == nullptr || victim == &account) {
       ++counters_.refused_requests;
       return false;
     }
-    evictions.push_back(TakeBack(*largest));
+    evictions.push_back(TakeBack(*victim));
   }
   held += bytes - account.bytes_;
-  if (unfinished_.erase({account.bytes_, &account}) > 0) {
-    unfinished_.emplace(bytes, &account);
-  }
   account.bytes_ = bytes;
   return true;
 }
 
 bool RequestMemoryBudget::Account::SetComplete() {
   const std::lock_guard lock(budget_->mutex_);
-  budget_->unfinished_.erase({bytes_, this});
+  budget_->unfinished_.erase({progress_, this});
   return !is_evicted_;
 }
 
@@ -57,7 +55,8 @@
   std::unique_ptr<Account> account(
       new Account(shared_from_this(), std::move(evict)));
   const std::lock_guard lock(mutex_);
-  unfinished_.emplace(0, account.get());
+  account->progress_ = ++progress_;
+  unfinished_.emplace(account->progress_, account.get());
   return account;
 }
 
@@ -76,8 +75,33 @@
   ++counters_.rejected_requests;
 }
 
+void RequestMemoryBudget::MarkProgress(Account& account, size_t bytes) {
+  account.progress_bytes_ = bytes;
+  if (unfinished_.erase({account.progress_, &account}) > 0) {
+    account.progress_ = ++progress_;
+    unfinished_.emplace(account.progress_, &account);
+  }
+}
+
+RequestMemoryBudget::Account* RequestMemoryBudget::ChooseVictim() const {
+  Account* victim = nullptr;
+  std::uint64_t most = 0;
+  size_t candidates = 0;
+  for (const auto& [progress, account] : unfinished_) {
+    const std::uint64_t cost = account->bytes_ * (progress_ - progress);
+    if (victim == nullptr || cost > most) {
+      victim = account;
+      most = cost;
+    }
+    if (++candidates == kCandidates) {
+      break;
+    }
+  }
+  return victim;
+}
+
 std::function<void()> RequestMemoryBudget::TakeBack(Account& account) {
-  unfinished_.erase({account.bytes_, &account});
+  unfinished_.erase({account.progress_, &account});
   counters_.held_bytes -= account.bytes_;
   ++counters_.refused_requests;
   account.bytes_ = 0;
--- a/src/process/transport/request_memory_budget.h
+++ b/src/process/transport/request_memory_budget.h
@@ -13,8 +13,10 @@
 
 // Limits the memory of all requests of clients that a process holds, over all
 // of its HTTP servers. Each request has an account. When the budget is
-// exhausted, the largest request that is not completely received is evicted.
-// Thread-safe.
+// exhausted, requests that are not completely received are evicted: of those
+// whose last progress is oldest, the one with the largest product of its bytes
+// and the progress of others since. A request that stalls or trickles goes
+// before one that arrives at a steady pace, whatever their sizes. Thread-safe.
 class RequestMemoryBudget
     : public std::enable_shared_from_this<RequestMemoryBudget> {
  public:
@@ -25,9 +27,10 @@
     Account(const Account&) = delete;
     Account& operator=(const Account&) = delete;
 
-    // Sets the number of bytes of the request. Returns false if it is the
-    // request that must be refused: the budget is exhausted and no unfinished
-    // request is larger, or it was evicted.
+    // Sets the number of bytes of the request. Growth by kProgressBytes counts
+    // as progress. Returns false if it is the request that must be refused: the
+    // budget is exhausted and no other request can be evicted for it, or it was
+    // evicted.
     bool Resize(size_t bytes);
     // The request is completely received and is not evicted any more. Returns
     // false if it was evicted before.
@@ -43,6 +46,9 @@
     const std::function<void()> evict_;
     // The rest is guarded by the mutex of the budget.
     size_t bytes_ = 0;
+    // When and at which size the request last made progress.
+    std::uint64_t progress_ = 0;
+    size_t progress_bytes_ = 0;
     bool is_evicted_ = false;
   };
 
@@ -73,6 +79,11 @@
   void CountRejectedRequest();
 
  private:
+  // Fewer bytes than a client sends at once that sends at a steady pace.
+  static constexpr size_t kProgressBytes = 4096;
+  // Requests that are compared to choose the one to evict.
+  static constexpr size_t kCandidates = 64;
+
   explicit RequestMemoryBudget(size_t max_bytes) : max_bytes_(max_bytes) {}
 
   // Sets the bytes of an account as Account::Resize() does. Appends what must
@@ -80,15 +91,20 @@
   bool Resize(Account& account,
               size_t bytes,
               std::vector<std::function<void()>>& evictions);
-  // Returns what must be called, without the lock, to evict the request. The
-  // mutex must be locked.
+  // The mutex must be locked by the callers of these functions.
+  void MarkProgress(Account& account, size_t bytes);
+  // Returns nullptr if all requests are complete.
+  Account* ChooseVictim() const;
+  // Returns what must be called, without the lock, to evict the request.
   std::function<void()> TakeBack(Account& account);
 
   const size_t max_bytes_;
   mutable std::mutex mutex_;
   Counters counters_;
-  // Requests that are not completely received, by size.
-  std::set<std::pair<size_t, Account*>> unfinished_;
+  // Counts the progress of all requests; serves as their clock.
+  std::uint64_t progress_ = 0;
+  // Requests that are not completely received, by their last progress.
+  std::set<std::pair<std::uint64_t, Account*>> unfinished_;
 };
 
 }  // namespace carawayrelay
--- a/tests/process/client_crowd.h
+++ b/tests/process/client_crowd.h
@@ -7,10 +7,13 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <thread>
+#include <utility>
 #include <vector>
 
 #include "carawayrelay/request.h"
@@ -60,7 +63,36 @@
     }
   }
 
+  // After Run(): calls `action` while another thread sends one byte on each
+  // open connection again and again, more often than a time limit of the
+  // server for a silent client.
+  void RunWhileTrickling(const std::function<void()>& action) {
+    constexpr std::chrono::milliseconds kInterval{1000};
+    std::atomic<bool> is_done = false;
+    std::thread trickle([&] {
+      TimePoint next{};
+      while (!is_done) {
+        if (BootClock::now() >= next) {
+          next = BootClock::now() + kInterval;
+          SendOneByteEach();
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+      }
+    });
+    action();
+    is_done = true;
+    trickle.join();
+  }
+
  private:
+  void SendOneByteEach() {
+    for (const pollfd& client : clients_) {
+      if (client.fd >= 0) {
+        send(client.fd, options_.repeat.data(), 1, MSG_NOSIGNAL);
+      }
+    }
+  }
+
   void Connect() {
     const sockaddr_in address{.sin_family = AF_INET,
                               .sin_port = htons(options_.port),
--- a/tests/process/untrusted_clients_test.cc
+++ b/tests/process/untrusted_clients_test.cc
@@ -227,5 +227,24 @@
         kMegabyte);
 }
 
+// Guards against small bodies that fill the memory of requests and are never
+// the largest, so that the ordinary request is the one that is refused. They
+// trickle, so that no time limit for a silent client closes them.
+TEST_CASE_FIXTURE(UntrustedFrontendFixture,
+                  "Frontend, small bodies that trickle, serves a large "
+                  "request") {
+  constexpr size_t kSmallBody = 40000;
+  Start();
+  ClientCrowd crowd({.port = port,
+                     .connections = kLargeCrowd,
+                     .head = Post("Content-Length: 60000"),
+                     .repeat = std::string(kPayloadBytes, 'x'),
+                     .bytes_per_connection = kSmallBody});
+  crowd.Run([this] { watch->Observe(); });
+  crowd.RunWhileTrickling(
+      [this] { CHECK(IsServed(std::string(4 * kMegabyte, 'x'))); });
+  watch->Check(kLargeCrowd);
+}
+
 }  // namespace
 }  // namespace carawayrelay
