Limits of clients: those that the configuration names apply

Callers saw: requests inside the limits of the configuration refused with 413 or 431, or their connections closed, where these limits are higher than 8 MiB, 64 KiB, 3 s or 30 s. A body over a lower limit was stored up to 8 MiB before it was refused.

Cause: the two times were not read, and the two sizes were checked once a request was whole. The server for clients had fixed limits of its own.

Change: a new configuration sets the limits of the server for the requests that arrive from then on. The header limit counts target, names and values, as it did for whole requests; 16 KiB more are for the syntax of the head. Fields and extensions of chunks without end after the head have the same limit, in place of the one built into http_parser, which is lower than what a configuration may name. Without a byte of a body a client has 15 s or the idle limit, whichever is longer. The request memory has space for one body of the configured size, up to half of the memory of the process. A time of 0 counts as not named.

--- a/src/process/entry/entry_process.cc
+++ b/src/process/entry/entry_process.cc
@@ -78,7 +78,7 @@
     BOOST_OUTCOME_TRY(
         admin_server_,
         HttpServer::Make({.listen_address = settings_.listen_admin,
-                          .max_body_bytes = settings_.max_body_bytes,
+                          .limits = {.body_bytes = settings_.max_body_bytes},
                           .max_connections = kMaxAdminConnections,
                           .request_memory = request_memory},
                          hooks_.admin_api));
@@ -86,7 +86,7 @@
   BOOST_OUTCOME_TRY(
       client_server_,
       HttpServer::Make({.listen_address = settings_.listen_callers,
-                        .max_body_bytes = settings_.max_body_bytes,
+                        .limits = {.body_bytes = settings_.max_body_bytes},
                         .max_connections = MaxConnections(settings_.memory),
                         .request_memory = request_memory},
                        [this](HttpRequest request, HttpExchangePtr exchange) {
--- a/src/process/serving/frontend_process.cc
+++ b/src/process/serving/frontend_process.cc
@@ -78,6 +78,7 @@
                         [this](TimePoint) {
                           if (core_->operators().config()) {
                             rates_.SetConfig(core_->operators().config());
+                            UpdateRequestLimits();
                           }
                         }));
   const auto send_response = [this](ClientCallId client,
@@ -163,7 +164,7 @@
   BOOST_OUTCOME_TRY(
       clients_server_,
       HttpServer::Make({.listen_address = settings_.listen_clients,
-                        .max_body_bytes = kMaxClientBodyBytes,
+                        .limits = {.body_bytes = kMaxClientBodyBytes},
                         .max_connections = MaxConnections(settings_.memory),
                         .request_memory = core_->request_memory()},
                        [this](HttpRequest request, HttpExchangePtr exchange) {
--- a/src/process/serving/frontend_process.h
+++ b/src/process/serving/frontend_process.h
@@ -82,8 +82,11 @@
   void HandleDatagram(const Datagram& datagram, TimePoint now);
   void SendRateMessage(const std::string& address, const RateMessage& message);
   void SendDatagram(const std::string& address, const std::string& bytes);
+  // Passes the configured limits to the server for clients.
+  void UpdateRequestLimits();
   // Returns the refusal of a request whose body or headers exceed the
-  // configured limits.
+  // configured limits. Those that were complete before the server had these
+  // limits get here.
   std::optional<Refusal> RefusalForSize(const HttpRequest& request) const;
   void Observe(const RequestObserved& observed);
   // Passes what an attempt showed to the modules that judge backend servers.
--- a/src/process/serving/frontend_process_requests.cc
+++ b/src/process/serving/frontend_process_requests.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <chrono>
 #include <optional>
 #include <string>
@@ -95,6 +96,19 @@
   HandleClientCall(std::move(call).value(), now);
 }
 
+void FrontendProcess::UpdateRequestLimits() {
+  const ClientLimits& limits = core_->operators().config()->limits();
+  const HttpServer::RequestLimits defaults;
+  core_->request_memory()->SetMaxBytes(
+      RequestBytesFor(settings_.memory, limits.body_bytes));
+  clients_server_->SetRequestLimits(
+      {.body_bytes = limits.body_bytes,
+       .field_bytes = limits.header_bytes,
+       .head_timeout = limits.head_timeout,
+       .body_timeout = std::max(defaults.body_timeout, limits.idle_timeout),
+       .idle_timeout = limits.idle_timeout});
+}
+
 std::optional<Refusal> FrontendProcess::RefusalForSize(
     const HttpRequest& request) const {
   const ClientLimits& limits = core_->operators().config()->limits();
--- a/src/process/transport/http_connection.cc
+++ b/src/process/transport/http_connection.cc
@@ -24,6 +24,9 @@
 constexpr size_t kSendBytes = size_t{16} << 10;
 // Memory of a connection that receives a request, besides the request itself.
 constexpr size_t kConnectionBytes = 2048;
+// Bytes of a head besides those of the target and the fields: the syntax of
+// about 3000 fields.
+constexpr size_t kHeadSyntaxBytes = size_t{16} << 10;
 constexpr const char* kOverloadedRetrySeconds = "0.500";
 
 std::string RefusalBody(RefusalCode code, const std::string& reason) {
@@ -79,12 +82,9 @@
 }
 
 void HttpConnection::BeginRequest() {
-  parser_.emplace(
-      HttpRequestParser::Limits{.head_bytes = loop_->options().max_head_bytes,
-                                .body_bytes = loop_->options().max_body_bytes});
   has_last_part_ = false;
   closes_after_response_ = false;
-  SetPhase(Phase::kIdle, loop_->options().idle_timeout);
+  SetPhase(Phase::kIdle, loop_->limits().idle_timeout);
   WaitForInput();
 }
 
@@ -157,6 +157,11 @@
 void HttpConnection::ConsumeRequest(std::string_view data) {
   if (phase_ == Phase::kIdle) {
     ++request_number_;
+    const HttpServer::RequestLimits& limits = loop_->limits();
+    parser_.emplace(HttpRequestParser::Limits{
+        .head_bytes = limits.field_bytes + kHeadSyntaxBytes,
+        .field_bytes = limits.field_bytes,
+        .body_bytes = limits.body_bytes});
     account_ = loop_->request_memory().Open([weak = weak_from_this(),
                                              loop = std::weak_ptr(loop_),
                                              request = request_number_] {
@@ -168,7 +173,7 @@
         });
       }
     });
-    SetPhase(Phase::kHead, loop_->options().head_timeout);
+    SetPhase(Phase::kHead, limits.head_timeout);
   }
   const size_t parsed = parser_->Parse(data);
   const bool has_problem =
@@ -187,7 +192,7 @@
       return;
     }
     if (parser_->has_head()) {
-      SetPhase(Phase::kBody, loop_->options().body_timeout);
+      SetPhase(Phase::kBody, loop_->limits().body_timeout);
       WidenWindow();
     }
     WaitForInput();
@@ -239,12 +244,12 @@
     case HttpRequestParser::Problem::kBodyTooLarge:
       Refuse(RefusalCode::kTooLarge,
              "request body over the limit of " +
-                 std::to_string(loop_->options().max_body_bytes) + " bytes");
+                 std::to_string(loop_->limits().body_bytes) + " bytes");
       return;
     case HttpRequestParser::Problem::kHeadTooLarge:
       Refuse(RefusalCode::kHeadersTooLarge,
              "request head over the limit of " +
-                 std::to_string(loop_->options().max_head_bytes) + " bytes");
+                 std::to_string(loop_->limits().field_bytes) + " bytes");
       return;
     case HttpRequestParser::Problem::kMalformed:
     case HttpRequestParser::Problem::kNone:
--- a/src/process/transport/http_request_parser.cc
+++ b/src/process/transport/http_request_parser.cc
@@ -30,9 +30,11 @@
   static const http_parser_settings parser_callbacks = [] {
     http_parser_settings callbacks;
     http_parser_settings_init(&callbacks);
+    // The limits of this class apply in place of the one of http_parser.
+    http_parser_set_max_header_size(std::numeric_limits<uint32_t>::max());
     callbacks.on_url = [](http_parser* parser, const char* at, size_t length) {
       ParserOf(parser).target_.append(at, length);
-      ParserOf(parser).stored_bytes_ += length;
+      ParserOf(parser).field_bytes_ += length;
       return 0;
     };
     callbacks.on_header_field = [](http_parser* parser, const char* at,
@@ -66,13 +68,19 @@
 }
 
 size_t HttpRequestParser::Parse(std::string_view data) {
+  const size_t body_before = request_.body.size();
   const size_t parsed =
       http_parser_execute(&parser_, &Callbacks(), data.data(), data.size());
   if (!has_head_) {
     head_bytes_ += data.size();
-    if (head_bytes_ > limits_.head_bytes) {
-      problem_ = Problem::kHeadTooLarge;
-    }
+  } else if (request_.body.size() == body_before) {
+    framing_bytes_ += parsed;
+  } else {
+    framing_bytes_ = 0;
+  }
+  if (head_bytes_ > limits_.head_bytes || field_bytes_ > limits_.field_bytes ||
+      framing_bytes_ > limits_.head_bytes) {
+    problem_ = Problem::kHeadTooLarge;
   }
   const auto error = static_cast<http_errno>(parser_.http_errno);
   if (error != HPE_OK && error != HPE_PAUSED && problem_ == Problem::kNone) {
@@ -83,7 +91,7 @@
 }
 
 size_t HttpRequestParser::HeldBytes() const {
-  return stored_bytes_ + field_.size() + value_.size() + BodyMemory();
+  return field_bytes_ + fields_ * kFieldOverheadBytes + BodyMemory();
 }
 
 // Of a large block only the pages that were written are resident.
@@ -105,18 +113,24 @@
   if (is_in_value_) {
     StoreField();
   }
-  field_ += text;
+  // Fields after a chunked body are ignored.
+  if (!has_head_) {
+    field_ += text;
+    field_bytes_ += text.size();
+  }
 }
 
 void HttpRequestParser::AppendValue(std::string_view text) {
   is_in_value_ = true;
-  value_ += text;
+  if (!has_head_) {
+    value_ += text;
+    field_bytes_ += text.size();
+  }
 }
 
 void HttpRequestParser::StoreField() {
-  // Fields after a chunked body are ignored.
   if (!has_head_) {
-    stored_bytes_ += field_.size() + value_.size() + kFieldOverheadBytes;
+    ++fields_;
     request_.headers[LowerCase(field_)] = value_;
   }
   field_.clear();
--- a/src/process/transport/http_request_parser.h
+++ b/src/process/transport/http_request_parser.h
@@ -16,6 +16,8 @@
   struct Limits {
     // Bytes of a head on the wire, empty lines before it included.
     size_t head_bytes = 0;
+    // Bytes of the target and of the names and values of the header fields.
+    size_t field_bytes = 0;
     size_t body_bytes = 0;
   };
   enum class Problem { kNone, kMalformed, kHeadTooLarge, kBodyTooLarge };
@@ -58,8 +60,12 @@
   bool is_complete_ = false;
   bool keeps_connection_ = false;
   bool is_in_value_ = false;
-  size_t head_bytes_ = 0;    // parsed so far
-  size_t stored_bytes_ = 0;  // of target and header fields
+  size_t head_bytes_ = 0;   // parsed so far
+  size_t field_bytes_ = 0;  // of target and header fields
+  size_t fields_ = 0;       // number of stored fields
+  // Sizes and extensions of chunks and fields after the body, since the last
+  // byte of the body.
+  size_t framing_bytes_ = 0;
   std::string target_;
   std::string field_;
   std::string value_;
--- a/src/process/transport/http_server.cc
+++ b/src/process/transport/http_server.cc
@@ -20,6 +20,10 @@
     thread_ = std::thread([loop = loop_] { loop->Run(); });
   }
 
+  void SetRequestLimits(const RequestLimits& limits) {
+    loop_->Post([loop = loop_.get(), limits] { loop->SetLimits(limits); });
+  }
+
   void Stop() {
     if (thread_.joinable()) {
       loop_->Stop();
@@ -47,6 +51,10 @@
 
 HttpServer::HttpServer(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
 
+void HttpServer::SetRequestLimits(const RequestLimits& limits) {
+  impl_->SetRequestLimits(limits);
+}
+
 HttpServer::~HttpServer() {
   Stop();
 }
--- a/src/process/transport/http_server.h
+++ b/src/process/transport/http_server.h
@@ -65,20 +65,25 @@
 // HTTP/1.1 server that runs on its own thread.
 class HttpServer {
  public:
-  struct Options {
-    std::string listen_address;  // "IP:port"
-    size_t max_body_bytes = size_t{64} << 20;
-    // Limit of the bytes of a head, empty lines before it included.
-    size_t max_head_bytes = size_t{64} << 10;
-    // Connections that are open at the same time. A further one replaces the
-    // connection without a running request that was silent for longest.
-    size_t max_connections = 10000;
+  // Limits of each request.
+  struct RequestLimits {
+    size_t body_bytes = size_t{64} << 20;
+    // Bytes of the target and of the names and values of the header fields. A
+    // head may have this number of bytes beside them.
+    size_t field_bytes = size_t{64} << 10;
     // Time for a head, from its first byte.
     std::chrono::milliseconds head_timeout{3000};
     // Time without a further byte of a body.
     std::chrono::milliseconds body_timeout{15000};
     // Time between two requests on a connection.
     std::chrono::milliseconds idle_timeout{30000};
+  };
+  struct Options {
+    std::string listen_address;  // "IP:port"
+    RequestLimits limits;
+    // Connections that are open at the same time. A further one replaces the
+    // connection without a running request that was silent for longest.
+    size_t max_connections = 10000;
     // Time without progress of a response that waits to be sent.
     std::chrono::milliseconds write_timeout{30000};
     // Memory of the requests. A server without one has a budget of its own.
@@ -92,6 +97,8 @@
   static Result<std::unique_ptr<HttpServer>> Make(const Options& options,
                                                   Handler handler);
   ~HttpServer();
+  // Replaces the limits for the requests that arrive from now on. Any thread.
+  void SetRequestLimits(const RequestLimits& limits);
   // Closes the listening socket and all connections, and joins the thread.
   // Exchanges must not be used afterwards.
   void Stop();
--- a/src/process/transport/http_server_loop.h
+++ b/src/process/transport/http_server_loop.h
@@ -42,6 +42,10 @@
   void RunOrPost(std::function<void()> action);
 
   const HttpServer::Options& options() const { return options_; }
+  const HttpServer::RequestLimits& limits() const { return options_.limits; }
+  void SetLimits(const HttpServer::RequestLimits& limits) {
+    options_.limits = limits;
+  }
   const HttpServer::Handler& handler() const { return handler_; }
   RequestMemoryBudget& request_memory() { return *options_.request_memory; }
   // Buffer of the connection that is read at the moment.
@@ -57,7 +61,7 @@
   // Closes connections whose time limit is over, now and periodically.
   void CheckDeadlines();
 
-  const HttpServer::Options options_;
+  HttpServer::Options options_;
   const HttpServer::Handler handler_;
   asio::io_context io_{1};
   asio::ip::tcp::acceptor acceptor_{io_};
--- a/src/process/transport/memory_limits.cc
+++ b/src/process/transport/memory_limits.cc
@@ -24,6 +24,8 @@
 constexpr size_t kConnectionFraction = 4;
 constexpr size_t kMaxDefaultRequestBytes = size_t{1} << 30;
 constexpr size_t kMaxDefaultConnections = 10000;
+// Head of a request and window of its connection.
+constexpr size_t kRequestOverheadBytes = size_t{1} << 20;
 // Objects of a connection without a request.
 constexpr size_t kConnectionObjectBytes = size_t{4} << 10;
 constexpr size_t kConnectionBytes =
@@ -80,17 +82,27 @@
     findings.Add(reader.PathOf("request_memory_mb"),
                  "must not be larger than memory_mb");
   }
-  return {.request_bytes = request_bytes,
+  return {.memory_bytes = memory_bytes,
+          .request_bytes = request_bytes,
           .max_connections = static_cast<size_t>(reader.OptionalNumber(
               "max_connections", kMinConnections, kMaxConnectionsSetting,
               static_cast<double>(DefaultConnections(memory_bytes))))};
 }
 
 MemoryLimits DefaultMemoryLimits(size_t max_body_bytes) {
-  return {.request_bytes = DefaultRequestBytes(MemoryOfVm(), max_body_bytes),
+  return {.memory_bytes = MemoryOfVm(),
+          .request_bytes = DefaultRequestBytes(MemoryOfVm(), max_body_bytes),
           .max_connections = DefaultConnections(MemoryOfVm())};
 }
 
+size_t RequestBytesFor(const MemoryLimits& limits, size_t body_bytes) {
+  const size_t needed = body_bytes < limits.memory_bytes
+                            ? body_bytes + kRequestOverheadBytes
+                            : limits.memory_bytes;
+  return std::max(limits.request_bytes,
+                  std::min(needed, limits.memory_bytes / 2));
+}
+
 size_t ConnectionsFor(size_t descriptors) {
   const size_t reserved =
       std::max(kMinReservedDescriptors, descriptors / kReservedFraction);
@@ -106,7 +118,7 @@
     std::string listen_address,
     std::shared_ptr<RequestMemoryBudget> request_memory) {
   return {.listen_address = std::move(listen_address),
-          .max_body_bytes = kMonitoringBodyBytes,
+          .limits = {.body_bytes = kMonitoringBodyBytes},
           .max_connections = kMonitoringConnections,
           .request_memory = std::move(request_memory)};
 }
--- a/src/process/transport/memory_limits.h
+++ b/src/process/transport/memory_limits.h
@@ -13,6 +13,8 @@
 // Limits that keep a process within the memory and the file descriptors of its
 // VM, whatever clients send.
 struct MemoryLimits {
+  // Memory of the process.
+  size_t memory_bytes = 0;
   // Memory of all requests of clients in the process.
   size_t request_bytes = 0;
   // Connections that the client port accepts.
@@ -28,6 +30,11 @@
 // The limits that apply without settings, from the memory of this VM.
 MemoryLimits DefaultMemoryLimits(size_t max_body_bytes);
 
+// Returns the memory for requests when the largest body has `body_bytes`: at
+// least one such request fits unless it would take more than half of the memory
+// of the process.
+size_t RequestBytesFor(const MemoryLimits& limits, size_t body_bytes);
+
 // Returns the number of connections that clients may use when the process may
 // open `descriptors` files. The others are for the store, backend servers and
 // the other ports.
--- a/src/process/transport/request_memory_budget.cc
+++ b/src/process/transport/request_memory_budget.cc
@@ -60,6 +60,11 @@
   return account;
 }
 
+void RequestMemoryBudget::SetMaxBytes(size_t max_bytes) {
+  const std::lock_guard lock(mutex_);
+  max_bytes_ = max_bytes;
+}
+
 RequestMemoryBudget::Counters RequestMemoryBudget::counters() const {
   const std::lock_guard lock(mutex_);
   return counters_;
--- a/src/process/transport/request_memory_budget.h
+++ b/src/process/transport/request_memory_budget.h
@@ -74,6 +74,9 @@
   // been closed. The bytes count as returned before it is called.
   std::unique_ptr<Account> Open(std::function<void()> evict);
 
+  // Sets the limit for the charges from now on.
+  void SetMaxBytes(size_t max_bytes);
+
   Counters counters() const;
   void CountClosedConnection();
   void CountRejectedRequest();
@@ -98,8 +101,8 @@
   // Returns what must be called, without the lock, to evict the request.
   std::function<void()> TakeBack(Account& account);
 
-  const size_t max_bytes_;
   mutable std::mutex mutex_;
+  size_t max_bytes_;
   Counters counters_;
   // Counts the progress of all requests; serves as their clock.
   std::uint64_t progress_ = 0;
--- a/src/version/serving_config.h
+++ b/src/version/serving_config.h
@@ -78,10 +78,14 @@
   std::string health_path;
 };
 
-// Size limits of client requests.
+// Limits of client requests and connections.
 struct ClientLimits {
   size_t header_bytes = size_t{64} << 10;
   size_t body_bytes = size_t{8} << 20;
+  // Time for a head, from its first byte.
+  std::chrono::milliseconds head_timeout{3000};
+  // Time between two requests on a connection.
+  std::chrono::milliseconds idle_timeout{30000};
 };
 
 // One version of the operators' configuration, immutable and indexed for
--- a/tests/process/http_server_test.cc
+++ b/tests/process/http_server_test.cc
@@ -30,9 +30,9 @@
   };
 
   std::unique_ptr<HttpServer> Serve(HttpServer::Handler handler) {
-    auto server =
-        HttpServer::Make({.listen_address = kAddress, .max_body_bytes = 1000},
-                         std::move(handler));
+    auto server = HttpServer::Make(
+        {.listen_address = kAddress, .limits = {.body_bytes = 1000}},
+        std::move(handler));
     REQUIRE(server);
     return std::move(server).value();
   }
@@ -173,9 +173,10 @@
 TEST_CASE_FIXTURE(HttpServerFixture,
                   "HttpServer, head that stops short, is closed") {
   auto server =
-      HttpServer::Make({.listen_address = kAddress,
-                        .head_timeout = std::chrono::milliseconds(300)},
-                       [](const HttpRequest&, HttpExchangePtr) {})
+      HttpServer::Make(
+          {.listen_address = kAddress,
+           .limits = {.head_timeout = std::chrono::milliseconds(300)}},
+          [](const HttpRequest&, HttpExchangePtr) {})
           .value();
   CHECK(Exchange({"GET / HTTP/1.1\r\nHo"}).empty());
 }
@@ -198,6 +199,34 @@
   CHECK(Post("/x", "body").status == 200);
 }
 
+// Guards against fields without end after a chunked body.
+TEST_CASE_FIXTURE(HttpServerFixture,
+                  "HttpServer, trailer fields without end, is refused") {
+  auto server = Serve([](const HttpRequest&, HttpExchangePtr exchange) {
+    exchange->Respond(200, {}, "");
+  });
+  std::string fields;
+  while (fields.size() < size_t{100} << 10) {
+    fields += "a:b\r\n";
+  }
+  CHECK(Exchange({"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                  "1\r\nx\r\n0\r\n",
+                  fields})
+            .starts_with("HTTP/1.1 431"));
+}
+
+// Guards against limits that only apply to a server that starts later.
+TEST_CASE_FIXTURE(HttpServerFixture,
+                  "HttpServer, limits replaced, apply to the next request") {
+  auto server = Serve([](const HttpRequest&, HttpExchangePtr exchange) {
+    exchange->Respond(200, {}, "");
+  });
+  CHECK(Post("/x", std::string(2000, 'x')).status == 413);
+  server->SetRequestLimits({.body_bytes = 3000});
+  CHECK(Post("/x", std::string(2000, 'x')).status == 200);
+  CHECK(Post("/x", std::string(4000, 'x')).status == 413);
+}
+
 // Guards against a crash or a silent failure when the port is in use.
 TEST_CASE_FIXTURE(HttpServerFixture,
                   "HttpServer, port in use, fails with unavailable") {
--- a/tests/process/request_memory_budget_test.cc
+++ b/tests/process/request_memory_budget_test.cc
@@ -98,6 +98,8 @@
   const AccountPtr a = Open("a");
   CHECK_FALSE(a->Resize(10 * kStep + 1));
   CHECK(evicted.empty());
+  budget->SetMaxBytes(11 * kStep);
+  CHECK(a->Resize(10 * kStep + 1));
 }
 
 // Guards against the eviction of a request that may already run, and against
--- a/tests/process/untrusted_clients_test.cc
+++ b/tests/process/untrusted_clients_test.cc
@@ -15,6 +15,7 @@
 namespace carawayrelay {
 namespace {
 
+using nlohmann::json;
 using std::chrono::milliseconds;
 
 // Connects to `port`, sends `request` in parts with a pause before each but the
@@ -188,6 +189,11 @@
   Check(kLargeCrowd, "G", "E", 1);
 }
 
+// The fields of a request that is served.
+constexpr const char* kServed =
+    "X-Api-Key: key\r\nX-Carawayrelay-Request-Id: r\r\n"
+    "X-Carawayrelay-Deadline-Ms: 30000\r\nConnection: close";
+
 // Guards against memory beside the bytes that count: freed memory that stays
 // resident, reserved memory and copies.
 TEST_CASE_FIXTURE(UntrustedFrontendFixture,
@@ -246,5 +252,72 @@
   watch->Check(kLargeCrowd);
 }
 
+// Guards against a body over the limit of the configuration that is stored
+// until it is complete: the refusal must not wait for the end of the body.
+TEST_CASE_FIXTURE(UntrustedFrontendFixture,
+                  "Frontend, body over the configured limit, is refused before "
+                  "its end") {
+  PutConfig({{"maxBodyBytes", 1000}});
+  Start();
+  const std::string announced =
+      Exchange(port, {Post("Content-Length: 2000") + std::string(1001, 'x')});
+  CHECK(announced.starts_with("HTTP/1.1 413"));
+  const std::string chunked =
+      Exchange(port, {Post("Transfer-Encoding: chunked") + "3e9\r\n" +
+                      std::string(1001, 'x') + "\r\n"});
+  CHECK(chunked.starts_with("HTTP/1.1 413"));
+}
+
+// Guards against the same for a head.
+TEST_CASE_FIXTURE(UntrustedFrontendFixture,
+                  "Frontend, head over the configured limit, is refused before "
+                  "its end") {
+  PutConfig({{"maxHeaderBytes", 2000}});
+  Start();
+  const std::string answer =
+      Exchange(port, {"GET /x/1 HTTP/1.1\r\nHost: h.example\r\nX-Long: " +
+                      std::string(4000, 'x')});
+  CHECK(answer.starts_with("HTTP/1.1 431"));
+}
+
+// Guards against limits of the program that are lower than those that the
+// configuration allows to clients.
+TEST_CASE_FIXTURE(UntrustedFrontendFixture,
+                  "Frontend, sizes up to higher configured limits, are "
+                  "served") {
+  PutConfig({{"maxBodyBytes", 12 * kMegabyte}, {"maxHeaderBytes", 131072}});
+  Start();
+  CHECK(IsServed(std::string(12 * kMegabyte, 'x')));
+  const std::string answer = Exchange(
+      port, {Post(std::string(kServed) + "\r\nContent-Length: 0\r\nX-Long: " +
+                  std::string(100000, 'x'))});
+  CHECK(answer.starts_with("HTTP/1.1 200"));
+}
+
+// Guards against the same for the time that a head may take.
+TEST_CASE_FIXTURE(UntrustedFrontendFixture,
+                  "Frontend, head slower than the default within the "
+                  "configured limit, is served") {
+  PutConfig({{"headerTimeoutMs", 60000}});
+  Start();
+  const std::string request =
+      Post(std::string(kServed) + "\r\nContent-Length: 0");
+  const std::string answer = Exchange(
+      port, {request.substr(0, 20), request.substr(20)}, milliseconds(4500));
+  CHECK(answer.starts_with("HTTP/1.1 200"));
+}
+
+// Guards against the same for the time between two requests.
+TEST_CASE_FIXTURE(UntrustedFrontendFixture,
+                  "Frontend, idle longer than the default within the "
+                  "configured limit, is served") {
+  PutConfig({{"idleTimeoutMs", 600000}});
+  Start();
+  const std::string answer =
+      Exchange(port, {"", Post(std::string(kServed) + "\r\nContent-Length: 0")},
+               milliseconds(32000));
+  CHECK(answer.starts_with("HTTP/1.1 200"));
+}
+
 }  // namespace
 }  // namespace carawayrelay
--- a/tests/process/untrusted_frontend_fixture.h
+++ b/tests/process/untrusted_frontend_fixture.h
@@ -62,6 +62,8 @@
                             is_large ? std::string(kLargeResponseBytes, 'x')
                                      : std::to_string(request.body.size()));
         });
+    // The frontend passes on heads that are larger than the default limit.
+    backend->SetRequestLimits({.field_bytes = kMegabyte});
     PutConfig(nlohmann::json::object());
     store.Put("servers", "backend",
               {{"service", "s"},
--- a/tests/serving/desired_state_test.cc
+++ b/tests/serving/desired_state_test.cc
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <chrono>
 #include <string>
 
 namespace carawayrelay {
@@ -27,6 +28,30 @@
   }
 };
 
+// Guards against limits of the program that apply in place of those that the
+// configuration allows to clients.
+TEST_CASE_FIXTURE(DesiredStateFixture,
+                  "ServingConfig, limits of clients, are read") {
+  const ClientLimits defaults = Decode()->limits();
+  CHECK(defaults.head_timeout == std::chrono::seconds(3));
+  CHECK(defaults.idle_timeout == std::chrono::seconds(30));
+  text.insert(1, R"("limits": {"maxHeaderBytes": 1000, "maxBodyBytes": 2000,
+                     "headerTimeoutMs": 4000, "idleTimeoutMs": 50000},)");
+  const ClientLimits limits = Decode()->limits();
+  CHECK(limits.header_bytes == 1000);
+  CHECK(limits.body_bytes == 2000);
+  CHECK(limits.head_timeout == std::chrono::seconds(4));
+  CHECK(limits.idle_timeout == std::chrono::seconds(50));
+}
+
+// Guards against a time limit of 0 that would close every connection.
+TEST_CASE_FIXTURE(DesiredStateFixture,
+                  "ServingConfig, time limit of 0, is the default") {
+  text.insert(1, R"("limits": {"headerTimeoutMs": 0, "idleTimeoutMs": 0},)");
+  CHECK(Decode()->limits().head_timeout == std::chrono::seconds(3));
+  CHECK(Decode()->limits().idle_timeout == std::chrono::seconds(30));
+}
+
 // Guards against a request that is matched to a route with a shorter prefix
 // than the longest one that fits, or with a prefix that ends inside a path
 // segment.
