Connections at the limit: the one to close is found without a search

Callers saw: at the limit of connections, an ordinary client that is idle between two requests lost its connection to one that sends the head of its first request a byte at a time.

Cause: whoever had sent one byte of a request counted as a client that had had a request. Each new connection also looked at all others, under the lock step of the only thread that reads.

Evidence: `HttpServer, connections at the limit, one without a complete request is replaced first` failed on the parent: the idle connection was closed.

Change: the connections without a running request are kept in two lists by their last progress, those that never had a complete request and the others; the first of the first list goes. What the search cost at 10,000 connections was not measured.

Result: the test passes; a new connection takes the same steps whatever the number of others.

--- a/src/process/transport/http_connection.cc
+++ b/src/process/transport/http_connection.cc
@@ -68,6 +68,7 @@
   parser_.reset();
   account_.reset();
   unsent_.clear();
+  waiting_place_.Leave();
   loop_->Remove(self);
 }
 
@@ -90,8 +91,8 @@
 
 void HttpConnection::SetPhase(Phase phase, milliseconds time_limit) {
   phase_ = phase;
-  last_progress_ = BootClock::now();
-  deadline_ = last_progress_ + time_limit;
+  deadline_ = BootClock::now() + time_limit;
+  waiting_place_.MoveToEnd(loop_->waiting(has_had_request_), *this);
 }
 
 void HttpConnection::WaitForInput() {
@@ -226,6 +227,8 @@
 void HttpConnection::Dispatch() {
   phase_ = Phase::kServing;
   deadline_.reset();
+  waiting_place_.Leave();
+  has_had_request_ = true;
   NarrowWindow();
   const bool keeps_connection = parser_->keeps_connection();
   HttpRequest request = parser_->Take();
--- a/src/process/transport/http_connection.h
+++ b/src/process/transport/http_connection.h
@@ -9,10 +9,10 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <utility>
 
 #include "process/transport/http_request_parser.h"
 #include "process/transport/http_server_loop.h"
+#include "process/transport/progress_order.h"
 #include "request/refusal.h"
 
 namespace carawayrelay {
@@ -33,15 +33,6 @@
   void Close();
   // Ends what takes longer than its time limit.
   void CheckDeadline(TimePoint now);
-  // True while a request is with the handler or its response is being sent.
-  bool is_serving() const { return phase_ == Phase::kServing; }
-  // The connection of lowest rank is the first to be closed for a new one:
-  // connections that never had a complete request go first, then the one that
-  // was silent for longest.
-  std::pair<bool, TimePoint> silence_rank() const {
-    return {request_number_ > 0, last_progress_};
-  }
-
   // Any thread. True once the connection is closed.
   bool is_closed() const { return is_closed_; }
   // Any thread. Bytes of responses that wait to be sent.
@@ -86,6 +77,7 @@
   void OnSent(size_t bytes);
   void OnResponseSent();
   void BeginRequest();
+  // Sets a phase in which the client is waited for.
   void SetPhase(Phase phase, std::chrono::milliseconds time_limit);
 
   const std::shared_ptr<HttpServerLoop> loop_;
@@ -93,11 +85,12 @@
   Phase phase_ = Phase::kIdle;
   // Time limit of the phase; none while the handler has the request.
   std::optional<TimePoint> deadline_;
-  TimePoint last_progress_ = BootClock::now();
+  ProgressOrder::Place waiting_place_;
   // Number of the request that is received or served.
   RequestNumber request_number_ = 0;
   std::optional<HttpRequestParser> parser_;
   std::unique_ptr<RequestMemoryBudget::Account> account_;
+  bool has_had_request_ = false;
   bool has_wide_window_ = false;
   bool is_waiting_for_input_ = false;
   size_t discarded_bytes_ = 0;
--- a/src/process/transport/http_server_loop.cc
+++ b/src/process/transport/http_server_loop.cc
@@ -126,18 +126,12 @@
 }
 
 bool HttpServerLoop::CloseSilentConnection() {
-  std::shared_ptr<HttpConnection> silent;
-  for (const auto& connection : connections_) {
-    if (!connection->is_serving() &&
-        (!silent || connection->silence_rank() < silent->silence_rank())) {
-      silent = connection;
-    }
-  }
-  if (!silent) {
+  const ProgressOrder& order = untested_.size() > 0 ? untested_ : idle_;
+  if (order.size() == 0) {
     return false;
   }
   request_memory().CountClosedConnection();
-  silent->Close();
+  order.oldest().Close();
   return true;
 }
 
--- a/src/process/transport/http_server_loop.h
+++ b/src/process/transport/http_server_loop.h
@@ -11,6 +11,7 @@
 #include <set>
 
 #include "process/transport/http_server.h"
+#include "process/transport/progress_order.h"
 #include "process/transport/request_memory_budget.h"
 
 namespace carawayrelay {
@@ -52,6 +53,12 @@
   std::array<char, kReadBytes>& read_buffer() { return read_buffer_; }
   void Remove(const std::shared_ptr<HttpConnection>& connection);
 
+  // Connections without a running request, which may be closed for a new one.
+  // Those that never had a complete request are the first to be closed.
+  ProgressOrder& waiting(bool has_had_request) {
+    return has_had_request ? idle_ : untested_;
+  }
+
  private:
   void Accept();
   void Add(asio::ip::tcp::socket socket);
@@ -72,6 +79,8 @@
   std::mutex mutex_;
   bool is_stopped_ = false;  // guarded by mutex_
   std::set<std::shared_ptr<HttpConnection>> connections_;
+  ProgressOrder untested_;
+  ProgressOrder idle_;
   std::array<char, kReadBytes> read_buffer_{};
 };
 
--- a/tests/process/http_server_test.cc
+++ b/tests/process/http_server_test.cc
@@ -5,6 +5,7 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/read.hpp>
+#include <asio/read_until.hpp>
 #include <asio/write.hpp>
 #include <atomic>
 #include <chrono>
@@ -199,6 +200,33 @@
   CHECK(Post("/x", "body").status == 200);
 }
 
+// Guards against a client that keeps its connection in place of an ordinary
+// one by sending the head of its first request a byte at a time.
+TEST_CASE_FIXTURE(HttpServerFixture,
+                  "HttpServer, connections at the limit, one without a "
+                  "complete request is replaced first") {
+  auto server =
+      HttpServer::Make({.listen_address = kAddress, .max_connections = 2},
+                       [](const HttpRequest&, HttpExchangePtr exchange) {
+                         exchange->Respond(200, {}, "");
+                       })
+          .value();
+  asio::io_context io;
+  auto ordinary = Connect(io);
+  const std::string request = "GET / HTTP/1.1\r\n\r\n";
+  std::string answer;
+  asio::write(ordinary, asio::buffer(request));
+  asio::read_until(ordinary, asio::dynamic_buffer(answer), "\r\n\r\n");
+  auto trickling = Connect(io);
+  asio::write(trickling, asio::buffer("GET", 3));
+  CHECK(Post("/x", "body").status == 200);
+  answer.clear();
+  asio::error_code error;
+  asio::write(ordinary, asio::buffer(request), error);
+  asio::read_until(ordinary, asio::dynamic_buffer(answer), "\r\n\r\n", error);
+  CHECK(answer.starts_with("HTTP/1.1 200"));
+}
+
 // Guards against fields without end after a chunked body.
 TEST_CASE_FIXTURE(HttpServerFixture,
                   "HttpServer, trailer fields without end, is refused") {
