Responses that nobody reads: a limit on their sum

Callers saw: a process near or over its memory while clients ask for large responses and do not read them.

Cause: a stream may have 4 MiB unsent and a whole response any size, on each connection, without a limit on the sum.

`HttpServer, responses over the limit, clients that read get theirs` fails with the limit taken out.

Change: the loop of each server has the sum of what waits to be sent and the order in which connections last sent something. Over an eighth of the memory (at least 16 MiB, at most 256 MiB) the connection is closed that has sent nothing for longest. A response that is the only one is sent whatever its size.

--- a/src/process/entry/entry_process.cc
+++ b/src/process/entry/entry_process.cc
@@ -88,6 +88,7 @@
       HttpServer::Make({.listen_address = settings_.listen_callers,
                         .limits = {.body_bytes = settings_.max_body_bytes},
                         .max_connections = MaxConnections(settings_.memory),
+                        .max_response_bytes = settings_.memory.response_bytes,
                         .request_memory = request_memory},
                        [this](HttpRequest request, HttpExchangePtr exchange) {
                          HandleClientRequest(std::move(request),
--- a/src/process/serving/frontend_process.cc
+++ b/src/process/serving/frontend_process.cc
@@ -166,6 +166,7 @@
       HttpServer::Make({.listen_address = settings_.listen_clients,
                         .limits = {.body_bytes = kMaxClientBodyBytes},
                         .max_connections = MaxConnections(settings_.memory),
+                        .max_response_bytes = settings_.memory.response_bytes,
                         .request_memory = core_->request_memory()},
                        [this](HttpRequest request, HttpExchangePtr exchange) {
                          intake_->Accept(std::move(request),
--- a/src/process/transport/http_connection.cc
+++ b/src/process/transport/http_connection.cc
@@ -69,6 +69,8 @@
   account_.reset();
   unsent_.clear();
   waiting_place_.Leave();
+  unsent_place_.Leave();
+  loop_->RemoveUnsentBytes(std::exchange(held_response_bytes_, 0));
   loop_->Remove(self);
 }
 
@@ -301,16 +303,36 @@
 }
 
 void HttpConnection::Append(std::string bytes, bool is_last, bool closes) {
-  if (!bytes.empty()) {
-    unsent_.push_back(std::move(bytes));
-  }
   has_last_part_ = is_last;
   closes_after_response_ = closes;
-  if (!is_sending_) {
+  if (!bytes.empty()) {
+    AddUnsent(std::move(bytes));
+  }
+  if (!is_sending_ && phase_ != Phase::kClosed) {
     SendNext();
   }
 }
 
+void HttpConnection::AddUnsent(std::string bytes) {
+  const size_t size = bytes.size();
+  if (held_response_bytes_ == 0) {
+    unsent_place_.MoveToEnd(loop_->unsent(), *this);
+  }
+  held_response_bytes_ += size;
+  unsent_.push_back(std::move(bytes));
+  loop_->AddUnsentBytes(size);
+}
+
+void HttpConnection::RemoveUnsent(size_t bytes) {
+  held_response_bytes_ -= bytes;
+  loop_->RemoveUnsentBytes(bytes);
+  if (held_response_bytes_ == 0) {
+    unsent_place_.Leave();
+  } else {
+    unsent_place_.MoveToEnd(loop_->unsent(), *this);
+  }
+}
+
 void HttpConnection::SendNext() {
   if (sent_of_sending_ == sending_.size()) {
     sending_.clear();
@@ -352,6 +374,7 @@
 
 void HttpConnection::OnSent(size_t bytes) {
   sent_of_sending_ += bytes;
+  RemoveUnsent(bytes);
   if (phase_ == Phase::kServing) {
     unsent_bytes_ -= bytes;
   }
--- a/src/process/transport/http_connection.h
+++ b/src/process/transport/http_connection.h
@@ -73,6 +73,9 @@
   void RefuseProblem();
   void OnEvicted(RequestNumber request);
   void Append(std::string bytes, bool is_last, bool closes);
+  // May close this connection.
+  void AddUnsent(std::string bytes);
+  void RemoveUnsent(size_t bytes);
   void SendNext();
   void OnSent(size_t bytes);
   void OnResponseSent();
@@ -86,6 +89,7 @@
   // Time limit of the phase; none while the handler has the request.
   std::optional<TimePoint> deadline_;
   ProgressOrder::Place waiting_place_;
+  ProgressOrder::Place unsent_place_;
   // Number of the request that is received or served.
   RequestNumber request_number_ = 0;
   std::optional<HttpRequestParser> parser_;
@@ -97,6 +101,8 @@
   std::deque<std::string> unsent_;
   std::string sending_;
   size_t sent_of_sending_ = 0;
+  // Bytes of `unsent_` and of `sending_` that are not sent.
+  size_t held_response_bytes_ = 0;
   bool is_sending_ = false;
   bool has_last_part_ = false;
   bool closes_after_response_ = false;
--- a/src/process/transport/http_server.h
+++ b/src/process/transport/http_server.h
@@ -86,6 +86,10 @@
     size_t max_connections = 10000;
     // Time without progress of a response that waits to be sent.
     std::chrono::milliseconds write_timeout{30000};
+    // Bytes of responses that wait to be sent, on all connections. When they
+    // are exceeded, the connection is closed whose client has read nothing for
+    // longest.
+    size_t max_response_bytes = size_t{16} << 20;
     // Memory of the requests. A server without one has a budget of its own.
     std::shared_ptr<RequestMemoryBudget> request_memory;
   };
--- a/src/process/transport/http_server_loop.cc
+++ b/src/process/transport/http_server_loop.cc
@@ -139,6 +139,15 @@
   connections_.erase(connection);
 }
 
+void HttpServerLoop::AddUnsentBytes(size_t bytes) {
+  unsent_bytes_ += bytes;
+  // A response that is larger than the limit is sent if it is the only one.
+  while (unsent_bytes_ > options_.max_response_bytes && unsent_.size() > 1) {
+    request_memory().CountClosedConnection();
+    unsent_.oldest().Close();
+  }
+}
+
 void HttpServerLoop::CheckDeadlines() {
   const TimePoint now = BootClock::now();
   // Copied, because connections remove themselves.
--- a/src/process/transport/http_server_loop.h
+++ b/src/process/transport/http_server_loop.h
@@ -58,6 +58,12 @@
   ProgressOrder& waiting(bool has_had_request) {
     return has_had_request ? idle_ : untested_;
   }
+  // Connections with a response that waits to be sent.
+  ProgressOrder& unsent() { return unsent_; }
+  // The bytes of responses that wait to be sent have grown. May close any
+  // connection that is in unsent().
+  void AddUnsentBytes(size_t bytes);
+  void RemoveUnsentBytes(size_t bytes) { unsent_bytes_ -= bytes; }
 
  private:
   void Accept();
@@ -81,6 +87,8 @@
   std::set<std::shared_ptr<HttpConnection>> connections_;
   ProgressOrder untested_;
   ProgressOrder idle_;
+  ProgressOrder unsent_;
+  size_t unsent_bytes_ = 0;
   std::array<char, kReadBytes> read_buffer_{};
 };
 
--- a/src/process/transport/memory_limits.cc
+++ b/src/process/transport/memory_limits.cc
@@ -17,12 +17,16 @@
 constexpr double kMaxMemoryMegabytes = 1 << 20;
 constexpr double kMinRequestMegabytes = 1;
 constexpr double kMaxConnectionsSetting = 1000000;
-// Parts of the memory of the VM that requests and connections may take. A
-// frontend without requests holds 17 MB, and a request is copied once on its
-// way to a backend server.
+// Parts of the memory of the VM that requests, responses and connections may
+// take. A frontend without requests holds 17 MB, and a request is copied once
+// on its way to a backend server.
 constexpr size_t kRequestFraction = 4;
+constexpr size_t kResponseFraction = 8;
 constexpr size_t kConnectionFraction = 4;
 constexpr size_t kMaxDefaultRequestBytes = size_t{1} << 30;
+constexpr size_t kMaxDefaultResponseBytes = size_t{256} << 20;
+// Space for two of the largest responses that are not streams.
+constexpr size_t kMinResponseBytes = size_t{16} << 20;
 constexpr size_t kMaxDefaultConnections = 10000;
 // Head of a request and window of its connection.
 constexpr size_t kRequestOverheadBytes = size_t{1} << 20;
@@ -56,6 +60,11 @@
       2 * max_body_bytes);
 }
 
+size_t DefaultResponseBytes(size_t memory_bytes) {
+  return std::clamp(memory_bytes / kResponseFraction, kMinResponseBytes,
+                    kMaxDefaultResponseBytes);
+}
+
 size_t DefaultConnections(size_t memory_bytes) {
   return std::clamp(memory_bytes / kConnectionFraction / kConnectionBytes,
                     kMinConnections, kMaxDefaultConnections);
@@ -84,6 +93,7 @@
   }
   return {.memory_bytes = memory_bytes,
           .request_bytes = request_bytes,
+          .response_bytes = DefaultResponseBytes(memory_bytes),
           .max_connections = static_cast<size_t>(reader.OptionalNumber(
               "max_connections", kMinConnections, kMaxConnectionsSetting,
               static_cast<double>(DefaultConnections(memory_bytes))))};
@@ -92,6 +102,7 @@
 MemoryLimits DefaultMemoryLimits(size_t max_body_bytes) {
   return {.memory_bytes = MemoryOfVm(),
           .request_bytes = DefaultRequestBytes(MemoryOfVm(), max_body_bytes),
+          .response_bytes = DefaultResponseBytes(MemoryOfVm()),
           .max_connections = DefaultConnections(MemoryOfVm())};
 }
 
--- a/src/process/transport/memory_limits.h
+++ b/src/process/transport/memory_limits.h
@@ -17,6 +17,8 @@
   size_t memory_bytes = 0;
   // Memory of all requests of clients in the process.
   size_t request_bytes = 0;
+  // Responses that wait to be sent to clients of the client port.
+  size_t response_bytes = 0;
   // Connections that the client port accepts.
   size_t max_connections = 0;
 };
--- a/tests/process/http_server_test.cc
+++ b/tests/process/http_server_test.cc
@@ -227,6 +227,39 @@
   CHECK(answer.starts_with("HTTP/1.1 200"));
 }
 
+// Guards against responses that wait without a limit on their sum: the client
+// that reads nothing loses its connection, and the one that reads does not.
+TEST_CASE_FIXTURE(HttpServerFixture,
+                  "HttpServer, responses over the limit, clients that read "
+                  "get theirs") {
+  constexpr size_t kResponseBytes = size_t{1} << 20;
+  auto server =
+      HttpServer::Make({.listen_address = kAddress,
+                        .max_response_bytes = 2 * kResponseBytes},
+                       [](const HttpRequest&, HttpExchangePtr exchange) {
+                         exchange->Respond(200, {},
+                                           std::string(kResponseBytes, 'x'));
+                       })
+          .value();
+  asio::io_context io;
+  std::vector<asio::ip::tcp::socket> silent;
+  for (int i = 0; i < 10; ++i) {
+    silent.push_back(Connect(io));
+    asio::write(silent.back(), asio::buffer("GET / HTTP/1.1\r\n\r\n", 18));
+    CHECK(Post("/x", "body").body.size() == kResponseBytes);
+  }
+  // Only two of the ten responses fit.
+  size_t complete = 0;
+  for (auto& socket : silent) {
+    std::string answer;
+    asio::error_code error;
+    asio::read(socket, asio::dynamic_buffer(answer),
+               asio::transfer_at_least(kResponseBytes), error);
+    complete += error ? 0 : 1;
+  }
+  CHECK(complete <= 2);
+}
+
 // Guards against fields without end after a chunked body.
 TEST_CASE_FIXTURE(HttpServerFixture,
                   "HttpServer, trailer fields without end, is refused") {
--- a/tests/process/untrusted_clients_test.cc
+++ b/tests/process/untrusted_clients_test.cc
@@ -233,6 +233,19 @@
         kMegabyte);
 }
 
+// Guards against large responses that wait in the process.
+TEST_CASE_FIXTURE(UntrustedFrontendFixture,
+                  "Frontend, large responses that nobody reads, stays within "
+                  "its memory") {
+  Start();
+  const std::string request =
+      "GET /x/large/ HTTP/1.1\r\nHost: h.example\r\nX-Api-Key: key\r\n"
+      "X-Carawayrelay-Request-Id: r\r\nX-Carawayrelay-Deadline-Ms: 30000"
+      "\r\n\r\n";
+  Check(kLargeCrowd, request, "\r\n", request.size(), port,
+        /*backend_connections=*/kLargeCrowd);
+}
+
 // Guards against small bodies that fill the memory of requests and are never
 // the largest, so that the ordinary request is the one that is refused. They
 // trickle, so that no time limit for a silent client closes them.
