Links: a frame takes memory as it arrives, and unknown peers are few

Callers saw: nothing yet; found by trying the crowds on every port. 60 connections to the port between processes, each with four bytes, took an entry or an agent to 2 GB.

Cause: the memory of a frame was written when its length was announced, up to 32 MiB for each connection, also before the peer had said Hello. The number of connections had no limit, and after a failed accept, for example without a free descriptor, the next one was tried at once, without a pause.

Change: a payload is read in steps of 64 KiB into reserved memory that is written as it arrives. Before Hello a frame has at most 64 KiB. The incomplete frames of a thread share 32 MiB; when that is used up, the link goes whose frame made no progress for longest. At most 64 accepted connections wait for Hello, and the oldest makes way; all together are limited by 4096 and by the descriptors. Accepting is tried again after 100 ms, with event 1103. The receive buffer of a link is 256 KiB.

--- a/src/connection/link.cc
+++ b/src/connection/link.cc
@@ -1,5 +1,6 @@
 #include "connection/link.h"
 
+#include <algorithm>
 #include <asio/buffer.hpp>
 #include <asio/read.hpp>
 #include <asio/write.hpp>
@@ -11,6 +12,9 @@
 namespace carawayrelay {
 namespace {
 
+// Step in which a payload is read.
+constexpr size_t kReadBytes = size_t{64} << 10;
+
 std::string MakeFrame(const std::string& payload) {
   const auto size = static_cast<std::uint32_t>(payload.size());
   std::string frame;
@@ -32,13 +36,15 @@
 
 }  // namespace
 
-std::shared_ptr<Link> Link::Make(asio::ip::tcp::socket socket) {
-  return std::shared_ptr<Link>(new Link(std::move(socket)));
+std::shared_ptr<Link> Link::Make(asio::ip::tcp::socket socket,
+                                 FrameMemory& frame_memory) {
+  return std::shared_ptr<Link>(new Link(std::move(socket), frame_memory));
 }
 
-Link::Link(asio::ip::tcp::socket socket)
+Link::Link(asio::ip::tcp::socket socket, FrameMemory& frame_memory)
     : socket_(std::move(socket)),
       timer_(socket_.get_executor()),
+      frame_memory_(frame_memory, *this),
       last_read_(BootClock::now()) {}
 
 void Link::Start(OnMessage on_message, OnClosed on_closed) {
@@ -80,6 +86,7 @@
   timer_.cancel(ignored);
   socket_.close(ignored);
   outgoing_.clear();
+  frame_memory_.Release();
   on_message_ = nullptr;
   if (auto on_closed = std::exchange(on_closed_, nullptr)) {
     on_closed(reason);
@@ -96,26 +103,49 @@
         }
         self->last_read_ = BootClock::now();
         const size_t size = ParseSize(self->header_);
-        if (size > kMaxFrameBytes) {
+        if (size > self->max_frame_bytes_) {
           self->Close("peer sent a frame over the limit");
         } else if (size == 0) {
           self->ReadHeader();
         } else {
-          self->ReadPayload(size);
+          self->BeginPayload(size);
         }
       });
 }
 
+void Link::BeginPayload(size_t size) {
+  payload_.clear();
+  if (size <= kReadBytes) {
+    payload_.shrink_to_fit();  // of an earlier large frame
+  } else {
+    payload_.reserve(size);
+  }
+  ReadPayload(size);
+}
+
 void Link::ReadPayload(size_t size) {
-  payload_.resize(size);
+  // A step may have ended before the link was closed and be handled afterwards.
+  if (closed_) {
+    return;
+  }
+  const size_t received = payload_.size();
+  const size_t step = std::min(kReadBytes, size - received);
+  if (!frame_memory_.Reserve(step)) {
+    Close("no memory for a frame of " + std::to_string(size) + " bytes");
+    return;
+  }
+  payload_.resize(received + step);
   asio::async_read(
-      socket_, asio::buffer(payload_),
-      [self = shared_from_this()](const asio::error_code& error, size_t) {
+      socket_, asio::buffer(payload_.data() + received, step),
+      [self = shared_from_this(), size](const asio::error_code& error, size_t) {
         if (error) {
           self->Close("read: " + error.message());
-          return;
+        } else if (self->payload_.size() < size) {
+          self->ReadPayload(size);
+        } else {
+          self->frame_memory_.Release();
+          self->HandlePayload();
         }
-        self->HandlePayload();
       });
 }
 
--- a/src/connection/link.h
+++ b/src/connection/link.h
@@ -11,6 +11,7 @@
 #include <string>
 
 #include "carawayrelay/request.h"
+#include "connection/frame_memory.h"
 #include "connection/message.h"
 
 namespace carawayrelay {
@@ -27,6 +28,8 @@
   static constexpr std::chrono::milliseconds kHeartbeatInterval{500};
   static constexpr std::chrono::milliseconds kPeerTimeout{2500};
   static constexpr size_t kMaxFrameBytes = size_t{32} << 20;
+  // Limit of a frame from a peer that has not yet sent Hello.
+  static constexpr size_t kMaxFirstFrameBytes = size_t{64} << 10;
   // Bounds the memory that is used for frames that the peer does not read.
   static constexpr size_t kMaxQueuedBytes = size_t{64} << 20;
 
@@ -36,19 +39,25 @@
   // Called once, with the reason for the close.
   using OnClosed = std::function<void(const std::string& reason)>;
 
-  static std::shared_ptr<Link> Make(asio::ip::tcp::socket socket);
+  // `frame_memory` must outlive the link.
+  static std::shared_ptr<Link> Make(asio::ip::tcp::socket socket,
+                                    FrameMemory& frame_memory);
 
   void Start(OnMessage on_message, OnClosed on_closed);
   // Queues a message. Closes the link when more than kMaxQueuedBytes are queued
   // or the message is larger than kMaxFrameBytes.
   void Send(const Message& message);
   void ResumeReading();
+  // Accepts frames of up to kMaxFrameBytes from now on.
+  void AllowLargeFrames() { max_frame_bytes_ = kMaxFrameBytes; }
   void Close(const std::string& reason);
 
  private:
-  explicit Link(asio::ip::tcp::socket socket);
+  Link(asio::ip::tcp::socket socket, FrameMemory& frame_memory);
 
   void ReadHeader();
+  // Reads the payload in steps, so that it takes memory only as it arrives.
+  void BeginPayload(size_t size);
   void ReadPayload(size_t size);
   void HandlePayload();
   void Deliver(Message message);
@@ -62,6 +71,8 @@
   OnClosed on_closed_;
   std::array<unsigned char, 4> header_{};
   std::string payload_;
+  FrameMemory::Part frame_memory_;
+  size_t max_frame_bytes_ = kMaxFirstFrameBytes;
   std::optional<Message> undelivered_;
   std::deque<std::string> outgoing_;
   std::string writing_;
--- a/src/process/telemetry/events.h
+++ b/src/process/telemetry/events.h
@@ -13,6 +13,7 @@
   // items, 196x pace of backend servers, 197x shared health, 198x rollouts.
   kLinkUp = 1101,
   kLinkDown = 1102,
+  kLinkNotAccepted = 1103,
   kConfigAdopted = 1201,
   kConfigPublished = 1202,
   kConfigRejected = 1203,
--- a/src/process/transport/link_thread.cc
+++ b/src/process/transport/link_thread.cc
@@ -5,6 +5,7 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/post.hpp>
+#include <list>
 #include <map>
 #include <set>
 #include <thread>
@@ -14,7 +15,9 @@
 #include "connection/link.h"
 #include "process/telemetry/log.h"
 #include "process/transport/endpoint.h"
+#include "process/transport/memory_limits.h"
 #include "process/transport/ring.h"
+#include "process/transport/socket_buffers.h"
 
 namespace carawayrelay {
 namespace {
@@ -28,6 +31,12 @@
 // Interval between attempts to deliver LinkDown. Other events wait in their
 // paused connection, but a closed connection cannot be paused.
 constexpr milliseconds kRedeliverDelay{5};
+// Accepting fails, for example, when the process has no descriptor left.
+constexpr milliseconds kAcceptRetryInterval{100};
+// Accepted connections whose peer has not yet sent Hello.
+constexpr size_t kMaxUnknownPeers = 64;
+// Bytes that a connection may have in the receive buffer of its socket.
+constexpr size_t kLinkReceiveBytes = size_t{256} << 10;
 
 struct SendCommand {
   ConnectionId connection;
@@ -50,10 +59,14 @@
 class LinkThread::Impl {
  public:
   Impl(Options options, Deliver deliver)
-      : hello_(std::move(options.hello)),
+      : frame_memory_(options.max_frame_bytes),
+        hello_(std::move(options.hello)),
         deliver_(std::move(deliver)),
         commands_(options.command_capacity),
+        max_connections_(
+            MaxConnections({.max_connections = options.max_connections})),
         acceptor_(io_),
+        accept_timer_(io_),
         redeliver_timer_(io_) {
     commands_.SetWake([this] { asio::post(io_, [this] { RunCommands(); }); });
   }
@@ -67,6 +80,7 @@
     }
     if (!error) {
       acceptor_.bind(endpoint, error);
+      LimitReceiveBuffer(acceptor_, kLinkReceiveBytes);
     }
     if (!error) {
       acceptor_.listen(asio::socket_base::max_listen_connections, error);
@@ -183,13 +197,48 @@
           if (error == asio::error::operation_aborted || stopping_) {
             return;
           }
-          if (!error) {
-            AddConnection(std::move(socket), std::nullopt);
+          if (error) {
+            RetryAccept(error);
+            return;
           }
+          AddAccepted(std::move(socket));
           Accept();
         });
   }
 
+  void RetryAccept(const asio::error_code& error) {
+    LogWarning(LogEvent::kLinkNotAccepted,
+               "a connection of another process was not accepted: {}; next "
+               "attempt after {} ms",
+               error.message(), kAcceptRetryInterval.count());
+    CloseUnknownPeer();
+    accept_timer_.expires_after(kAcceptRetryInterval);
+    accept_timer_.async_wait([this](const asio::error_code& cancelled) {
+      if (!cancelled && !stopping_) {
+        Accept();
+      }
+    });
+  }
+
+  // Peers that have sent Hello keep their connections.
+  void AddAccepted(tcp::socket socket) {
+    if (unknown_peers_.size() >= kMaxUnknownPeers ||
+        connections_.size() >= max_connections_) {
+      CloseUnknownPeer();
+    }
+    if (connections_.size() < max_connections_) {
+      unknown_peers_.push_back(AddConnection(std::move(socket), std::nullopt));
+    }
+  }
+
+  // Closes the connection that was accepted first of those without Hello.
+  void CloseUnknownPeer() {
+    if (!unknown_peers_.empty()) {
+      const ConnectionId oldest = unknown_peers_.front();
+      CloseLink(oldest);
+    }
+  }
+
   void StartDial(const DialTarget& target) {
     const Result<tcp::endpoint> endpoint = ParseEndpoint(target.address);
     if (!endpoint) {
@@ -242,7 +291,7 @@
   ConnectionId AddConnection(tcp::socket socket,
                              std::optional<DialTarget> target) {
     const ConnectionId id{next_connection_++};
-    std::shared_ptr<Link> link = Link::Make(std::move(socket));
+    std::shared_ptr<Link> link = Link::Make(std::move(socket), frame_memory_);
     Hello hello = hello_;
     if (target) {
       hello.link_class = target->link_class;
@@ -291,6 +340,8 @@
       return false;
     }
     connection.is_up = true;
+    connection.link->AllowLargeFrames();
+    unknown_peers_.remove(id);
     LogInfo(LogEvent::kLinkUp, "connected to {} in zone {}", hello->node,
             hello->zone);
     if (connection.target) {
@@ -311,6 +362,7 @@
     if (node.empty()) {
       return;
     }
+    unknown_peers_.remove(id);
     if (node.mapped().is_up) {
       LogWarning(LogEvent::kLinkDown,
                  "connection {} to another process closed: {}", ToInt(id),
@@ -361,6 +413,7 @@
     stopping_ = true;
     asio::error_code ignored;
     acceptor_.close(ignored);
+    accept_timer_.cancel(ignored);
     redeliver_timer_.cancel(ignored);
     for (const auto& [target, dial] : dials_) {
       CancelDial(dial);
@@ -376,15 +429,20 @@
     work_.reset();
   }
 
+  // Outlives the links, which handlers of `io_` own.
+  FrameMemory frame_memory_;
   asio::io_context io_{1};
   asio::executor_work_guard<asio::io_context::executor_type> work_ =
       asio::make_work_guard(io_);
   Hello hello_;
   Deliver deliver_;
   Ring<Command> commands_;
+  const size_t max_connections_;
   tcp::acceptor acceptor_;
+  asio::steady_timer accept_timer_;
   asio::steady_timer redeliver_timer_;
   std::map<ConnectionId, Connection> connections_;
+  std::list<ConnectionId> unknown_peers_;  // by the time of their acceptance
   std::map<DialTarget, Dial> dials_;
   std::deque<LinkEvent> undelivered_;
   std::uint64_t next_connection_ = 1;
--- a/src/process/transport/link_thread.h
+++ b/src/process/transport/link_thread.h
@@ -10,6 +10,7 @@
 
 #include "carawayrelay/connection.h"
 #include "carawayrelay/request.h"
+#include "connection/link.h"
 
 namespace carawayrelay {
 
@@ -61,6 +62,10 @@
     // or, on accepted connections, of the peer's Hello.
     Hello hello;
     size_t command_capacity = 16384;
+    // Memory of the incomplete frames of all connections.
+    size_t max_frame_bytes = Link::kMaxFrameBytes;
+    // Accepted connections; at most those that leave descriptors for others.
+    size_t max_connections = 4096;
   };
 
   // Binds the listening socket and starts the thread. Fails with kInvalid when
--- a/tests/process/untrusted_fleet_test.cc
+++ b/tests/process/untrusted_fleet_test.cc
@@ -1,10 +1,13 @@
 #include <doctest/doctest.h>
+#include <sys/resource.h>
 
 #include <chrono>
 #include <memory>
 #include <string>
 #include <thread>
 
+#include "connection/link.h"
+#include "connection/wire_codec.h"
 #include "harness/api_client.h"
 #include "harness/curl_http_client.h"
 #include "harness/fleet.h"
@@ -101,6 +104,67 @@
                       .bytes_per_connection = kind.bytes_per_connection});
     }
   }
+
+  // The crowds that a port for connections between processes must bear.
+  void CheckLinks(const std::string& process, std::uint16_t port) {
+    const std::string announced = FrameOfLength(Link::kMaxFrameBytes);
+    const std::string hello = Frame(
+        Encode(Hello{.node = "unknown", .role = Role::kEntry, .zone = "z"}));
+    const std::string payload(UntrustedFrontendFixture::kPayloadBytes, 'x');
+    SUBCASE("frame announced and not sent") {
+      Check(process, {.port = port,
+                      .connections = kSmallCrowd,
+                      .head = announced,
+                      .repeat = "x",
+                      .bytes_per_connection = announced.size()});
+    }
+    SUBCASE("frame that stops short") {
+      Check(process, {.port = port,
+                      .connections = kSmallCrowd,
+                      .head = announced,
+                      .repeat = payload,
+                      .bytes_per_connection = Link::kMaxFrameBytes});
+    }
+    SUBCASE("frame that stops short after Hello") {
+      Check(process, {.port = port,
+                      .connections = kSmallCrowd,
+                      .head = hello + announced,
+                      .repeat = payload,
+                      .bytes_per_connection = Link::kMaxFrameBytes});
+    }
+    SUBCASE("no frame") {
+      Check(process, {.port = port,
+                      .connections = kLargeCrowd,
+                      .head = payload,
+                      .repeat = payload,
+                      .bytes_per_connection = kMegabyte});
+    }
+    SUBCASE("Hello again and again") {
+      Check(process, {.port = port,
+                      .connections = kLargeCrowd,
+                      .head = hello,
+                      .repeat = hello,
+                      .bytes_per_connection = kMegabyte / 4});
+    }
+    SUBCASE("heartbeats without end") {
+      Check(process, {.port = port,
+                      .connections = kSmallCrowd,
+                      .head = hello,
+                      .repeat = std::string(4096, '\0'),
+                      .bytes_per_connection = kMegabyte});
+    }
+  }
+
+  static std::string FrameOfLength(size_t length) {
+    std::string header;
+    for (const int shift : {24, 16, 8, 0}) {
+      header.push_back(static_cast<char>((length >> shift) & 0xFF));
+    }
+    return header;
+  }
+  static std::string Frame(const std::string& payload) {
+    return FrameOfLength(payload.size()) + payload;
+  }
 };
 
 // Guards against limits of frontends that entries do not have.
@@ -148,5 +212,41 @@
   CheckAllKinds(kEntry, fleet->PortsOfEntry(kEntry).admin);
 }
 
+// Guards against frames that take memory before their bytes have arrived, and
+// against connections of unknown processes without a limit.
+TEST_CASE_FIXTURE(UntrustedFleetFixture,
+                  "Entry, untrusted clients on the port for links, stays "
+                  "within its memory") {
+  Start();
+  CheckLinks(kEntry, fleet->PortsOfEntry(kEntry).link);
+}
+
+// Guards against the same for an agent, whose only port this is.
+TEST_CASE_FIXTURE(UntrustedFleetFixture,
+                  "Agent, untrusted clients on the port for links, stays "
+                  "within its memory") {
+  Start();
+  CheckLinks(kAgent, fleet->PortsOfBackend(kAgent).link);
+}
+
+// Guards against a port for links that accepts until no descriptor is left for
+// the backend server.
+TEST_CASE_FIXTURE(UntrustedFleetFixture,
+                  "Agent, more connections than descriptors, serves "
+                  "afterwards") {
+  constexpr rlim_t kDescriptors = 300;
+  rlimit before{};
+  getrlimit(RLIMIT_NOFILE, &before);
+  const rlimit lowered{.rlim_cur = kDescriptors, .rlim_max = before.rlim_max};
+  setrlimit(RLIMIT_NOFILE, &lowered);
+  Start();
+  setrlimit(RLIMIT_NOFILE, &before);
+  Check(kAgent, {.port = fleet->PortsOfBackend(kAgent).link,
+                 .connections = kLargeCrowd,
+                 .head = "x",
+                 .repeat = "x",
+                 .bytes_per_connection = 1});
+}
+
 }  // namespace
 }  // namespace carawayrelay
