Memory of the process: half of the VM where no setting names it

Callers saw: nothing yet; read in the code. Without memory_mb the defaults were parts of the whole physical memory, as if no other process ran on the VM: a quarter for requests alone, in each of two roles.

Change: the default is half of the physical memory, and requests, responses and connections take their parts of that.

--- a/src/process/transport/memory_limits.cc
+++ b/src/process/transport/memory_limits.cc
@@ -17,9 +17,9 @@
 constexpr double kMaxMemoryMegabytes = 1 << 20;
 constexpr double kMinRequestMegabytes = 1;
 constexpr double kMaxConnectionsSetting = 1000000;
-// Parts of the memory of the VM that requests, responses and connections may
-// take. A frontend without requests holds 17 MB, and a request is copied once
-// on its way to a backend server.
+// Parts of the memory of the process that requests, responses and connections
+// may take. A frontend without requests holds 17 MB, and a request is copied
+// once on its way to a backend server.
 constexpr size_t kRequestFraction = 4;
 constexpr size_t kResponseFraction = 8;
 constexpr size_t kConnectionFraction = 4;
@@ -41,8 +41,9 @@
 constexpr size_t kMonitoringConnections = 32;
 constexpr size_t kMonitoringBodyBytes = size_t{64} << 10;
 
-size_t MemoryOfVm() {
-  return static_cast<size_t>(sysconf(_SC_PHYS_PAGES)) *
+// Other processes may run on the VM.
+size_t MemoryOfProcess() {
+  return static_cast<size_t>(sysconf(_SC_PHYS_PAGES)) / 2 *
          static_cast<size_t>(sysconf(_SC_PAGESIZE));
 }
 
@@ -78,8 +79,9 @@
   const auto memory_bytes =
       static_cast<size_t>(reader.OptionalNumber(
           "memory_mb", kMinMemoryMegabytes, kMaxMemoryMegabytes,
-          std::clamp(std::floor(static_cast<double>(MemoryOfVm()) / kMegabyte),
-                     kMinMemoryMegabytes, kMaxMemoryMegabytes))) *
+          std::clamp(
+              std::floor(static_cast<double>(MemoryOfProcess()) / kMegabyte),
+              kMinMemoryMegabytes, kMaxMemoryMegabytes))) *
       kMegabyte;
   const auto default_bytes = DefaultRequestBytes(memory_bytes, max_body_bytes);
   const auto request_bytes = static_cast<size_t>(
@@ -100,10 +102,12 @@
 }
 
 MemoryLimits DefaultMemoryLimits(size_t max_body_bytes) {
-  return {.memory_bytes = MemoryOfVm(),
-          .request_bytes = DefaultRequestBytes(MemoryOfVm(), max_body_bytes),
-          .response_bytes = DefaultResponseBytes(MemoryOfVm()),
-          .max_connections = DefaultConnections(MemoryOfVm())};
+  return {
+      .memory_bytes = MemoryOfProcess(),
+
+      .request_bytes = DefaultRequestBytes(MemoryOfProcess(), max_body_bytes),
+      .response_bytes = DefaultResponseBytes(MemoryOfProcess()),
+      .max_connections = DefaultConnections(MemoryOfProcess())};
 }
 
 size_t RequestBytesFor(const MemoryLimits& limits, size_t body_bytes) {
--- a/src/process/transport/memory_limits.h
+++ b/src/process/transport/memory_limits.h
@@ -29,7 +29,7 @@
                               size_t max_body_bytes,
                               Findings& findings);
 
-// The limits that apply without settings, from the memory of this VM.
+// The limits that apply without settings, from the memory of this process.
 MemoryLimits DefaultMemoryLimits(size_t max_body_bytes);
 
 // Returns the memory for requests when the largest body has `body_bytes`: at
