Tests: one wait loop and one descriptor limit for the crowds

The loop that waits for an ordinary request stood three times and the lowered descriptor limit twice.

--- a/tests/process/crowd_watch.h
+++ b/tests/process/crowd_watch.h
@@ -3,13 +3,16 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <chrono>
 #include <cstdint>
 #include <fstream>
 #include <set>
 #include <sstream>
 #include <string>
+#include <thread>
 #include <utility>
 
+#include "carawayrelay/request.h"
 #include "harness/process_group.h"
 
 namespace carawayrelay {
@@ -45,6 +48,24 @@
   return bytes;
 }
 
+// Calls `is_served` until it returns true. Returns false if it does not within
+// a minute or the process ends first.
+template <class IsServed>
+bool WaitUntilServed(tools::ProcessGroup& processes,
+                     const std::string& process,
+                     IsServed is_served) {
+  constexpr std::chrono::milliseconds kTimeout{60000};
+  constexpr std::chrono::milliseconds kInterval{50};
+  const TimePoint end = BootClock::now() + kTimeout;
+  while (BootClock::now() < end && processes.IsRunning(process)) {
+    if (is_served()) {
+      return true;
+    }
+    std::this_thread::sleep_for(kInterval);
+  }
+  return false;
+}
+
 // The most memory and descriptors that a process used while it was observed.
 class CrowdWatch {
  public:
--- a/tests/process/untrusted_clients_test.cc
+++ b/tests/process/untrusted_clients_test.cc
@@ -1,5 +1,4 @@
 #include <doctest/doctest.h>
-#include <sys/resource.h>
 
 #include <asio/buffer.hpp>
 #include <asio/io_context.hpp>
@@ -10,6 +9,7 @@
 #include <string>
 #include <thread>
 
+#include "process/descriptor_limit.h"
 #include "process/untrusted_frontend_fixture.h"
 
 namespace carawayrelay {
@@ -180,12 +180,10 @@
                   "Frontend, more connections than descriptors, serves "
                   "afterwards") {
   constexpr rlim_t kDescriptors = 300;
-  rlimit before{};
-  getrlimit(RLIMIT_NOFILE, &before);
-  const rlimit lowered{.rlim_cur = kDescriptors, .rlim_max = before.rlim_max};
-  setrlimit(RLIMIT_NOFILE, &lowered);
-  Start();
-  setrlimit(RLIMIT_NOFILE, &before);
+  {
+    const ScopedDescriptorLimit limit(kDescriptors);
+    Start();
+  }
   Check(kLargeCrowd, "G", "E", 1);
 }
 
--- a/tests/process/untrusted_fleet_test.cc
+++ b/tests/process/untrusted_fleet_test.cc
@@ -1,10 +1,8 @@
 #include <doctest/doctest.h>
-#include <sys/resource.h>
 
 #include <chrono>
 #include <memory>
 #include <string>
-#include <thread>
 
 #include "connection/link.h"
 #include "connection/wire_codec.h"
@@ -13,6 +11,7 @@
 #include "harness/fleet.h"
 #include "harness/stop_signal.h"
 #include "harness/test_key.h"
+#include "process/descriptor_limit.h"
 #include "process/untrusted_clients.h"
 #include "process/untrusted_frontend_fixture.h"
 
@@ -69,17 +68,12 @@
   // Sends an ordinary request through the entry and the agent until it is
   // served. Returns false if none is.
   bool IsServed() {
-    const TimePoint end = BootClock::now() + std::chrono::milliseconds(60000);
-    while (BootClock::now() < end && processes->IsRunning(kEntry)) {
-      if (client->Chat({.model = kModel,
-                        .prompt = "p",
-                        .max_tokens = 1,
-                        .timeout = std::chrono::milliseconds(5000)})) {
-        return true;
-      }
-      std::this_thread::sleep_for(std::chrono::milliseconds(50));
-    }
-    return false;
+    return WaitUntilServed(*processes, kEntry, [&] {
+      return bool(client->Chat({.model = kModel,
+                                .prompt = "p",
+                                .max_tokens = 1,
+                                .timeout = std::chrono::milliseconds(5000)}));
+    });
   }
 
   // Runs a crowd against a port of an entry or an agent and checks the process.
@@ -235,12 +229,10 @@
                   "Agent, more connections than descriptors, serves "
                   "afterwards") {
   constexpr rlim_t kDescriptors = 300;
-  rlimit before{};
-  getrlimit(RLIMIT_NOFILE, &before);
-  const rlimit lowered{.rlim_cur = kDescriptors, .rlim_max = before.rlim_max};
-  setrlimit(RLIMIT_NOFILE, &lowered);
-  Start();
-  setrlimit(RLIMIT_NOFILE, &before);
+  {
+    const ScopedDescriptorLimit limit(kDescriptors);
+    Start();
+  }
   Check(kAgent, {.port = fleet->PortsOfBackend(kAgent).link,
                  .connections = kLargeCrowd,
                  .head = "x",
--- a/tests/process/untrusted_frontend_fixture.h
+++ b/tests/process/untrusted_frontend_fixture.h
@@ -9,7 +9,6 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
-#include <thread>
 #include <tuple>
 #include <utility>
 
@@ -42,6 +41,7 @@
 
   LoopbackStore store;
   std::unique_ptr<HttpServer> backend;
+  std::string backend_address;
   std::unique_ptr<tools::ProcessGroup> processes =
       tools::ProcessGroup::Make().value();
   std::uint16_t port = 0;
@@ -62,12 +62,13 @@
                             is_large ? std::string(kLargeResponseBytes, 'x')
                                      : std::to_string(request.body.size()));
         });
+    backend_address = backend_url.substr(backend_url.rfind('/') + 1);
     // The frontend passes on heads that are larger than the default limit.
     backend->SetRequestLimits({.field_bytes = kMegabyte});
     PutConfig(nlohmann::json::object());
     store.Put("servers", "backend",
               {{"service", "s"},
-               {"address", backend_url.substr(backend_url.rfind('/') + 1)},
+               {"address", backend_address},
                {"zone", "z"},
                {"version", "1"},
                {"capacity", 8},
@@ -124,8 +125,7 @@
 
   // Sends an ordinary request until it is served. Returns false if none is.
   bool IsServed(const std::string& body = "{}") {
-    const TimePoint end = BootClock::now() + std::chrono::milliseconds(60000);
-    while (BootClock::now() < end && processes->IsRunning(kName)) {
+    return WaitUntilServed(*processes, kName, [&] {
       const auto client = HttpClient::Make(
           {.base_url = "http://127.0.0.1:" + std::to_string(port),
            .request_timeout = std::chrono::milliseconds(5000)});
@@ -136,13 +136,9 @@
                                             "X-Carawayrelay-Request-Id: r",
                                             "X-Carawayrelay-Deadline-Ms: 4000"},
                                 .body = body});
-      if (response && response.value().status == 200 &&
-          response.value().body == std::to_string(body.size())) {
-        return true;
-      }
-      std::this_thread::sleep_for(std::chrono::milliseconds(50));
-    }
-    return false;
+      return response && response.value().status == 200 &&
+             response.value().body == std::to_string(body.size());
+    });
   }
 
   // Runs a crowd against the client port, or another port, and checks the
--- a/tests/process/untrusted_ports_test.cc
+++ b/tests/process/untrusted_ports_test.cc
@@ -72,12 +72,7 @@
     const nlohmann::json settings = {
         {"node", "side-1"},
         {"zone", "z"},
-        {"runner_address",
-         store.Get("servers", "backend").empty()
-             ? std::string()
-             : nlohmann::json::parse(store.Get("servers", "backend"))
-                   .at("address")
-                   .get<std::string>()},
+        {"runner_address", backend_address},
         {"memory_mb", CrowdWatch::kMemoryMegabytes},
         {"listen_metrics", "127.0.0.1:" + std::to_string(worker_port)},
         {"store_address", store.address()}};
@@ -91,19 +86,14 @@
   }
 
   bool AnswersMetrics() {
-    const TimePoint end = BootClock::now() + std::chrono::milliseconds(60000);
-    while (BootClock::now() < end && processes->IsRunning(kWorker)) {
+    return WaitUntilServed(*processes, kWorker, [&] {
       const auto client = HttpClient::Make(
           {.base_url = "http://127.0.0.1:" + std::to_string(worker_port),
            .request_timeout = std::chrono::milliseconds(5000)});
       const Result<HttpResponse> response =
           client.value()->Send({.method = "GET", .target = "/metrics"});
-      if (response && response.value().status == 200) {
-        return true;
-      }
-      std::this_thread::sleep_for(std::chrono::milliseconds(50));
-    }
-    return false;
+      return response && response.value().status == 200;
+    });
   }
 };
 
