--- a/tests/process/untrusted_clients_test.cc
+++ b/tests/process/untrusted_clients_test.cc
@@ -220,6 +220,20 @@
         12 * kMegabyte);
 }
 
+// Guards against copies of complete bodies on their way to the backend server,
+// and against their sum.
+TEST_CASE_FIXTURE(UntrustedFrontendFixture,
+                  "Frontend, many large requests at once, stays within its "
+                  "memory") {
+  Start();
+  const std::string head = Post(
+      "Content-Length: 4194304\r\nX-Api-Key: key\r\n"
+      "X-Carawayrelay-Request-Id: r\r\n"
+      "X-Carawayrelay-Deadline-Ms: 30000");
+  Check(kLargeCrowd, head, std::string(kPayloadBytes, 'x'),
+        head.size() + 4 * kMegabyte, port, /*backend_connections=*/kLargeCrowd);
+}
+
 // Guards against input that waits in the sockets while a request is served,
 // and against responses that wait there because nobody reads them.
 TEST_CASE_FIXTURE(UntrustedFrontendFixture,
--- a/tests/process/untrusted_fleet_test.cc
+++ b/tests/process/untrusted_fleet_test.cc
@@ -126,6 +126,15 @@
                       .repeat = payload,
                       .bytes_per_connection = Link::kMaxFrameBytes});
     }
+    SUBCASE("frame that stops short after Hello of an agent") {
+      const std::string agent = Frame(
+          Encode(Hello{.node = "unknown", .role = Role::kAgent, .zone = "z"}));
+      Check(process, {.port = port,
+                      .connections = kSmallCrowd,
+                      .head = agent + announced,
+                      .repeat = payload,
+                      .bytes_per_connection = Link::kMaxFrameBytes});
+    }
     SUBCASE("no frame") {
       Check(process, {.port = port,
                       .connections = kLargeCrowd,
