Clean-up: ages with their unit, and what the fields of a connection mean

The check of ages in health reports took a bare number of ms. The head of a request no longer counts as framing of its body when both arrive in one piece; only its size, at most one read, was counted too much. No behaviour changes beside that.

--- a/src/connection/health_report.cc
+++ b/src/connection/health_report.cc
@@ -27,8 +27,8 @@
   return static_cast<std::int32_t>(age.count());
 }
 
-bool IsAge(std::int32_t age_ms) {
-  return age_ms >= 0 && age_ms <= kHealthEvidenceWindow.count();
+bool IsAge(milliseconds age) {
+  return age >= milliseconds(0) && age <= kHealthEvidenceWindow;
 }
 
 bool IsCount(std::int32_t count) {
@@ -37,7 +37,7 @@
 
 Result<HealthReport> Decode(const wire::HealthReport& w) {
   if (w.reporter.empty() || w.reporter.size() > kMaxReporterBytes ||
-      !IsAge(w.age_ms)) {
+      !IsAge(milliseconds(w.age_ms))) {
     return Error{ErrorCode::kInvalid, "health report with values out of range"};
   }
   HealthReport report{.reporter = w.reporter,
@@ -47,7 +47,8 @@
   report.servers.reserve(w.servers.size());
   for (const wire::HealthEvidence& e : w.servers) {
     if (!IsCount(e.answers) || !IsCount(e.failures) ||
-        !IsAge(e.answer_age_ms) || !IsAge(e.failure_age_ms)) {
+        !IsAge(milliseconds(e.answer_age_ms)) ||
+        !IsAge(milliseconds(e.failure_age_ms))) {
       return Error{ErrorCode::kInvalid, "evidence with values out of range"};
     }
     report.servers.push_back(
--- a/src/process/transport/http_connection.h
+++ b/src/process/transport/http_connection.h
@@ -33,6 +33,7 @@
   void Close();
   // Ends what takes longer than its time limit.
   void CheckDeadline(TimePoint now);
+
   // Any thread. True once the connection is closed.
   bool is_closed() const { return is_closed_; }
   // Any thread. Bytes of responses that wait to be sent.
@@ -88,12 +89,15 @@
   Phase phase_ = Phase::kIdle;
   // Time limit of the phase; none while the handler has the request.
   std::optional<TimePoint> deadline_;
+  // Among the connections that may be closed for a new one.
   ProgressOrder::Place waiting_place_;
+  // Among those with a response that waits to be sent.
   ProgressOrder::Place unsent_place_;
   // Number of the request that is received or served.
   RequestNumber request_number_ = 0;
   std::optional<HttpRequestParser> parser_;
   std::unique_ptr<RequestMemoryBudget::Account> account_;
+  // True once a request was complete.
   bool has_had_request_ = false;
   bool has_wide_window_ = false;
   bool is_waiting_for_input_ = false;
--- a/src/process/transport/http_request_parser.cc
+++ b/src/process/transport/http_request_parser.cc
@@ -68,15 +68,16 @@
 }
 
 size_t HttpRequestParser::Parse(std::string_view data) {
+  const bool had_head = has_head_;
   const size_t body_before = request_.body.size();
   const size_t parsed =
       http_parser_execute(&parser_, &Callbacks(), data.data(), data.size());
   if (!has_head_) {
     head_bytes_ += data.size();
-  } else if (request_.body.size() == body_before) {
-    framing_bytes_ += parsed;
-  } else {
+  } else if (request_.body.size() > body_before) {
     framing_bytes_ = 0;
+  } else if (had_head) {
+    framing_bytes_ += parsed;
   }
   if (head_bytes_ > limits_.head_bytes || field_bytes_ > limits_.field_bytes ||
       framing_bytes_ > limits_.head_bytes) {
--- a/src/process/transport/memory_limits.cc
+++ b/src/process/transport/memory_limits.cc
@@ -102,12 +102,11 @@
 }
 
 MemoryLimits DefaultMemoryLimits(size_t max_body_bytes) {
-  return {
-      .memory_bytes = MemoryOfProcess(),
-
-      .request_bytes = DefaultRequestBytes(MemoryOfProcess(), max_body_bytes),
-      .response_bytes = DefaultResponseBytes(MemoryOfProcess()),
-      .max_connections = DefaultConnections(MemoryOfProcess())};
+  const size_t memory_bytes = MemoryOfProcess();
+  return {.memory_bytes = memory_bytes,
+          .request_bytes = DefaultRequestBytes(memory_bytes, max_body_bytes),
+          .response_bytes = DefaultResponseBytes(memory_bytes),
+          .max_connections = DefaultConnections(memory_bytes)};
 }
 
 size_t RequestBytesFor(const MemoryLimits& limits, size_t body_bytes) {
