Tests: statuses, lengths and lines that no answer has, and rare sound heads

Of the issue's list, these were handled already, so nothing changes in the product: statuses that are none (000, 099, 1000, 20, 2x0 and others), a NUL byte in the head, a line without a colon, a negative length. A server on loopback sends each of them to the three HTTP clients of the product.

The second test guards sound servers against clients that are too strict: no reason, any character of tokens, empty values, tabs and bytes over 0x7f in values, HTTP/1.0, interim answers, trailers, ends with the connection. It includes the poller of the load and the load tool.

--- /dev/null
+++ b/tests/process/malformed_head_test.cc
@@ -0,0 +1,154 @@
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+#include <variant>
+#include <vector>
+
+#include "harness/curl_http_client.h"
+#include "process/answer_cases.h"
+#include "process/raw_answer_fixture.h"
+
+namespace carawayrelay {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Sends an answer to each client of the project that reads answers.
+struct MalformedHeadFixture : RawAnswerFixture {
+  static constexpr const char* kRequestBody = "x";
+  static constexpr milliseconds kTimeout{5000};
+
+  // What a client got: the body of an answer that it took for whole.
+  using Answer = std::optional<std::string>;
+
+  Answer AskAsync(const std::string& bytes) {
+    Answer answer;
+    ServeWhole(bytes, 1, [&] {
+      const std::vector<CallEvent> events = EventsOf(kRequestBody);
+      const auto& end = std::get<CallEnd>(events.back());
+      CHECK(end.was_sent);
+      CHECK(end.reason.empty() == end.is_complete);
+      if (!end.is_complete) {
+        // Nothing of the answer may be passed on before its head is judged.
+        CHECK(events.size() == 1);
+        return;
+      }
+      const auto* head = std::get_if<CallHead>(&events[0]);
+      REQUIRE(head != nullptr);
+      CHECK(head->status == 200);
+      answer.emplace();
+      for (const CallEvent& event : events) {
+        if (const auto* data = std::get_if<CallData>(&event)) {
+          *answer += data->bytes;
+        }
+      }
+    });
+    return answer;
+  }
+  Answer AskBlocking(const std::string& bytes) {
+    Answer answer;
+    const auto client =
+        HttpClient::Make({.base_url = "http://" + address()}).value();
+    ServeWhole(bytes, 1, [&] {
+      const auto response =
+          client->Send({.method = "PUT", .target = "/a", .body = kRequestBody});
+      if (response) {
+        CHECK(response.value().status == 200);
+        answer = response.value().body;
+      } else {
+        CHECK(response.error().code == ErrorCode::kUnknown);
+      }
+    });
+    return answer;
+  }
+  // Asks as the role agent does.
+  Answer AskAsAgent(const std::string& bytes) {
+    Answer answer;
+    ServeWhole(bytes, 1, [&] {
+      const BackendEvent last =
+          LastEventOf(BackendKind::kService, kRequestBody);
+      if (const auto* end = std::get_if<BackendEnd>(&last)) {
+        CHECK(end->http_status == 200);
+        answer = "text";
+      } else {
+        CHECK(std::get<BackendFailed>(last).run_state == RunState::kUnknown);
+      }
+    });
+    return answer;
+  }
+  // Asks as the load tool does.
+  Answer AskAsLoadTool(const std::string& bytes) {
+    Answer answer;
+    const auto client = tools::CurlHttpClient::Make().value();
+    ServeWhole(bytes, 1, [&] {
+      const tools::CallResult result =
+          client->Run({.method = "POST",
+                       .url = "http://" + address() + "/a",
+                       .headers = {"Content-Type: text/plain"},
+                       .body = kRequestBody,
+                       .timeout = kTimeout});
+      if (result.transport_error.empty()) {
+        CHECK(result.http_status == 200);
+        answer = result.body;
+      }
+    });
+    return answer;
+  }
+  // Sends the answer to a poller of the load, and then a sound report. Returns
+  // whether the poller took the first answer for a report.
+  bool IsReport(const std::string& bytes) {
+    constexpr int kRunning = 7;
+    Ring<LoadReport> reports{64};
+    std::unique_ptr<LoadPoller> poller;
+    std::optional<LoadReport> first;
+    ServeWhole(bytes, 0, [&] {
+      poller = LoadPoller::Make(
+                   {.url = "http://" + address(), .interval = milliseconds(1)},
+                   [&](LoadReport report) { reports.TryPush(report); })
+                   .value();
+    });
+    ServeWhole(AnswerWithLines("Content-Length: 13", R"({"running":7})"), 0,
+               [&] { first = reports.PopUntil(BootClock::now() + kTimeout); });
+    // Another poll may be waiting. Without a server it ends at once.
+    acceptor.close();
+    poller->Stop();
+    Listen();
+    REQUIRE(first);
+    return first->running != kRunning;
+  }
+
+  void CheckRefused(const std::vector<AnswerCase>& cases) {
+    for (const AnswerCase& answer : cases) {
+      CAPTURE(answer.what);
+      CHECK_FALSE(AskAsync(answer.bytes));
+      CHECK_FALSE(AskBlocking(answer.bytes));
+      CHECK_FALSE(AskAsAgent(answer.bytes));
+    }
+  }
+};
+
+// Guards against other heads that are none, statuses above all.
+TEST_CASE_FIXTURE(MalformedHeadFixture,
+                  "HTTP clients, other broken heads, are no answer") {
+  CheckRefused(OtherBrokenAnswers());
+}
+
+// Guards against readers that are too strict and fail sound servers.
+TEST_CASE_FIXTURE(MalformedHeadFixture,
+                  "HTTP clients, rare and sound heads, are answers") {
+  for (const AnswerCase& answer : RareSoundAnswers()) {
+    CAPTURE(answer.what);
+    CHECK(AskAsync(answer.bytes) == "text");
+    CHECK(AskBlocking(answer.bytes) == "text");
+    CHECK(AskAsAgent(answer.bytes) == "text");
+    CHECK(AskAsLoadTool(answer.bytes) == "text");
+    CHECK(IsReport(answer.bytes));
+  }
+}
+
+}  // namespace
+}  // namespace carawayrelay
