Tests: the frontend on loopback is a fixture of its own

The tests of broken answers need it with other backend servers. It has routes for streams and for requests that may be repeated beside those it had.

--- a/tests/serving/frontend_process_test.cc
+++ b/tests/serving/frontend_process_test.cc
@@ -1,57 +1,32 @@
-#include "process/serving/frontend_process.h"
-
 #include <doctest/doctest.h>
 
 #include <atomic>
 #include <chrono>
 #include <memory>
 #include <mutex>
-#include <nlohmann/json.hpp>
-#include <optional>
 #include <string>
 #include <thread>
 #include <utility>
 #include <vector>
 
 #include "connection/health_report.h"
-#include "process/fake_store.h"
 #include "process/transport/datagram_socket.h"
-#include "process/transport/http_client.h"
-#include "serving/loopback_store.h"
+#include "serving/frontend_fixture.h"
 
 namespace carawayrelay {
 namespace {
 
-using nlohmann::json;
 using std::chrono::milliseconds;
 
 // A frontend on loopback with one backend server, which works for `work` on
 // each request.
-struct FrontendProcessFixture {
-  static constexpr milliseconds kStopGrace{4000};
-  static constexpr const char* kHost = "h.example";
-  static constexpr const char* kKey = "key";
-
+struct FrontendProcessFixture : FrontendFixture {
   std::atomic<milliseconds> work{milliseconds(0)};
   std::atomic<int> runs = 0;
   std::atomic<int> status = 200;  // of the backend server's answers
   std::mutex threads_mutex;
   std::vector<std::thread> threads;
-  LoopbackStore store;
   std::unique_ptr<HttpServer> backend;
-  std::unique_ptr<FrontendProcess> frontend;
-  std::string clients_url;
-  std::string ready_url;
-  std::string peers_address = FreeAddress();
-  json config = json::parse(R"({
-    "version": 1,
-    "routes": [
-      {"name": "online", "host": "h.example", "prefix": "/x/", "routeType": "non_idempotent",
-       "timeoutMs": 30000, "latencyGoalMs": 300, "maxAttempts": 1, "service": "s"},
-      {"name": "batch", "host": "h.example", "prefix": "/b/", "routeType": "bulk", "service": "s",
-       "runAimMs": 18000, "keepS": 60, "maxAttempts": 3}],
-    "services": [{"name": "s", "maxConns": 100}],
-    "tenants": [{"name": "w", "apiKeys": ["key"], "ratePerS": 0, "burst": 0}]})");
 
   FrontendProcessFixture() {
     std::string backend_url;
@@ -69,35 +44,8 @@
                 "done");
           });
         });
-    store.Put("op", "config", config);
-    store.Put("servers", "backend",
-              {{"service", "s"},
-               {"address", backend_url.substr(backend_url.rfind('/') + 1)},
-               {"zone", "z"},
-               {"version", "1"},
-               {"capacity", 8},
-               {"state", "ready"},
-               {"coldLeftMs", 0},
-               {"sequence", 1}});
-    const std::string clients = FreeAddress();
-    clients_url = "http://" + clients;
-    const std::string ready = FreeAddress();
-    ready_url = "http://" + ready;
-    FrontendSettings settings{.node = "edge-1",
-                              .zone = "z",
-                              .listen_clients = clients,
-                              .listen_ready = ready,
-                              .listen_peers = peers_address,
-                              .store_address = store.address(),
-                              .shares_health = true,
-                              .stop_grace = kStopGrace};
-    auto made = FrontendProcess::Make(std::move(settings), 1);
-    REQUIRE_MESSAGE(made, made.error().message);
-    frontend = std::move(made).value();
-    const TimePoint end = BootClock::now() + milliseconds(10000);
-    while (Send("first", milliseconds(1000)) != 200 && BootClock::now() < end) {
-      std::this_thread::sleep_for(milliseconds(50));
-    }
+    RegisterBackend("backend", backend_url.substr(backend_url.rfind('/') + 1));
+    StartFrontend();
     runs = 0;
   }
   ~FrontendProcessFixture() {
@@ -108,36 +56,6 @@
     }
     backend->Stop();
   }
-
-  static std::string FreeAddress() {
-    auto [server, url] =
-        ServeOnFreePort([](const HttpRequest&, const HttpExchangePtr&) {});
-    server->Stop();
-    return url.substr(url.rfind('/') + 1);
-  }
-  // Returns the status, or 0 if there was no complete response.
-  int Call(const std::string& method,
-           const std::string& target,
-           const std::string& id,
-           milliseconds time_limit,
-           const std::string& body) {
-    const Result<HttpResponse> response =
-        HttpClient::Make(
-            {.base_url = clients_url, .request_timeout = milliseconds(15000)})
-            .value()
-            ->Send({.method = method,
-                    .target = target,
-                    .headers = {std::string("Host: ") + kHost,
-                                std::string("X-Api-Key: ") + kKey,
-                                "X-Carawayrelay-Request-Id: " + id,
-                                "X-Carawayrelay-Deadline-Ms: " +
-                                    std::to_string(time_limit.count())},
-                    .body = body});
-    return response ? response.value().status : 0;
-  }
-  int Send(const std::string& id, milliseconds time_limit) {
-    return Call("POST", "/x/1", id, time_limit, "{}");
-  }
 };
 
 // Guards against a planned stop that cuts requests: they were accepted although
@@ -232,7 +150,7 @@
       R"({"items":[{"id":"item-1","path":"/b/1","body":"","tokens":10}]})";
   REQUIRE(Call("POST", "/b/1", "j", milliseconds(4000), submission) == 202);
   config["version"] = 2;
-  config["routes"].erase(1);
+  config["routes"].erase(3);
   store.Put("op", "config", config);
   std::this_thread::sleep_for(milliseconds(2500));
   CHECK(Call("POST", "/b/1", "k", milliseconds(4000), submission) == 404);
