Answers: the name of a field must be a token

What callers saw: a runner in trouble sent a head with a spoilt name. Clients got the answer as whole, with that line passed on. Where the line was the one that delimits the body, they got the rest of the connection as the body, with the framing of chunks in it; items of batch jobs were listed as complete.

Cause: libcurl ignores lines whose names it doesn't know, and CurlAnswer judged the status and the end of an answer, not its lines. DecodeBackendResponseHead even took "Content-Length : 4" for a length, as names were trimmed.

Change: CurlAnswer reads each line of a head and of the trailers. A name that is not a token (RFC 9110, 5.6.2) ends the call as one that may have run. This also refuses lines that continue the line before, and a status line among fields. The readers take names and values from it instead of splitting lines themselves.

--- a/src/process/agent/backend_client.cc
+++ b/src/process/agent/backend_client.cc
@@ -209,14 +209,16 @@
   static size_t OnHeader(char* data, size_t size, size_t count, void* user) {
     auto& transfer = *static_cast<Transfer*>(user);
     const std::string_view line(data, size * count);
-    if (!transfer.answer.AddHeaderLine(transfer.easy.get(), line)) {
-      transfer.check_error = transfer.answer.abort_reason();
+    Result<HeadLine> read =
+        transfer.answer.AddHeaderLine(transfer.easy.get(), line);
+    if (!read) {
+      transfer.check_error = std::move(read.error().message);
       return 0;  // makes libcurl end the call
     }
-    if (line == "\r\n" || line == "\n") {
+    if (std::holds_alternative<HeadEnd>(read.value())) {
       transfer.client->OnHeadersEnd(transfer);
     }
-    return size * count;
+    return line.size();
   }
 
   void OnHeadersEnd(Transfer& transfer) {
--- a/src/process/transport/async_http_client.cc
+++ b/src/process/transport/async_http_client.cc
@@ -5,8 +5,6 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
-#include <algorithm>
-#include <cctype>
 #include <chrono>
 #include <map>
 #include <string_view>
@@ -46,22 +44,6 @@
 };
 using Command = std::variant<OutboundCall, CancelCall>;
 
-std::string_view Trim(std::string_view text) {
-  constexpr std::string_view kSpace = " \t\r\n";
-  const size_t begin = text.find_first_not_of(kSpace);
-  if (begin == std::string_view::npos) {
-    return {};
-  }
-  return text.substr(begin, text.find_last_not_of(kSpace) - begin + 1);
-}
-
-std::string LowerCase(std::string_view text) {
-  std::string lower(text);
-  std::transform(lower.begin(), lower.end(), lower.begin(),
-                 [](unsigned char c) { return std::tolower(c); });
-  return lower;
-}
-
 }  // namespace
 
 class AsyncHttpClient::Impl {
@@ -255,24 +237,23 @@
                               std::to_string(kMaxHeadBytes) + " bytes";
       return 0;  // makes libcurl end the call
     }
-    if (!transfer.answer.AddHeaderLine(transfer.easy.get(), line)) {
-      transfer.abort_reason = transfer.answer.abort_reason();
+    Result<HeadLine> read =
+        transfer.answer.AddHeaderLine(transfer.easy.get(), line);
+    if (!read) {
+      transfer.abort_reason = std::move(read.error().message);
       return 0;  // makes libcurl end the call
     }
-    if (line.starts_with("HTTP/")) {
-      transfer.head.headers.clear();
-      return line.size();
-    }
-    if (line == "\r\n" || line == "\n") {
-      transfer.client->OnHeadersEnd(transfer);
-      return line.size();
-    }
-    const size_t colon = line.find(':');
-    if (colon != std::string_view::npos) {
-      transfer.head.headers.emplace_back(
-          LowerCase(Trim(line.substr(0, colon))),
-          std::string(Trim(line.substr(colon + 1))));
-    }
+    std::visit(
+        Overloaded{
+            [&](const StatusLine&) { transfer.head.headers.clear(); },
+            [&](HttpField& field) {
+              transfer.head.headers.emplace_back(std::move(field.name),
+                                                 std::move(field.value));
+            },
+            [&](const HeadEnd&) { transfer.client->OnHeadersEnd(transfer); },
+            [](const TrailerLine&) {},
+        },
+        read.value());
     return line.size();
   }
 
--- a/src/process/transport/curl_answer.cc
+++ b/src/process/transport/curl_answer.cc
@@ -1,9 +1,6 @@
 #include "process/transport/curl_answer.h"
 
-#include <strings.h>
-#include <array>
-
-#include <algorithm>
+#include <utility>
 
 namespace carawayrelay {
 namespace {
@@ -14,36 +11,59 @@
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
 
-// Whether the line is a header with this name.
-bool HasName(std::string_view line, std::string_view name) {
-  return line.size() > name.size() && line[name.size()] == ':' &&
-         strncasecmp(line.data(), name.data(), name.size()) == 0;
+// A single line feed ends a line, too (RFC 9112, 2.2).
+std::string_view WithoutLineEnd(std::string_view line) {
+  if (line.ends_with('\n')) {
+    line.remove_suffix(1);
+  }
+  if (line.ends_with('\r')) {
+    line.remove_suffix(1);
+  }
+  return line;
 }
 
 }  // namespace
 
-bool CurlAnswer::AddHeaderLine(CURL* easy, std::string_view line) {
-  if (line.starts_with("HTTP/")) {
-    has_length_ = false;
-    return true;
+Result<HeadLine> CurlAnswer::AddHeaderLine(CURL* easy, std::string_view line) {
+  line = WithoutLineEnd(line);
+  switch (next_) {
+    case Next::kStatusLine:
+      next_ = Next::kField;
+      has_length_ = false;
+      return StatusLine{};
+    case Next::kField:
+      return line.empty() ? EndHead(easy) : AddField(line);
+    case Next::kTrailer:
+      break;
   }
-  if (line != "\r\n" && line != "\n") {
-    has_length_ |=
-        HasName(line, "content-length") || HasName(line, "transfer-encoding");
-    return true;
+  if (!line.empty()) {
+    BOOST_OUTCOME_TRY(ParseField(line));
   }
+  return TrailerLine{};
+}
+
+Result<HeadLine> CurlAnswer::AddField(std::string_view line) {
+  BOOST_OUTCOME_TRY(HttpField field, ParseField(line));
+  has_length_ |=
+      field.name == "content-length" || field.name == "transfer-encoding";
+  return field;
+}
+
+Result<HeadLine> CurlAnswer::EndHead(CURL* easy) {
   long status = 0;
   curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
   if (status < kFirstStatus || status > kLastStatus) {
-    abort_reason_ = "the response has the status " + std::to_string(status) +
-                    ", which is none";
-    return false;
+    return Error{ErrorCode::kInvalid, "the response has the status " +
+                                          std::to_string(status) +
+                                          ", which is none"};
   }
-  if (status >= kFirstFinalStatus) {
-    has_head_ = true;
-    status_ = static_cast<int>(status);
+  if (status < kFirstFinalStatus) {
+    next_ = Next::kStatusLine;
+    return HeadEnd{};
   }
-  return true;
+  next_ = Next::kTrailer;
+  status_ = static_cast<int>(status);
+  return HeadEnd{};
 }
 
 bool CurlAnswer::IsDelimited() const {
@@ -53,7 +73,7 @@
 std::optional<std::string> CurlAnswer::IncompleteReason(
     CURL* easy,
     size_t request_bytes) const {
-  if (!has_head_) {
+  if (!has_head()) {
     return "the response ended inside its head";
   }
   curl_off_t sent = 0;
--- a/src/process/transport/curl_answer.h
+++ b/src/process/transport/curl_answer.h
@@ -6,20 +6,30 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <variant>
+
+#include "process/transport/head_line.h"
 
 namespace carawayrelay {
 
+// What a line is that libcurl reports as a header: the status line, a field or
+// the end of the head of an interim or final answer, or a line of the trailers.
+struct StatusLine {};
+struct HeadEnd {};
+struct TrailerLine {};
+using HeadLine = std::variant<StatusLine, HttpField, HeadEnd, TrailerLine>;
+
 // Judges the answers that libcurl reads. All HTTP clients of the project use
 // it, because libcurl takes more for a whole answer than HTTP does. One object
 // follows one call.
 class CurlAnswer {
  public:
-  // Takes one header line, as libcurl passes them on. Returns false when the
-  // call must be ended because the status is none that an answer may have.
-  bool AddHeaderLine(CURL* easy, std::string_view line);
+  // Takes one header line, as libcurl passes them on. Fails with kInvalid when
+  // it cannot be part of an answer; the call must then be ended.
+  Result<HeadLine> AddHeaderLine(CURL* easy, std::string_view line);
 
   // Whether the whole head of an answer arrived. Interim answers do not count.
-  bool has_head() const { return has_head_; }
+  bool has_head() const { return next_ == Next::kTrailer; }
   int status() const { return status_; }
 
   // Returns why the answer of a call that libcurl ended with CURLE_OK is not
@@ -27,17 +37,19 @@
   // request.
   std::optional<std::string> IncompleteReason(CURL* easy,
                                               size_t request_bytes) const;
-  // Why the call was ended by AddHeaderLine(); empty if it was not.
-  const std::string& abort_reason() const { return abort_reason_; }
 
  private:
+  // The kind of line that comes next. Instead of a field, the head may end.
+  enum class Next { kStatusLine, kField, kTrailer };
+
+  Result<HeadLine> AddField(std::string_view line);
+  Result<HeadLine> EndHead(CURL* easy);
   bool IsDelimited() const;
 
+  Next next_ = Next::kStatusLine;
   int status_ = 0;
-  bool has_head_ = false;
   // The head has a length or says that the body comes in chunks.
   bool has_length_ = false;
-  std::string abort_reason_;
 };
 
 }  // namespace carawayrelay
--- /dev/null
+++ b/src/process/transport/head_line.cc
@@ -0,0 +1,51 @@
+#include "process/transport/head_line.h"
+
+#include <algorithm>
+
+namespace carawayrelay {
+namespace {
+
+// The characters of a token beside letters and digits (RFC 9110, 5.6.2).
+constexpr std::string_view kTokenSigns = "!#$%&'*+-.^_`|~";
+constexpr std::string_view kBlanks = " \t";
+
+bool IsTokenCharacter(char c) {
+  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+         (c >= '0' && c <= '9') ||
+         kTokenSigns.find(c) != std::string_view::npos;
+}
+
+bool IsToken(std::string_view text) {
+  return !text.empty() && std::ranges::all_of(text, IsTokenCharacter);
+}
+
+char ToLower(char c) {
+  return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+}
+
+std::string_view TrimBlanks(std::string_view text) {
+  const size_t begin = text.find_first_not_of(kBlanks);
+  if (begin == std::string_view::npos) {
+    return {};
+  }
+  return text.substr(begin, text.find_last_not_of(kBlanks) - begin + 1);
+}
+
+}  // namespace
+
+Result<HttpField> ParseField(std::string_view line) {
+  const size_t colon = line.find(':');
+  if (colon == std::string_view::npos) {
+    return Error{ErrorCode::kInvalid, "a line of the head has no colon"};
+  }
+  const std::string_view name = line.substr(0, colon);
+  if (!IsToken(name)) {
+    return Error{ErrorCode::kInvalid, "the name of a field is not a token"};
+  }
+  HttpField field{.name = std::string(name),
+                  .value = std::string(TrimBlanks(line.substr(colon + 1)))};
+  std::ranges::transform(field.name, field.name.begin(), ToLower);
+  return field;
+}
+
+}  // namespace carawayrelay
--- a/src/process/transport/http_client.cc
+++ b/src/process/transport/http_client.cc
@@ -2,9 +2,8 @@
 
 #include <curl/curl.h>
 
-#include <algorithm>
-#include <cctype>
 #include <utility>
+#include <variant>
 
 #include "process/transport/curl_answer.h"
 #include "process/transport/endpoint.h"
@@ -29,6 +28,8 @@
   size_t bytes_left;  // until the limit
   CURL* easy;
   CurlAnswer answer{};
+  // Why this client ended the call itself; empty if it did not.
+  std::string abort_reason;
 
   // Counts `size` more bytes. Returns false when they exceed the limit.
   bool Take(size_t size) {
@@ -50,30 +51,20 @@
   return size * count;
 }
 
-std::string_view Trim(std::string_view text) {
-  constexpr std::string_view kSpace = " \t\r\n";
-  const size_t begin = text.find_first_not_of(kSpace);
-  if (begin == std::string_view::npos) {
-    return {};
-  }
-  return text.substr(begin, text.find_last_not_of(kSpace) - begin + 1);
-}
-
 size_t AppendHeader(char* data, size_t size, size_t count, void* user) {
   auto& reception = *static_cast<Reception*>(user);
   const std::string_view line(data, size * count);
   if (!reception.Take(line.size())) {
     return 0;
   }
-  if (!reception.answer.AddHeaderLine(reception.easy, line)) {
+  Result<HeadLine> read = reception.answer.AddHeaderLine(reception.easy, line);
+  if (!read) {
+    reception.abort_reason = std::move(read.error().message);
     return 0;
   }
-  const size_t colon = line.find(':');
-  if (colon != std::string_view::npos) {
-    std::string name(line.substr(0, colon));
-    std::transform(name.begin(), name.end(), name.begin(),
-                   [](unsigned char c) { return std::tolower(c); });
-    reception.response.headers[std::move(name)] = Trim(line.substr(colon + 1));
+  if (auto* field = std::get_if<HttpField>(&read.value())) {
+    reception.response.headers[std::move(field->name)] =
+        std::move(field->value);
   }
   return line.size();
 }
@@ -123,7 +114,7 @@
     Prepare(call, headers.get(), reception);
     const CURLcode code = curl_easy_perform(curl_.get());
     if (code != CURLE_OK) {
-      const std::string& refused = reception.answer.abort_reason();
+      const std::string& refused = reception.abort_reason;
       return Error{WasSent() ? ErrorCode::kUnknown : ErrorCode::kUnavailable,
                    options_.base_url + ": " +
                        (refused.empty() ? curl_easy_strerror(code) : refused)};
--- a/tests/process/malformed_head_test.cc
+++ b/tests/process/malformed_head_test.cc
@@ -131,6 +131,34 @@
   }
 };
 
+// Guards against an answer that is passed on although the name of a field in
+// its head is none: the line may be the one that delimits the body.
+TEST_CASE_FIXTURE(MalformedHeadFixture,
+                  "HTTP clients, malformed name in the head, is no answer") {
+  CheckRefused(AnswersWithMalformedNames());
+}
+
+// The same behind the chunks of a body. The head and the body have been passed
+// on by then.
+TEST_CASE_FIXTURE(MalformedHeadFixture,
+                  "HTTP clients, malformed trailer, answer is not whole") {
+  for (const char* line :
+       {"X Sum: 1", "X-Sum : 1", " X-Sum: 1", ": 1", "X-Sum"}) {
+    CAPTURE(line);
+    const std::string answer =
+        AnswerWithLines("Transfer-Encoding: chunked",
+                        "4\r\ntext\r\n0\r\n" + std::string(line) + "\r\n\r\n");
+    ServeWhole(answer, 1, [&] {
+      CHECK_FALSE(std::get<CallEnd>(EventsOf(kRequestBody).back()).is_complete);
+    });
+    CHECK_FALSE(AskBlocking(answer));
+    ServeWhole(answer, 1, [&] {
+      CHECK(std::holds_alternative<BackendFailed>(
+          LastEventOf(BackendKind::kService, kRequestBody)));
+    });
+  }
+}
+
 // Guards against other heads that are none, statuses above all.
 TEST_CASE_FIXTURE(MalformedHeadFixture,
                   "HTTP clients, other broken heads, are no answer") {
