Answers: values of fields have no control characters

What callers saw: a head with a control byte in a value, a lone carriage return among them, was passed on to clients as it came, so that their side of the connection carried bytes that HTTP does not have. The answer counted as whole.

Nothing looked at values.

Change: ParseField refuses control characters other than tabs (RFC 9110, 5.5) anywhere in a value, also in interim answers. A proxy may reject such an answer; replacing the byte would pass on a value that the server did not send.

Tabs and bytes over 0x7f are served as before.

--- a/src/process/transport/head_line.cc
+++ b/src/process/transport/head_line.cc
@@ -19,6 +19,17 @@
   return !text.empty() && std::ranges::all_of(text, IsTokenCharacter);
 }
 
+// Tabs, blanks, visible characters and bytes over 0x7f (RFC 9110, 5.5).
+bool IsTextCharacter(char c) {
+  constexpr char kDelete = 0x7f;
+  const bool is_control = static_cast<unsigned char>(c) < ' ' || c == kDelete;
+  return !is_control || c == '\t';
+}
+
+bool IsText(std::string_view text) {
+  return std::ranges::all_of(text, IsTextCharacter);
+}
+
 char ToLower(char c) {
   return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
 }
@@ -42,8 +53,13 @@
   if (!IsToken(name)) {
     return Error{ErrorCode::kInvalid, "the name of a field is not a token"};
   }
+  const std::string_view value = line.substr(colon + 1);
+  if (!IsText(value)) {
+    return Error{ErrorCode::kInvalid,
+                 "the value of a field has a control character"};
+  }
   HttpField field{.name = std::string(name),
-                  .value = std::string(TrimBlanks(line.substr(colon + 1)))};
+                  .value = std::string(TrimBlanks(value))};
   std::ranges::transform(field.name, field.name.begin(), ToLower);
   return field;
 }
--- a/src/process/transport/head_line.h
+++ b/src/process/transport/head_line.h
@@ -15,7 +15,8 @@
 
 // Parses the line of a field, without its line end (RFC 9112, 5). Fails with
 // kInvalid when the name is not a token, as in a line with a blank before its
-// colon or one that continues the line before.
+// colon or one that continues the line before, and when the value has a control
+// character other than a tab.
 Result<HttpField> ParseField(std::string_view line);
 
 }  // namespace carawayrelay
--- a/tests/process/malformed_head_test.cc
+++ b/tests/process/malformed_head_test.cc
@@ -159,6 +159,12 @@
   }
 }
 
+// Guards against control bytes that are passed on to clients.
+TEST_CASE_FIXTURE(MalformedHeadFixture,
+                  "HTTP clients, control byte in a value, is no answer") {
+  CheckRefused(AnswersWithMalformedValues());
+}
+
 // Guards against other heads that are none, statuses above all.
 TEST_CASE_FIXTURE(MalformedHeadFixture,
                   "HTTP clients, other broken heads, are no answer") {
--- a/tests/serving/malformed_answer_test.cc
+++ b/tests/serving/malformed_answer_test.cc
@@ -146,6 +146,7 @@
         WithHead(ok, " X-Note: v\r\n" + length, kWrong),
         WithHead(ok, "Content-Length : " + size, kWrong),
         WithHead(ok, "Transfer-Encoding : chunked", chunks),
+        WithHead(ok, "X-Note: v\x01w\r\n" + length, kWrong),
         WithHead(ok, "Content-Length: -1", kWrong),
         WithHead("HTTP/1.1 000 OK", length, kWrong),
         WithHead("HTTP/1.1 2x0 OK", length, kWrong),
