Answers: a status line has a version of HTTP/1, three digits and a blank

What callers saw: bytes such as "HTTP/1.1 200x OK", "HTTP/2 200 OK" or "http/1.1 200 OK" reached clients as a whole 200. After a 101 that no request asked for, bytes of another protocol were passed on as a body without a head.

Cause: libcurl reads three digits and ignores what follows them, and accepts versions that an HTTP/1.1 connection cannot have. CurlAnswer took the status from libcurl.

Change: ParseStatusLine judges the line (RFC 9112, 4) and gives the status. The reason may be missing, with or without the blank before it, and may have tabs and bytes over 0x7f. A 101 ends the call.

--- a/src/process/agent/backend_client.cc
+++ b/src/process/agent/backend_client.cc
@@ -209,8 +209,7 @@
   static size_t OnHeader(char* data, size_t size, size_t count, void* user) {
     auto& transfer = *static_cast<Transfer*>(user);
     const std::string_view line(data, size * count);
-    Result<HeadLine> read =
-        transfer.answer.AddHeaderLine(transfer.easy.get(), line);
+    Result<HeadLine> read = transfer.answer.AddHeaderLine(line);
     if (!read) {
       transfer.check_error = std::move(read.error().message);
       return 0;  // makes libcurl end the call
--- a/src/process/transport/async_http_client.cc
+++ b/src/process/transport/async_http_client.cc
@@ -237,8 +237,7 @@
                               std::to_string(kMaxHeadBytes) + " bytes";
       return 0;  // makes libcurl end the call
     }
-    Result<HeadLine> read =
-        transfer.answer.AddHeaderLine(transfer.easy.get(), line);
+    Result<HeadLine> read = transfer.answer.AddHeaderLine(line);
     if (!read) {
       transfer.abort_reason = std::move(read.error().message);
       return 0;  // makes libcurl end the call
--- a/src/process/transport/curl_answer.cc
+++ b/src/process/transport/curl_answer.cc
@@ -5,9 +5,8 @@
 namespace carawayrelay {
 namespace {
 
-constexpr long kFirstStatus = 100;
-constexpr long kFirstFinalStatus = 200;
-constexpr long kLastStatus = 599;
+constexpr int kSwitchingProtocols = 101;
+constexpr int kFirstFinalStatus = 200;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
 
@@ -24,15 +23,13 @@
 
 }  // namespace
 
-Result<HeadLine> CurlAnswer::AddHeaderLine(CURL* easy, std::string_view line) {
+Result<HeadLine> CurlAnswer::AddHeaderLine(std::string_view line) {
   line = WithoutLineEnd(line);
   switch (next_) {
     case Next::kStatusLine:
-      next_ = Next::kField;
-      has_length_ = false;
-      return StatusLine{};
+      return AddStatusLine(line);
     case Next::kField:
-      return line.empty() ? EndHead(easy) : AddField(line);
+      return line.empty() ? EndHead() : AddField(line);
     case Next::kTrailer:
       break;
   }
@@ -42,6 +39,17 @@
   return TrailerLine{};
 }
 
+Result<HeadLine> CurlAnswer::AddStatusLine(std::string_view line) {
+  BOOST_OUTCOME_TRY(status_line_, ParseStatusLine(line));
+  if (status() == kSwitchingProtocols) {
+    return Error{ErrorCode::kInvalid,
+                 "the response switches to a protocol that was not asked for"};
+  }
+  next_ = Next::kField;
+  has_length_ = false;
+  return status_line_;
+}
+
 Result<HeadLine> CurlAnswer::AddField(std::string_view line) {
   BOOST_OUTCOME_TRY(HttpField field, ParseField(line));
   has_length_ |=
@@ -49,25 +57,14 @@
   return field;
 }
 
-Result<HeadLine> CurlAnswer::EndHead(CURL* easy) {
-  long status = 0;
-  curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
-  if (status < kFirstStatus || status > kLastStatus) {
-    return Error{ErrorCode::kInvalid, "the response has the status " +
-                                          std::to_string(status) +
-                                          ", which is none"};
-  }
-  if (status < kFirstFinalStatus) {
-    next_ = Next::kStatusLine;
-    return HeadEnd{};
-  }
-  next_ = Next::kTrailer;
-  status_ = static_cast<int>(status);
+HeadLine CurlAnswer::EndHead() {
+  const bool is_interim = status() < kFirstFinalStatus;
+  next_ = is_interim ? Next::kStatusLine : Next::kTrailer;
   return HeadEnd{};
 }
 
 bool CurlAnswer::IsDelimited() const {
-  return has_length_ || status_ == kNoContent || status_ == kNotModified;
+  return has_length_ || status() == kNoContent || status() == kNotModified;
 }
 
 std::optional<std::string> CurlAnswer::IncompleteReason(
--- a/src/process/transport/curl_answer.h
+++ b/src/process/transport/curl_answer.h
@@ -14,7 +14,6 @@
 
 // What a line is that libcurl reports as a header: the status line, a field or
 // the end of the head of an interim or final answer, or a line of the trailers.
-struct StatusLine {};
 struct HeadEnd {};
 struct TrailerLine {};
 using HeadLine = std::variant<StatusLine, HttpField, HeadEnd, TrailerLine>;
@@ -26,11 +25,11 @@
  public:
   // Takes one header line, as libcurl passes them on. Fails with kInvalid when
   // it cannot be part of an answer; the call must then be ended.
-  Result<HeadLine> AddHeaderLine(CURL* easy, std::string_view line);
+  Result<HeadLine> AddHeaderLine(std::string_view line);
 
   // Whether the whole head of an answer arrived. Interim answers do not count.
   bool has_head() const { return next_ == Next::kTrailer; }
-  int status() const { return status_; }
+  int status() const { return status_line_.status; }
 
   // Returns why the answer of a call that libcurl ended with CURLE_OK is not
   // whole, or nullopt if it is. `request_bytes` is the size of the body of the
@@ -42,12 +41,13 @@
   // The kind of line that comes next. Instead of a field, the head may end.
   enum class Next { kStatusLine, kField, kTrailer };
 
+  Result<HeadLine> AddStatusLine(std::string_view line);
   Result<HeadLine> AddField(std::string_view line);
-  Result<HeadLine> EndHead(CURL* easy);
+  HeadLine EndHead();
   bool IsDelimited() const;
 
   Next next_ = Next::kStatusLine;
-  int status_ = 0;
+  StatusLine status_line_;
   // The head has a length or says that the body comes in chunks.
   bool has_length_ = false;
 };
--- a/src/process/transport/head_line.cc
+++ b/src/process/transport/head_line.cc
@@ -9,9 +9,18 @@
 constexpr std::string_view kTokenSigns = "!#$%&'*+-.^_`|~";
 constexpr std::string_view kBlanks = " \t";
 
+constexpr std::string_view kVersionStart = "HTTP/1.";
+constexpr size_t kVersionBytes = kVersionStart.size() + 1;
+constexpr size_t kStatusBytes = 3;
+constexpr int kFirstStatus = 100;
+constexpr int kLastStatus = 599;
+
+bool IsDigit(char c) {
+  return c >= '0' && c <= '9';
+}
+
 bool IsTokenCharacter(char c) {
-  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
-         (c >= '0' && c <= '9') ||
+  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || IsDigit(c) ||
          kTokenSigns.find(c) != std::string_view::npos;
 }
 
@@ -44,6 +53,33 @@
 
 }  // namespace
 
+Result<StatusLine> ParseStatusLine(std::string_view line) {
+  const std::string_view version = line.substr(0, kVersionBytes);
+  if (version.size() < kVersionBytes || !version.starts_with(kVersionStart) ||
+      !IsDigit(version.back())) {
+    return Error{ErrorCode::kInvalid,
+                 "the response does not begin with a version of HTTP/1"};
+  }
+  std::string_view rest = line.substr(kVersionBytes);
+  const std::string_view status = rest.substr(0, 1 + kStatusBytes);
+  rest.remove_prefix(status.size());
+  const bool has_status = status.size() == 1 + kStatusBytes &&
+                          status.front() == ' ' &&
+                          std::ranges::all_of(status.substr(1), IsDigit);
+  if (!has_status || !(rest.empty() || rest.front() == ' ') || !IsText(rest)) {
+    return Error{ErrorCode::kInvalid,
+                 "the status line of the response is malformed"};
+  }
+  const StatusLine parsed{.minor_version = version.back() - '0',
+                          .status = std::stoi(std::string(status.substr(1)))};
+  if (parsed.status < kFirstStatus || parsed.status > kLastStatus) {
+    return Error{ErrorCode::kInvalid, "the response has the status " +
+                                          std::to_string(parsed.status) +
+                                          ", which is none"};
+  }
+  return parsed;
+}
+
 Result<HttpField> ParseField(std::string_view line) {
   const size_t colon = line.find(':');
   if (colon == std::string_view::npos) {
--- a/src/process/transport/head_line.h
+++ b/src/process/transport/head_line.h
@@ -7,6 +7,17 @@
 
 namespace carawayrelay {
 
+// The status line of an answer.
+struct StatusLine {
+  int minor_version = 1;  // of HTTP/1
+  int status = 0;
+};
+
+// Parses a status line, without its line end (RFC 9112, 4). A missing reason is
+// accepted, with or without the blank before it. Fails with kInvalid when the
+// version is not HTTP/1.x or the status is none of 100 to 599.
+Result<StatusLine> ParseStatusLine(std::string_view line);
+
 // One field of the head, or of the trailers, of an HTTP message.
 struct HttpField {
   std::string name;   // in lower case
--- a/src/process/transport/http_client.cc
+++ b/src/process/transport/http_client.cc
@@ -26,7 +26,6 @@
 struct Reception {
   HttpResponse& response;
   size_t bytes_left;  // until the limit
-  CURL* easy;
   CurlAnswer answer{};
   // Why this client ended the call itself; empty if it did not.
   std::string abort_reason;
@@ -57,7 +56,7 @@
   if (!reception.Take(line.size())) {
     return 0;
   }
-  Result<HeadLine> read = reception.answer.AddHeaderLine(reception.easy, line);
+  Result<HeadLine> read = reception.answer.AddHeaderLine(line);
   if (!read) {
     reception.abort_reason = std::move(read.error().message);
     return 0;
@@ -109,8 +108,7 @@
       AddHeader(headers, header);
     }
     Reception reception{.response = response,
-                        .bytes_left = options_.max_response_bytes,
-                        .easy = curl_.get()};
+                        .bytes_left = options_.max_response_bytes};
     Prepare(call, headers.get(), reception);
     const CURLcode code = curl_easy_perform(curl_.get());
     if (code != CURLE_OK) {
--- a/tests/process/malformed_head_test.cc
+++ b/tests/process/malformed_head_test.cc
@@ -165,6 +165,11 @@
   CheckRefused(AnswersWithMalformedValues());
 }
 
+TEST_CASE_FIXTURE(MalformedHeadFixture,
+                  "HTTP clients, malformed status line, is no answer") {
+  CheckRefused(AnswersWithMalformedStatusLines());
+}
+
 // Guards against other heads that are none, statuses above all.
 TEST_CASE_FIXTURE(MalformedHeadFixture,
                   "HTTP clients, other broken heads, are no answer") {
--- a/tests/serving/malformed_answer_test.cc
+++ b/tests/serving/malformed_answer_test.cc
@@ -148,6 +148,8 @@
         WithHead(ok, "Transfer-Encoding : chunked", chunks),
         WithHead(ok, "X-Note: v\x01w\r\n" + length, kWrong),
         WithHead(ok, "Content-Length: -1", kWrong),
+        WithHead("HTTP/1.1 200x OK", length, kWrong),
+        WithHead("HTTP/2 200 OK", length, kWrong),
         WithHead("HTTP/1.1 000 OK", length, kWrong),
         WithHead("HTTP/1.1 2x0 OK", length, kWrong),
     };
