Answers: a length is one number that fits

A length that no number holds counted as none, so that whatever arrived until the end of the connection looked whole, and a body cut short with it.

Cause: libcurl parses as many digits as it finds, lets a later field replace an earlier one, and ignores a length that overflows. CurlAnswer looked for the name of the field only.

Change: BodyFraming judges what delimits the body. A length is digits alone (RFC 9110, 8.6) and at most what libcurl holds; it may be repeated, but not differ.

Repeated lengths and leading zeros are served as before.

--- a/src/process/transport/curl_answer.cc
+++ b/src/process/transport/curl_answer.cc
@@ -46,14 +46,13 @@
                  "the response switches to a protocol that was not asked for"};
   }
   next_ = Next::kField;
-  has_length_ = false;
+  framing_ = {};
   return status_line_;
 }
 
 Result<HeadLine> CurlAnswer::AddField(std::string_view line) {
   BOOST_OUTCOME_TRY(HttpField field, ParseField(line));
-  has_length_ |=
-      field.name == "content-length" || field.name == "transfer-encoding";
+  BOOST_OUTCOME_TRY(framing_.AddField(field));
   return field;
 }
 
@@ -64,7 +63,8 @@
 }
 
 bool CurlAnswer::IsDelimited() const {
-  return has_length_ || status() == kNoContent || status() == kNotModified;
+  return framing_.IsDelimited() || status() == kNoContent ||
+         status() == kNotModified;
 }
 
 std::optional<std::string> CurlAnswer::IncompleteReason(
--- a/src/process/transport/curl_answer.h
+++ b/src/process/transport/curl_answer.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <variant>
 
+#include "process/transport/body_framing.h"
 #include "process/transport/head_line.h"
 
 namespace carawayrelay {
@@ -48,8 +49,7 @@
 
   Next next_ = Next::kStatusLine;
   StatusLine status_line_;
-  // The head has a length or says that the body comes in chunks.
-  bool has_length_ = false;
+  BodyFraming framing_;
 };
 
 }  // namespace carawayrelay
--- a/src/process/transport/head_line.cc
+++ b/src/process/transport/head_line.cc
@@ -43,14 +43,6 @@
   return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
 }
 
-std::string_view TrimBlanks(std::string_view text) {
-  const size_t begin = text.find_first_not_of(kBlanks);
-  if (begin == std::string_view::npos) {
-    return {};
-  }
-  return text.substr(begin, text.find_last_not_of(kBlanks) - begin + 1);
-}
-
 }  // namespace
 
 Result<StatusLine> ParseStatusLine(std::string_view line) {
@@ -80,6 +72,14 @@
   return parsed;
 }
 
+std::string_view TrimBlanks(std::string_view text) {
+  const size_t begin = text.find_first_not_of(kBlanks);
+  if (begin == std::string_view::npos) {
+    return {};
+  }
+  return text.substr(begin, text.find_last_not_of(kBlanks) - begin + 1);
+}
+
 Result<HttpField> ParseField(std::string_view line) {
   const size_t colon = line.find(':');
   if (colon == std::string_view::npos) {
--- a/tests/process/malformed_head_test.cc
+++ b/tests/process/malformed_head_test.cc
@@ -165,6 +165,13 @@
   CheckRefused(AnswersWithMalformedValues());
 }
 
+// Guards against a length that is none and is taken for a number or for no
+// length.
+TEST_CASE_FIXTURE(MalformedHeadFixture,
+                  "HTTP clients, malformed length, is no answer") {
+  CheckRefused(AnswersWithMalformedLengths());
+}
+
 TEST_CASE_FIXTURE(MalformedHeadFixture,
                   "HTTP clients, malformed status line, is no answer") {
   CheckRefused(AnswersWithMalformedStatusLines());
