Answers: chunks are the only transfer coding, and stand alone

What callers saw: with an empty or unknown transfer coding the framing of chunks reached clients as content, or a body passed as whole that no one had decoded. With chunks and a length together, or chunks in HTTP/1.0, the two ways to read the body differ, and the one that libcurl took was passed on.

Cause: libcurl ignores codings that it was not asked for, accepts "chunked" twice and lets chunks win over a length. A coding that it does not know fails the call only at the first byte of the body, after the head had been passed on.

Change: BodyFraming accepts "chunked" once and nothing else, since no request asks for another coding (RFC 9112, 6.1 and 7), neither beside a length nor in HTTP/1.0. Empty members of the list are ignored (RFC 9110, 5.6.1).

--- a/src/process/transport/body_framing.cc
+++ b/src/process/transport/body_framing.cc
@@ -33,7 +33,20 @@
   if (field.name == "content-length") {
     return AddLengths(field.value);
   }
-  has_coding_ |= field.name == "transfer-encoding";
+  if (field.name == "transfer-encoding") {
+    return AddCodings(field.value);
+  }
+  return Success();
+}
+
+Result<void> BodyFraming::CheckEnd(const StatusLine& status_line) const {
+  if (is_chunked_ && length_) {
+    return Error{ErrorCode::kInvalid,
+                 "the response has both chunks and a length"};
+  }
+  if (is_chunked_ && status_line.minor_version == 0) {
+    return Error{ErrorCode::kInvalid, "a response of HTTP/1.0 has chunks"};
+  }
   return Success();
 }
 
@@ -55,4 +68,23 @@
   return Success();
 }
 
+// A list may have empty members (RFC 9110, 5.6.1).
+Result<void> BodyFraming::AddCodings(std::string_view list) {
+  const bool was_chunked = is_chunked_;
+  size_t codings = 0;
+  while (!list.empty()) {
+    const std::string_view coding = TakeMember(list);
+    if (coding.empty()) {
+      continue;
+    }
+    ++codings;
+    is_chunked_ = LowerCase(coding) == "chunked";
+  }
+  if (was_chunked || codings != 1 || !is_chunked_) {
+    return Error{ErrorCode::kInvalid,
+                 "the response has a transfer coding other than chunked"};
+  }
+  return Success();
+}
+
 }  // namespace carawayrelay
--- a/src/process/transport/curl_answer.cc
+++ b/src/process/transport/curl_answer.cc
@@ -56,7 +56,8 @@
   return field;
 }
 
-HeadLine CurlAnswer::EndHead() {
+Result<HeadLine> CurlAnswer::EndHead() {
+  BOOST_OUTCOME_TRY(framing_.CheckEnd(status_line_));
   const bool is_interim = status() < kFirstFinalStatus;
   next_ = is_interim ? Next::kStatusLine : Next::kTrailer;
   return HeadEnd{};
--- a/src/process/transport/curl_answer.h
+++ b/src/process/transport/curl_answer.h
@@ -44,7 +44,7 @@
 
   Result<HeadLine> AddStatusLine(std::string_view line);
   Result<HeadLine> AddField(std::string_view line);
-  HeadLine EndHead();
+  Result<HeadLine> EndHead();
   bool IsDelimited() const;
 
   Next next_ = Next::kStatusLine;
--- a/src/process/transport/head_line.cc
+++ b/src/process/transport/head_line.cc
@@ -72,6 +72,12 @@
   return parsed;
 }
 
+std::string LowerCase(std::string_view text) {
+  std::string lower(text);
+  std::ranges::transform(lower, lower.begin(), ToLower);
+  return lower;
+}
+
 std::string_view TrimBlanks(std::string_view text) {
   const size_t begin = text.find_first_not_of(kBlanks);
   if (begin == std::string_view::npos) {
@@ -94,10 +100,8 @@
     return Error{ErrorCode::kInvalid,
                  "the value of a field has a control character"};
   }
-  HttpField field{.name = std::string(name),
-                  .value = std::string(TrimBlanks(value))};
-  std::ranges::transform(field.name, field.name.begin(), ToLower);
-  return field;
+  return HttpField{.name = LowerCase(name),
+                   .value = std::string(TrimBlanks(value))};
 }
 
 }  // namespace carawayrelay
--- a/src/process/transport/head_line.h
+++ b/src/process/transport/head_line.h
@@ -18,6 +18,9 @@
 // version is not HTTP/1.x or the status is none of 100 to 599.
 Result<StatusLine> ParseStatusLine(std::string_view line);
 
+// Replaces the letters A to Z alone, whatever the locale.
+std::string LowerCase(std::string_view text);
+
 // Removes blanks and tabs at both ends.
 std::string_view TrimBlanks(std::string_view text);
 
--- a/tests/process/malformed_head_test.cc
+++ b/tests/process/malformed_head_test.cc
@@ -172,6 +172,12 @@
   CheckRefused(AnswersWithMalformedLengths());
 }
 
+// Guards against a body whose coding no client decodes.
+TEST_CASE_FIXTURE(MalformedHeadFixture,
+                  "HTTP clients, malformed transfer coding, is no answer") {
+  CheckRefused(AnswersWithMalformedCodings());
+}
+
 TEST_CASE_FIXTURE(MalformedHeadFixture,
                   "HTTP clients, malformed status line, is no answer") {
   CheckRefused(AnswersWithMalformedStatusLines());
--- a/tests/serving/malformed_answer_test.cc
+++ b/tests/serving/malformed_answer_test.cc
@@ -151,6 +151,8 @@
         WithHead(ok, length + "\r\nContent-Length: 400", kWrong),
         WithHead(ok, "Content-Length: 99999999999999999999999999", kWrong),
         WithHead(ok, "Content-Length: -1", kWrong),
+        WithHead(ok, "Transfer-Encoding: ", kWrong),
+        WithHead(ok, "Transfer-Encoding: chunked\r\n" + length, chunks),
         WithHead("HTTP/1.1 200x OK", length, kWrong),
         WithHead("HTTP/2 200 OK", length, kWrong),
         WithHead("HTTP/1.1 000 OK", length, kWrong),
