--- a/tests/process/answer_cases.h
+++ b/tests/process/answer_cases.h
@@ -232,6 +232,26 @@
   return cases;
 }
 
+// Whole answers behind interim ones with a length or a coding, which say
+// nothing of a body (RFC 9112, 6.3).
+inline std::vector<AnswerCase> AnswersBehindFramedInterimOnes() {
+  std::vector<AnswerCase> cases;
+  for (const char* line :
+       {"Content-Length: 0", "Content-Length: 2", "Content-Length: 400",
+        "Transfer-Encoding: chunked"}) {
+    const std::string interim =
+        "HTTP/1.1 103 Early Hints\r\n" + std::string(line) + "\r\n\r\n";
+    cases.push_back({std::string(line) + ", then a length",
+                     interim + AnswerWithField("X-Note: v")});
+    cases.push_back({std::string(line) + ", then an end with the connection",
+                     interim + AnswerWithLines("X-Note: v")});
+    cases.push_back({std::string(line) + ", then chunks",
+                     interim + AnswerWithLines("Transfer-Encoding: chunked",
+                                               kChunkedText)});
+  }
+  return cases;
+}
+
 // Whole answers with the body "text" whose heads are rare and sound.
 inline std::vector<AnswerCase> RareSoundAnswers() {
   return {
--- a/tests/process/malformed_head_test.cc
+++ b/tests/process/malformed_head_test.cc
@@ -202,5 +202,18 @@
   }
 }
 
+// Guards against a body that is cut at the length of an interim answer, or read
+// by its coding.
+TEST_CASE_FIXTURE(
+    MalformedHeadFixture,
+    "HTTP clients, interim answer with a length or coding, body is not cut") {
+  for (const AnswerCase& answer : AnswersBehindFramedInterimOnes()) {
+    CAPTURE(answer.what);
+    CHECK(AskAsync(answer.bytes) == "text");
+    CHECK(AskBlocking(answer.bytes) == "text");
+    CHECK(AskAsAgent(answer.bytes) == "text");
+  }
+}
+
 }  // namespace
 }  // namespace carawayrelay
