HttpClient: fields of interim answers and trailers are not the answer's

What callers saw: the store client of the role entry, the operators' commands and the export of traces could read a field from an interim answer or from the trailers as if it stood in the head of the answer.

Cause: HttpClient put each line with a colon into one map for the whole call.

Change: a status line clears the fields, as in AsyncHttpClient.

--- a/src/process/transport/http_client.cc
+++ b/src/process/transport/http_client.cc
@@ -7,6 +7,7 @@
 
 #include "process/transport/curl_answer.h"
 #include "process/transport/endpoint.h"
+#include "request/overloaded.h"
 
 namespace carawayrelay {
 namespace {
@@ -61,10 +62,17 @@
     reception.abort_reason = std::move(read.error().message);
     return 0;
   }
-  if (auto* field = std::get_if<HttpField>(&read.value())) {
-    reception.response.headers[std::move(field->name)] =
-        std::move(field->value);
-  }
+  std::visit(Overloaded{
+                 // What came before belongs to an interim answer.
+                 [&](const StatusLine&) { reception.response.headers.clear(); },
+                 [&](HttpField& field) {
+                   reception.response.headers[std::move(field.name)] =
+                       std::move(field.value);
+                 },
+                 [](const HeadEnd&) {},
+                 [](const TrailerLine&) {},
+             },
+             read.value());
   return line.size();
 }
 
--- a/tests/process/http_client_test.cc
+++ b/tests/process/http_client_test.cc
@@ -112,5 +112,27 @@
   CHECK(second.value().maybe_repeated);
 }
 
+// Guards against fields of interim answers and of trailers that count as fields
+// of the answer: a "Retry-After" or an id would be taken from there.
+TEST_CASE_FIXTURE(HttpClientFixture,
+                  "HttpClient, fields before and after the answer, are not in "
+                  "its head") {
+  std::thread server([&] {
+    tcp::socket socket = acceptor.accept();
+    ReadRequest(socket);
+    asio::write(socket, asio::buffer(std::string(
+                            "HTTP/1.1 103 Early Hints\r\nX-Interim: a\r\n\r\n"
+                            "HTTP/1.1 200 OK\r\nX-Final: b\r\n"
+                            "Transfer-Encoding: chunked\r\n\r\n"
+                            "0\r\nX-Trailer: c\r\n\r\n")));
+  });
+  const auto response = client->Send({.target = "/a"});
+  server.join();
+  REQUIRE(response);
+  CHECK(response.value().Header("x-interim").empty());
+  CHECK(response.value().Header("x-final") == "b");
+  CHECK(response.value().Header("x-trailer").empty());
+}
+
 }  // namespace
 }  // namespace carawayrelay
