LoadPoller: a broken answer is no report of the load

What callers saw: an agent admitted calls by a load that it had read from an answer with a spoilt head, a wrong length or a head that broke off.

Cause: LoadPoller asked libcurl for the status alone and did not use CurlAnswer. A failed poll left no line in the log.

--- a/src/process/telemetry/events.h
+++ b/src/process/telemetry/events.h
@@ -43,6 +43,7 @@
   kAgentConfigRejected = 1606,
   kBackendCallFailed = 1607,
   kBackendCommandLost = 1608,
+  kLoadPollFailed = 1609,
   kStoreUnavailable = 1701,
   kStoreAvailable = 1702,
   kVmListUnreadable = 1703,
--- a/tests/process/malformed_head_test.cc
+++ b/tests/process/malformed_head_test.cc
@@ -215,5 +215,28 @@
   }
 }
 
+// Every list, for the readers that ask for reports and for the load tool.
+struct MalformedReportFixture : MalformedHeadFixture {
+  static std::vector<AnswerCase> AllBroken() {
+    std::vector<AnswerCase> all;
+    for (const auto& cases :
+         {AnswersWithMalformedNames(), AnswersWithMalformedValues(),
+          AnswersWithMalformedLengths(), AnswersWithMalformedCodings(),
+          AnswersWithMalformedStatusLines(), OtherBrokenAnswers()}) {
+      all.insert(all.end(), cases.begin(), cases.end());
+    }
+    return all;
+  }
+};
+
+// Guards against a report of load that is read from a broken answer.
+TEST_CASE_FIXTURE(MalformedReportFixture,
+                  "LoadPoller, broken head, is no report") {
+  for (const AnswerCase& answer : AllBroken()) {
+    CAPTURE(answer.what);
+    CHECK_FALSE(IsReport(answer.bytes));
+  }
+}
+
 }  // namespace
 }  // namespace carawayrelay
