Load tool: a broken answer of the system is an error

What callers saw: nothing yet; but the soak and the demo could not have noticed a system that sends broken heads, because their client took them for answers.

Cause: CurlHttpClient asked libcurl for the status alone.

Change: it reads its answers through CurlAnswer, which the public header of the process library now has, and gives the reason as transport error.

--- a/include/carawayrelay/process.h
+++ b/include/carawayrelay/process.h
@@ -102,6 +102,7 @@
 #include "process/telemetry/span.h"
 #include "process/telemetry/telemetry_thread.h"
 #include "process/transport/async_http_client.h"
+#include "process/transport/curl_answer.h"
 #include "process/transport/datagram_socket.h"
 #include "process/transport/endpoint.h"
 #include "process/transport/http_client.h"
--- a/tests/process/malformed_head_test.cc
+++ b/tests/process/malformed_head_test.cc
@@ -238,5 +238,15 @@
   }
 }
 
+// Guards against a load tool that takes a broken answer of the system for a
+// sound one.
+TEST_CASE_FIXTURE(MalformedReportFixture,
+                  "Load tool, broken head, is no answer") {
+  for (const AnswerCase& answer : AllBroken()) {
+    CAPTURE(answer.what);
+    CHECK_FALSE(AskAsLoadTool(answer.bytes));
+  }
+}
+
 }  // namespace
 }  // namespace carawayrelay
--- a/tools/harness/curl_http_client.cc
+++ b/tools/harness/curl_http_client.cc
@@ -2,10 +2,10 @@
 
 #include <curl/curl.h>
 
-#include <algorithm>
-#include <cctype>
 #include <string_view>
 #include <thread>
+#include <utility>
+#include <variant>
 
 namespace carawayrelay::tools {
 namespace {
@@ -30,6 +30,8 @@
   CallSpec spec;
   CurlHttpClient::Done done;
   CallResult result;
+  CurlAnswer answer;
+  std::string abort_reason;  // empty unless OnHeader() ended the call
   std::unique_ptr<CURL, EasyDeleter> easy;
   std::unique_ptr<curl_slist, ListDeleter> headers;
 };
@@ -41,20 +43,32 @@
   return size * count;
 }
 
+// Returns 0 to make libcurl end the call.
 size_t OnHeader(char* data, size_t size, size_t count, void* user) {
+  auto& transfer = *static_cast<Transfer*>(user);
   const std::string_view line(data, size * count);
-  const size_t colon = line.find(':');
-  if (colon != std::string_view::npos) {
-    std::string name(line.substr(0, colon));
-    std::transform(name.begin(), name.end(), name.begin(),
-                   [](unsigned char c) { return std::tolower(c); });
-    const size_t value = line.find_first_not_of(' ', colon + 1);
-    const size_t end = line.find_last_not_of("\r\n");
-    static_cast<Transfer*>(user)->result.headers[name] =
-        value > end ? std::string()
-                    : std::string(line.substr(value, end + 1 - value));
+  Result<HeadLine> read = transfer.answer.AddHeaderLine(line);
+  if (!read) {
+    transfer.abort_reason = std::move(read.error().message);
+    return 0;
   }
-  return size * count;
+  if (auto* field = std::get_if<HttpField>(&read.value())) {
+    transfer.result.headers[std::move(field->name)] = std::move(field->value);
+  }
+  return line.size();
+}
+
+// Returns why no complete response arrived; empty when one did.
+std::string TransportError(const Transfer& transfer, CURLcode code) {
+  if (!transfer.abort_reason.empty()) {
+    return transfer.abort_reason;
+  }
+  if (code != CURLE_OK) {
+    return curl_easy_strerror(code);
+  }
+  return transfer.answer
+      .IncompleteReason(transfer.easy.get(), transfer.spec.body.size())
+      .value_or("");
 }
 
 void SetUp(Transfer& transfer) {
@@ -139,21 +153,20 @@
     int left = 0;
     while (CURLMsg* message = curl_multi_info_read(multi_.get(), &left)) {
       if (message->msg == CURLMSG_DONE) {
-        const CURLcode code = message->data.result;
-        Finish(message->easy_handle,
-               code == CURLE_OK ? "" : curl_easy_strerror(code));
+        CURL* easy = message->easy_handle;
+        Finish(easy,
+               TransportError(*transfers_.at(easy), message->data.result));
       }
     }
   }
 
-  void Finish(CURL* easy, const char* transport_error) {
+  void Finish(CURL* easy, std::string transport_error) {
     auto node = transfers_.extract(easy);
     Transfer& transfer = *node.mapped();
-    long status = 0;
-    curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
     curl_multi_remove_handle(multi_.get(), easy);
-    transfer.result.http_status = static_cast<int>(status);
-    transfer.result.transport_error = transport_error;
+    transfer.result.http_status =
+        transfer.answer.has_head() ? transfer.answer.status() : 0;
+    transfer.result.transport_error = std::move(transport_error);
     transfer.result.ended = BootClock::now();
     transfer.done(std::move(transfer.result));
   }
--- a/tools/harness/curl_http_client.h
+++ b/tools/harness/curl_http_client.h
@@ -24,7 +24,7 @@
 struct CallResult {
   // Why no complete response arrived; empty when one did.
   std::string transport_error;
-  int http_status = 0;
+  int http_status = 0;  // 0 unless the whole head of a response arrived
   std::map<std::string, std::string> headers;  // names in lower case
   std::string body;
   // For each received piece of the body: the size of the body including that
