Clean-up: one LowerCase for heads of requests and answers

HttpRequestParser had its own, by the locale's rules. The refusal of a value now names its field, so that the log of a failed attempt tells where to look. The tests of the parser, the server and the heads pass.

--- a/src/process/transport/head_line.cc
+++ b/src/process/transport/head_line.cc
@@ -97,8 +97,9 @@
   }
   const std::string_view value = line.substr(colon + 1);
   if (!IsText(value)) {
-    return Error{ErrorCode::kInvalid,
-                 "the value of a field has a control character"};
+    return Error{ErrorCode::kInvalid, "the value of the field " +
+                                          std::string(name) +
+                                          " has a control character"};
   }
   return HttpField{.name = LowerCase(name),
                    .value = std::string(TrimBlanks(value))};
--- a/src/process/transport/http_request_parser.cc
+++ b/src/process/transport/http_request_parser.cc
@@ -1,10 +1,10 @@
 #include "process/transport/http_request_parser.h"
 
 #include <algorithm>
-#include <cctype>
 #include <limits>
 #include <utility>
 
+#include "process/transport/head_line.h"
 #include "process/transport/heap_settings.h"
 
 namespace carawayrelay {
@@ -18,12 +18,6 @@
   return *static_cast<HttpRequestParser*>(parser->data);
 }
 
-std::string LowerCase(std::string text) {
-  std::transform(text.begin(), text.end(), text.begin(),
-                 [](unsigned char c) { return std::tolower(c); });
-  return text;
-}
-
 }  // namespace
 
 const http_parser_settings& HttpRequestParser::Callbacks() {
