--- a/tests/process/malformed_head_test.cc
+++ b/tests/process/malformed_head_test.cc
@@ -142,12 +142,11 @@
 // on by then.
 TEST_CASE_FIXTURE(MalformedHeadFixture,
                   "HTTP clients, malformed trailer, answer is not whole") {
-  for (const char* line :
+  for (const std::string line :
        {"X Sum: 1", "X-Sum : 1", " X-Sum: 1", ": 1", "X-Sum"}) {
     CAPTURE(line);
-    const std::string answer =
-        AnswerWithLines("Transfer-Encoding: chunked",
-                        "4\r\ntext\r\n0\r\n" + std::string(line) + "\r\n\r\n");
+    const std::string answer = AnswerWithLines(
+        "Transfer-Encoding: chunked", "4\r\ntext\r\n0\r\n" + line + "\r\n\r\n");
     ServeWhole(answer, 1, [&] {
       CHECK_FALSE(std::get<CallEnd>(EventsOf(kRequestBody).back()).is_complete);
     });
