Read-through: what the lines of an answer are, and fields of the load tool

Each kind of line has its own comment. The load tool also drops the fields of interim answers, as the other clients do. The tests of the heads and of all HTTP clients pass.

--- a/src/process/transport/body_framing.cc
+++ b/src/process/transport/body_framing.cc
@@ -50,7 +50,7 @@
   return Success();
 }
 
-// A length may be repeated (RFC 9110, 8.6).
+// The same length may stand several times (RFC 9110, 8.6).
 Result<void> BodyFraming::AddLengths(std::string_view list) {
   bool is_last = false;
   while (!is_last) {
--- a/src/process/transport/curl_answer.h
+++ b/src/process/transport/curl_answer.h
@@ -13,10 +13,11 @@
 
 namespace carawayrelay {
 
-// What a line is that libcurl reports as a header: the status line, a field or
-// the end of the head of an interim or final answer, or a line of the trailers.
+// The empty line that ends the head of an interim or final answer.
 struct HeadEnd {};
+// A line behind the chunks of a body. Trailers are checked and not passed on.
 struct TrailerLine {};
+// What a line is that libcurl reports as a header.
 using HeadLine = std::variant<StatusLine, HttpField, HeadEnd, TrailerLine>;
 
 // Judges the answers that libcurl reads. All HTTP clients of the project use
@@ -24,12 +25,13 @@
 // follows one call.
 class CurlAnswer {
  public:
-  // Takes one header line, as libcurl passes them on. Fails with kInvalid when
-  // it cannot be part of an answer; the call must then be ended.
+  // Takes one header line, with its line end, as libcurl reports it. Fails with
+  // kInvalid when it cannot be part of an answer; the call must then be ended.
   Result<HeadLine> AddHeaderLine(std::string_view line);
 
   // Whether the whole head of an answer arrived. Interim answers do not count.
   bool has_head() const { return next_ == Next::kTrailer; }
+  // Of the newest status line, that of an interim answer included.
   int status() const { return status_line_.status; }
 
   // Returns why the answer of a call that libcurl ended with CURLE_OK is not
--- a/tools/harness/curl_http_client.cc
+++ b/tools/harness/curl_http_client.cc
@@ -52,9 +52,16 @@
     transfer.abort_reason = std::move(read.error().message);
     return 0;
   }
-  if (auto* field = std::get_if<HttpField>(&read.value())) {
-    transfer.result.headers[std::move(field->name)] = std::move(field->value);
-  }
+  std::visit(Overloaded{
+                 [&](const StatusLine&) { transfer.result.headers.clear(); },
+                 [&](HttpField& field) {
+                   transfer.result.headers[std::move(field.name)] =
+                       std::move(field.value);
+                 },
+                 [](const HeadEnd&) {},
+                 [](const TrailerLine&) {},
+             },
+             read.value());
   return line.size();
 }
 
