--- a/review/11/case.py
+++ b/review/11/case.py
@@ -6,7 +6,10 @@
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "common-3"))
-from fleet import BROKEN, HELD, run_case, trouble  # noqa: E402
+from fleet import BROKEN, HELD, run_case  # noqa: E402
+
+# TROUBLE=0 leaves the disruption out.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 JOB = "5a0c11d2e7f40911"
 LONG = "5a0c11d2e7f40900"
@@ -32,7 +35,7 @@
             if now >= at:
                 fleet.start_runner(number)
                 del back_at[number]
-        if trouble() and crashes < CRASHES and now >= next_crash and not back_at:
+        if TROUBLE and crashes < CRASHES and now >= next_crash and not back_at:
             number = fleet.runner_running(LONG)
             if number is not None:
                 # The run has begun: let it write some events first.
@@ -45,13 +48,13 @@
         status, answer = fleet.results(JOB)
         if status == 200 and answer["next"] == answer["total"]:
             fleet.record("all_listed", after_s=round(time.time() - accepted_at, 1))
-            if trouble() and crashes < CRASHES:
+            if TROUBLE and crashes < CRASHES:
                 raise RuntimeError("the item ended before three crashes")
             return HELD
         quiet_s = time.time() - last_crash
         if crashes == CRASHES and quiet_s > max(DOWN_S + FINISH_S, FAILED_LONG_AGO_S) + 2.5:
             break
-        if not trouble() and time.time() - accepted_at > 40:
+        if not TROUBLE and time.time() - accepted_at > 40:
             break
         time.sleep(0.25)
     status, answer = fleet.results(JOB)
--- a/review/common-3/fleet.py
+++ b/review/common-3/fleet.py
@@ -26,7 +26,6 @@
 BULK_HOST = "bulk.example"
 STREAM_HOST = "stream.example"
 
-
 def render(template, values):
     """Fills in a settings template as DEPLOY.md tells (values and sections)."""
 
@@ -71,7 +70,6 @@
 
     return fill(template, [values])
 
-
 class Fleet:
     def __init__(self, folder, frontends=1, runners=3, memory_mb=280, keep_s=60,
                  max_pending=980000, body_bytes=4194304, step_ms=30, slots=8, tenants=2,
@@ -305,14 +303,9 @@
         shutil.rmtree(self.work, ignore_errors=True)
 
 
-def trouble():
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 TIME_LIMIT_S = 112
 
-
 def run_case(case_file, play, **options):
     """Runs a case: play(fleet) returns HELD or BROKEN. The exit code is 2 if the
     case could not be run."""
@@ -326,7 +319,7 @@
     fleet, code = None, NOT_RUN
     try:
         fleet = Fleet(os.path.dirname(os.path.abspath(case_file)), **options)
-        fleet.record("case_started", trouble=trouble())
+        fleet.record("case_started", trouble=os.environ.get("TROUBLE", "1"))
         fleet.wait_ready()
         code = play(fleet)
     except Exception as e:  # the case could not be run
