Quarantine: any process may try a prompt again, with a right from the store

Cause: only the process that saw the newest crash was allowed to try a quarantined part again. That worker's backend server was down, so another worker claimed the item, held it for 10 s at a time and renewed the hold for ever. The right to a trial and the work that needs it were bound to different processes. A trial that ended without a verdict was used up too, and crashes 9 s apart counted as failed trials before the first one.

Change: PromptTrials. A trial is due 10 s after the newest crash or trial; any process that has a request with the part asks the store for the right to one send, by a conditional write of one record. A grant whose owner vanishes delays the next trial by one interval. Failed trials are counted from grants, and bounded: two, or up to seven crashes in all. A hold ends when the next trial is due or the part is released. An item that was tried here without success is left to others first.

The fleet of the worker tests now answers watch calls without changes, as the store does; without that no run starts after 2.5 s without a change, which hid faults.

--- a/src/process/forward/online_forwarder.cc
+++ b/src/process/forward/online_forwarder.cc
@@ -16,6 +16,8 @@
 
 // When a client should retry if no backend server had capacity.
 constexpr milliseconds kRetryAfter{100};
+// How long a request waits for the right to try its prompt again.
+constexpr milliseconds kMaxTrialWait{300};
 // Header with the trace context of a request (W3C Trace Context).
 constexpr const char* kTraceHeader = "traceparent";
 // Responses that are not streams are buffered until they are complete. Larger
@@ -39,6 +41,7 @@
                                  BackendDirectory& backends,
                                  RateAdmission& rates,
                                  PromptQuarantine& quarantine,
+                                 PromptTrials& trials,
                                  OutboundCalls& calls,
                                  const EventLoopClock& clock,
                                  ResponseCallback send_response)
@@ -46,6 +49,7 @@
       backends_(backends),
       rates_(rates),
       quarantine_(quarantine),
+      trials_(trials),
       calls_(calls),
       clock_(clock),
       send_response_(std::move(send_response)),
@@ -154,7 +158,7 @@
 }
 
 void OnlineForwarder::ChooseAndSend(Request& request, TimePoint now) {
-  if (RefuseIfQuarantined(request, now)) {
+  if (!IsAdmitted(request, now)) {
     return;
   }
   BackendDirectory::Backend* backend =
@@ -412,6 +416,9 @@
                       .span = request.span,
                       .parent_span = request.parent_span});
   }
+  if (request.trial && !request.is_trial_sent) {
+    trials_.Return(*request.trial);
+  }
   ClearBody(request);
   requests_.erase(request.call.client);
 }
@@ -463,6 +470,11 @@
              now);
       continue;
     }
+    if (request.asking_since && now - *request.asking_since >= kMaxTrialWait) {
+      RefuseQuarantined(request, {.part = JoinIds(request.call.prompt_parts)},
+                        now);
+      continue;
+    }
     if (!request.is_attempt_running) {
       continue;
     }
--- a/src/process/forward/online_forwarder.h
+++ b/src/process/forward/online_forwarder.h
@@ -15,6 +15,7 @@
 #include "process/forward/returning_clients.h"
 #include "process/limits/rate_admission.h"
 #include "process/quarantine/prompt_quarantine.h"
+#include "process/quarantine/prompt_trials.h"
 #include "process/serving/event_loop_clock.h"
 #include "process/telemetry/request_observed.h"
 #include "process/transport/outbound_calls.h"
@@ -77,6 +78,7 @@
                   BackendDirectory& backends,
                   RateAdmission& rates,
                   PromptQuarantine& quarantine,
+                  PromptTrials& trials,
                   OutboundCalls& calls,
                   const EventLoopClock& clock,
                   ResponseCallback send_response);
@@ -150,8 +152,12 @@
     // State over all attempts.
     int attempts = 0;  // failed after the request was sent
     int sends = 0;     // limited by Options::max_sends
-    // The request tries a quarantined part of its prompt again.
-    bool is_trial = false;
+    // Set while the request tries a quarantined part of its prompt again.
+    std::optional<TrialGrant> trial;
+    // A backend server may have got the request of the trial.
+    bool is_trial_sent = false;
+    // Set while the request waits for the right to a trial.
+    std::optional<TimePoint> asking_since;
     // A backend server may have started to run the request.
     bool may_have_run = false;
     bool head_sent = false;  // the response head was sent to the client
@@ -197,9 +203,13 @@
   void NoteBrokenAnswer(const Request& request,
                         const CallEnd& end,
                         TimePoint now);
-  // Refuses the request and returns true if backend servers crash on its
-  // prompt.
-  bool RefuseIfQuarantined(Request& request, TimePoint now);
+  // Whether the request may be sent. If backend servers crash on its prompt,
+  // refuses it, or asks for the right to try the prompt again.
+  bool IsAdmitted(Request& request, TimePoint now);
+  void OnTrialAnswer(ClientCallId client, const PromptTrials::Answer& answer);
+  void RefuseQuarantined(Request& request,
+                         const PromptTrials::Refused& refusal,
+                         TimePoint now);
   // Returns why the response of the current attempt is not complete, or
   // std::nullopt.
   static std::optional<std::string> BreakReason(const Request& request,
@@ -235,6 +245,7 @@
   BackendDirectory& backends_;
   RateAdmission& rates_;
   PromptQuarantine& quarantine_;
+  PromptTrials& trials_;
   OutboundCalls& calls_;
   const EventLoopClock& clock_;
   ResponseCallback send_response_;
--- a/src/process/forward/online_forwarder_attempts.cc
+++ b/src/process/forward/online_forwarder_attempts.cc
@@ -3,10 +3,12 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <variant>
 
 #include "platform/backend_codec.h"
 #include "process/forward/online_forwarder.h"
 #include "process/telemetry/decision_log.h"
+#include "request/overloaded.h"
 #include "request/prompt_parts.h"
 
 namespace carawayrelay {
@@ -14,6 +16,9 @@
 
 using std::chrono::milliseconds;
 
+// Shortest time after which a client may repeat a request in quarantine.
+constexpr milliseconds kMinTrialRetryAfter{500};
+
 }  // namespace
 
 void OnlineForwarder::ProbeAndSend(Request& request, TimePoint now) {
@@ -55,6 +60,7 @@
   request.attempt_longest_pause = Duration(0);
   request.attempt_events = 0;
   request.is_attempt_running = true;
+  request.is_trial_sent = request.trial.has_value();
   backends_.NoteSent(*backend, now);
   const auto left =
       std::chrono::duration_cast<milliseconds>(request.deadline - now);
@@ -77,6 +83,7 @@
               "runner", request.backend_id, "reason", reason);
   ReportAttempt(request, AttemptResult::kDeclined, now);
   CancelAttempt(request);
+  request.is_trial_sent = false;
   ChooseAndSend(request, now);
 }
 
@@ -116,27 +123,68 @@
   }
 }
 
-bool OnlineForwarder::RefuseIfQuarantined(Request& request, TimePoint now) {
-  if (request.is_trial && request.attempts == 0) {
-    return false;
-  }
-  const PromptQuarantine::Verdict verdict =
-      quarantine_.Admit(request.call.prompt_parts, now);
-  request.is_trial =
-      std::holds_alternative<PromptQuarantine::AdmittedAsTrial>(verdict);
-  const auto* match = std::get_if<PromptQuarantine::Match>(&verdict);
-  if (match == nullptr) {
-    return false;
+bool OnlineForwarder::IsAdmitted(Request& request, TimePoint now) {
+  if (request.trial && !request.is_trial_sent) {
+    return true;
   }
+  const ClientCallId client = request.call.client;
+  const PromptParts& parts = request.call.prompt_parts;
+  return std::visit(
+      Overloaded{
+          [](const PromptTrials::Admitted&) { return true; },
+          [&](const PromptTrials::Refused& refusal) {
+            RefuseQuarantined(request, refusal, now);
+            return false;
+          },
+          [&](const PromptTrials::TrialDue&) {
+            request.asking_since = now;
+            trials_.Ask(parts,
+                        [this, client](const PromptTrials::Answer& answer) {
+                          OnTrialAnswer(client, answer);
+                        });
+            return false;
+          },
+      },
+      trials_.Admit(parts, now));
+}
+
+void OnlineForwarder::OnTrialAnswer(ClientCallId client,
+                                    const PromptTrials::Answer& answer) {
+  const auto it = requests_.find(client);
+  std::visit(Overloaded{
+                 [&](const TrialGrant& grant) {
+                   if (it == requests_.end()) {
+                     trials_.Return(grant);
+                     return;
+                   }
+                   Request& request = it->second;
+                   request.asking_since.reset();
+                   request.trial = grant;
+                   request.is_trial_sent = false;
+                   ChooseAndSend(request, clock_.now());
+                 },
+                 [&](const PromptTrials::Refused& refusal) {
+                   if (it != requests_.end()) {
+                     RefuseQuarantined(it->second, refusal, clock_.now());
+                   }
+                 },
+             },
+             answer);
+}
+
+void OnlineForwarder::RefuseQuarantined(Request& request,
+                                        const PromptTrials::Refused& refusal,
+                                        TimePoint now) {
   ++counters_.quarantined;
   Refuse(request,
          {.code = RefusalCode::kQuarantined,
           .run_state =
               request.may_have_run ? RunState::kUnknown : RunState::kNotRun,
-          .reason = "backend servers crash on prompt part " + match->part,
-          .retry_after = std::chrono::ceil<milliseconds>(match->until - now)},
+          .reason = "backend servers crash on prompt part " + refusal.part,
+          .retry_after =
+              std::max(std::chrono::ceil<milliseconds>(refusal.retry_at - now),
+                       kMinTrialRetryAfter)},
          now);
-  return true;
 }
 
 void OnlineForwarder::NoteAttemptEvent(Request& request, TimePoint now) {
@@ -206,6 +254,7 @@
   request.last_failure = reason;
   request.may_have_run |= was_sent;
   request.attempts += was_sent ? 1 : 0;
+  request.is_trial_sent &= was_sent;
   bool is_cold = false;
   if (BackendDirectory::Backend* backend = backends_.Find(request.backend_id)) {
     is_cold = now < backend->cold_until;
--- a/src/process/forward/online_forwarder_reservations.cc
+++ b/src/process/forward/online_forwarder_reservations.cc
@@ -63,7 +63,7 @@
   Request& request = it->second;
   request.is_reserving = false;
   const TimePoint now = clock_.now();
-  if (RefuseIfQuarantined(request, now)) {
+  if (!IsAdmitted(request, now)) {
     return;
   }
   BackendDirectory::Backend* found = backends_.Find(backend_id);
--- a/src/process/jobs/item_worker.cc
+++ b/src/process/jobs/item_worker.cc
@@ -35,6 +35,7 @@
                        StoreTransferQueue& transfers,
                        BackendDirectory& backends,
                        PromptQuarantine& quarantine,
+                       PromptTrials& trials,
                        OutboundCalls& calls,
                        const EventLoopClock& clock)
     : options_(std::move(options)),
@@ -44,6 +45,7 @@
       transfers_(transfers),
       backends_(backends),
       quarantine_(quarantine),
+      trials_(trials),
       calls_(calls),
       clock_(clock),
       random_(options_.seed) {}
@@ -68,7 +70,8 @@
   return static_cast<int>(
       std::count_if(runs_.begin(), runs_.end(), [](const auto& item) {
         return item.second.state == RunState::kLoading ||
-               item.second.state == RunState::kPaused;
+               item.second.state == RunState::kPaused ||
+               item.second.state == RunState::kAsking;
       }));
 }
 
@@ -89,6 +92,7 @@
 
 void ItemWorker::Tick(TimePoint now) {
   DropObsoleteRuns(now);
+  EndHolds(now);
   RenewClaims(now);
   if (is_stopping_) {
     return;
@@ -208,6 +212,10 @@
 void ItemWorker::Pause(Run& run, TimePoint now) {
   if (run.state == RunState::kRunning) {
     calls_.Cancel(run.outbound_id);
+    // A prompt that crashes backend servers does so when its answer begins.
+    if (!run.is_progress_noted) {
+      EndTrial(run, /*was_received=*/true);
+    }
   }
   run.state = RunState::kPaused;
   run.state_since = now;
--- a/src/process/jobs/item_worker.h
+++ b/src/process/jobs/item_worker.h
@@ -16,6 +16,7 @@
 #include "process/jobs/job_writer.h"
 #include "process/jobs/submission_reader.h"
 #include "process/quarantine/prompt_quarantine.h"
+#include "process/quarantine/prompt_trials.h"
 #include "process/store/store_client.h"
 #include "process/store/store_transfer_queue.h"
 #include "process/transport/outbound_calls.h"
@@ -58,8 +59,8 @@
     // server. Longer than the random delay before a claim, so that one of them
     // can claim.
     std::chrono::milliseconds leave_time{800};
-    // How long an item is held whose prompt crashes backend servers, until it
-    // is looked at again.
+    // Longest time for which an item whose prompt crashes backend servers is
+    // held before its prompt is looked at again.
     std::chrono::milliseconds hold_time{10000};
     // A run without progress for this long is stopped and resumed.
     std::chrono::milliseconds silence_limit{2500};
@@ -80,6 +81,7 @@
              StoreTransferQueue& transfers,
              BackendDirectory& backends,
              PromptQuarantine& quarantine,
+             PromptTrials& trials,
              OutboundCalls& calls,
              const EventLoopClock& clock);
 
@@ -101,6 +103,7 @@
   enum class RunState {
     kLoading,   // the request or partial result is being read
     kPaused,    // waiting for a free slot
+    kAsking,    // waiting for the right to try its quarantined prompt
     kRunning,   // a call to the backend server is running
     kStoring,   // the text of the result is being written to an object
     kListing,   // the result is being written
@@ -116,8 +119,8 @@
     int failures = 0;
     // Runs in a row that broke before their first event.
     int early_breaks = 0;
-    // The run tries a quarantined part of its prompt again.
-    bool is_trial = false;
+    // Set while the run tries a quarantined part of its prompt again.
+    std::optional<TrialGrant> trial;
     // Whether the quarantine knows that the answer has gone on for long.
     bool is_progress_noted = false;
     TimePoint first_event_at{};
@@ -204,15 +207,23 @@
   Run* FindRun(const ItemKey& key, RunState state);
   void StartPausedRuns(int count, TimePoint now);
   void StartRun(const ItemKey& key, Run& run, TimePoint now);
-  // Holds the item and returns true if backend servers crash on its prompt.
-  bool HoldIfQuarantined(const ItemKey& key, Run& run, TimePoint now);
-  // Stops the run but keeps its claim for `hold_time`, so that no worker runs
-  // the item. The claim ends with the retention time of the job at the latest,
-  // so that the item can be given up then.
+  // Whether the run may be sent. If backend servers crash on its prompt, holds
+  // the item, or asks for the right to try it again.
+  bool IsAdmitted(const ItemKey& key, Run& run, TimePoint now);
+  void OnTrialAnswer(const ItemKey& key, const PromptTrials::Answer& answer);
+  // Ends the trial of the run. Its right is given back if no backend server got
+  // the request.
+  void EndTrial(Run& run, bool was_received);
+  // Stops the run but keeps its claim until its prompt may be tried, at most
+  // for `hold_time`, so that no worker runs the item. The claim ends with the
+  // retention time of the job at the latest, so that the item can be given up
+  // then.
   void HoldItem(const ItemKey& key,
                 Run& run,
-                const std::string& part,
+                const PromptTrials::Refused& refusal,
                 TimePoint now);
+  // Ends the holds of items that may be looked at again.
+  void EndHolds(TimePoint now);
   // Tells the quarantine how the answer of the run ended.
   void NoteAnswerEnd(const Run& run, const CallEnd& end, TimePoint now);
   void OnEvent(const ItemKey& key, CallEvent& event);
@@ -255,6 +266,7 @@
   SubmissionReader submissions_{transfers_};
   BackendDirectory& backends_;
   PromptQuarantine& quarantine_;
+  PromptTrials& trials_;
   OutboundCalls& calls_;
   const EventLoopClock& clock_;
   ServingConfigPtr config_;
@@ -270,6 +282,12 @@
   // Items that failed on the local backend server, and until when they are left
   // to the other workers.
   std::map<ItemKey, TimePoint> failed_locally_;
+  // Items that this worker holds without a run because of their prompts.
+  struct Hold {
+    PromptParts prompt_parts;
+    TimePoint until{};
+  };
+  std::map<ItemKey, Hold> holds_;
   // Until when the items of a job are left to other workers.
   std::map<std::string, TimePoint> left_until_;
   int consecutive_failures_ = 0;
--- a/src/process/jobs/item_worker_claims.cc
+++ b/src/process/jobs/item_worker_claims.cc
@@ -35,7 +35,8 @@
                              const JobItemState& item,
                              milliseconds store_now) const {
   const ItemKey key{job, index};
-  if (item.IsListed() || runs_.contains(key) || failed_locally_.contains(key)) {
+  if (item.IsListed() || runs_.contains(key) || failed_locally_.contains(key) ||
+      holds_.contains(key)) {
     return false;
   }
   return item.state == ItemState::kWaiting || item.owner == options_.node ||
--- a/src/process/jobs/item_worker_runs.cc
+++ b/src/process/jobs/item_worker_runs.cc
@@ -1,6 +1,7 @@
 #include "process/jobs/item_worker.h"
 
 #include <algorithm>
+#include <chrono>
 #include <memory>
 #include <utility>
 
@@ -31,9 +32,6 @@
 // to other workers, and for how long: the item may crash its backend server.
 constexpr int kMaxEarlyBreaks = 3;
 constexpr std::chrono::seconds kCrashRetryDelay{15};
-// How much longer other workers leave a held item to the worker that held it,
-// which may be the one that tries its prompt again.
-constexpr milliseconds kHoldPriority{2000};
 
 }  // namespace
 
@@ -73,7 +71,7 @@
     ReleaseClaim(key, run, "the local backend server is too slow", now);
     return;
   }
-  if (HoldIfQuarantined(key, run, now)) {
+  if (!IsAdmitted(key, run, now)) {
     return;
   }
   run.state = RunState::kRunning;
@@ -106,58 +104,6 @@
       [this, key](CallEvent& event) { OnEvent(key, event); });
 }
 
-bool ItemWorker::HoldIfQuarantined(const ItemKey& key,
-                                   Run& run,
-                                   TimePoint now) {
-  if (run.is_trial) {
-    return false;
-  }
-  const PromptQuarantine::Verdict verdict =
-      quarantine_.Admit(run.prompt_parts, now);
-  run.is_trial =
-      std::holds_alternative<PromptQuarantine::AdmittedAsTrial>(verdict);
-  const auto* match = std::get_if<PromptQuarantine::Match>(&verdict);
-  if (match == nullptr) {
-    return false;
-  }
-  HoldItem(key, run, match->part, now);
-  return true;
-}
-
-void ItemWorker::HoldItem(const ItemKey& key,
-                          Run& run,
-                          const std::string& part,
-                          TimePoint now) {
-  Pause(run, now);
-  run.state = RunState::kReleasing;
-  ++counters_.held;
-  failed_locally_[key] = now + options_.hold_time;
-  LogDecision(LogEvent::kItemHeld, "job", key.first, "item", key.second, "id",
-              run.item.id, "part", part, "for_ms", options_.hold_time.count());
-  milliseconds lease_end =
-      store_.StoreTime(now) + options_.hold_time + kHoldPriority;
-  const JobTable::Entry* entry = jobs_.Find(key.first);
-  const ServingRoute* route =
-      entry == nullptr ? nullptr : FindRoute(entry->job);
-  if (route != nullptr && route->bulk.item_expiry.count() > 0) {
-    lease_end =
-        std::min(lease_end, entry->job.accepted + route->bulk.item_expiry);
-  }
-  const auto apply = [key, lease_end, progress = run.progress,
-                      node = options_.node](BulkJob& state,
-                                            RowsTransaction& transaction) {
-    JobItemState& item = state.items[key.second];
-    if (item.state != ItemState::kClaimed || item.owner != node) {
-      return JobWriter::Outcome::kAlreadyApplied;
-    }
-    item.lease_end = lease_end;
-    StorePartialRun(state, key.second, progress, transaction);
-    return JobWriter::Outcome::kChanged;
-  };
-  const auto done = [this, key](JobWriter::Outcome) { runs_.erase(key); };
-  writer_.Add(key.first, {.apply = apply, .done = done});
-}
-
 void ItemWorker::NoteAnswerEnd(const Run& run,
                                const CallEnd& end,
                                TimePoint now) {
@@ -296,7 +242,7 @@
                        const CallEnd& end,
                        TimePoint now) {
   run.early_breaks += IsBrokenBeforeEvent(run, end) ? 1 : 0;
-  run.is_trial = false;
+  EndTrial(run, /*was_received=*/end.was_sent && !run.is_declined);
   NoteAnswerEnd(run, end, now);
   const JobTable::Entry* entry = jobs_.Find(key.first);
   const ServingRoute* route =
@@ -436,7 +382,8 @@
   for (auto& [key, run] : runs_) {
     const bool needs_claim =
         run.state == RunState::kLoading || run.state == RunState::kRunning ||
-        run.state == RunState::kStoring || run.state == RunState::kPaused;
+        run.state == RunState::kStoring || run.state == RunState::kPaused ||
+        run.state == RunState::kAsking;
     if (!needs_claim || run.is_renewing ||
         run.lease_end - store_now > options_.lease - kRenewalInterval) {
       continue;
--- a/src/process/quarantine/crash_evidence.cc
+++ b/src/process/quarantine/crash_evidence.cc
@@ -17,26 +17,21 @@
 
 }  // namespace
 
-void CrashEvidence::Add(const CrashReport& report, bool is_own, TimePoint now) {
+void CrashEvidence::Add(const CrashReport& report, TimePoint now) {
   for (const BackendCrash& told : report.crashes) {
     if (now - told.at >= kCrashLifetime) {
       continue;
     }
     std::vector<size_t>& known = crashes_of_[told.backend_id];
     const auto same = std::ranges::find_if(known, [&](size_t index) {
-      return std::chrono::abs(told.at - crashes_[index].at) < kSameCrash;
+      return std::chrono::abs(told.at - crashes_[index]) < kSameCrash;
     });
     const size_t index = same == known.end() ? crashes_.size() : *same;
     if (same == known.end()) {
       known.push_back(index);
-      crashes_.push_back({.at = told.at});
-    }
-    Crash& crash = crashes_[index];
-    crash.at = std::min(crash.at, told.at);
-    if (told.at >= crash.newest_report) {
-      crash.newest_report = told.at;
-      crash.is_own_newest = is_own;
+      crashes_.push_back(told.at);
     }
+    crashes_[index] = std::min(crashes_[index], told.at);
     for (const std::string& part : told.suspects) {
       TimePoint& reported = reports_on_[part][index];
       reported = std::max(reported, told.at);
@@ -47,7 +42,7 @@
 int CrashEvidence::CountApart(const CrashIndexes& crashes) const {
   std::vector<TimePoint> times;
   for (const size_t index : crashes) {
-    times.push_back(crashes_[index].at);
+    times.push_back(crashes_[index]);
   }
   std::ranges::sort(times);
   int count = 0;
@@ -98,7 +93,7 @@
     const Answers known = answers(part);
     CrashIndexes crashes = CrashesNaming(part, known.whole);
     if (CountApart(crashes) >= kCrashesUntilQuarantine) {
-      const TimePoint first = crashes_[*crashes.begin()].at;
+      const TimePoint first = crashes_[*crashes.begin()];
       candidates.emplace(part,
                          Candidate{.crashes = std::move(crashes),
                                    .is_doubtful = known.in_progress > first});
@@ -138,13 +133,8 @@
       accused.parts.insert(part);
     }
   }
-  TimePoint newest{};
   for (const size_t index : crashes) {
-    accused.crashes.push_back(crashes_[index].at);
-    if (crashes_[index].newest_report >= newest) {
-      newest = crashes_[index].newest_report;
-      accused.is_own = crashes_[index].is_own_newest;
-    }
+    accused.crashes.push_back(crashes_[index]);
   }
   std::ranges::sort(accused.crashes);
   return accused;
--- a/src/process/quarantine/crash_evidence.h
+++ b/src/process/quarantine/crash_evidence.h
@@ -22,8 +22,6 @@
   struct Accused {
     std::set<std::string> parts;
     std::vector<TimePoint> crashes;  // in order
-    // Whether this process reported the newest of the crashes.
-    bool is_own = false;
   };
   // What is known of the answers on one part. Times are zero without any.
   struct Answers {
@@ -33,7 +31,7 @@
   using AnswersOf = std::function<Answers(const std::string& part)>;
 
   // Takes over the crashes of a report that have not expired.
-  void Add(const CrashReport& report, bool is_own, TimePoint now);
+  void Add(const CrashReport& report, TimePoint now);
 
   // Returns all parts that crashes name.
   std::vector<std::string> Suspects() const;
@@ -49,12 +47,6 @@
   std::vector<Accused> FindAccused(const AnswersOf& answers) const;
 
  private:
-  // What processes told of one crash of a backend server.
-  struct Crash {
-    TimePoint at{};  // earliest report
-    TimePoint newest_report{};
-    bool is_own_newest = false;
-  };
   using CrashIndexes = std::set<size_t>;  // into `crashes_`
   // A part that may explain crashes.
   struct Candidate {
@@ -73,7 +65,8 @@
   Accused MakeAccused(const std::map<std::string, Candidate>& candidates,
                       const CrashIndexes& crashes) const;
 
-  std::vector<Crash> crashes_;
+  // When each crash was reported first. Several processes report one crash.
+  std::vector<TimePoint> crashes_;
   // Crashes of each backend server. It may crash more than once under one id.
   std::map<std::string, std::vector<size_t>> crashes_of_;
   // The crashes that name a part, each with its newest report of the part.
--- a/src/process/quarantine/prompt_quarantine.cc
+++ b/src/process/quarantine/prompt_quarantine.cc
@@ -1,7 +1,6 @@
 #include "process/quarantine/prompt_quarantine.h"
 
 #include <algorithm>
-#include <array>
 #include <chrono>
 #include <iterator>
 #include <utility>
@@ -28,12 +27,6 @@
 // a row.
 constexpr size_t kMaxReportedParts = 600;
 constexpr size_t kMaxSuspects = 64;
-// How long a quarantined part waits for each trial after its newest crash.
-constexpr std::array<std::chrono::seconds, 2> kTrialDelays{
-    std::chrono::seconds(10), std::chrono::seconds(60)};
-// A crash this long after the one before it ended a trial.
-constexpr std::chrono::seconds kTrialGap{9};
-
 template <class Entry>
 void DropOldest(std::vector<Entry>& entries) {
   if (entries.size() > kMaxReported) {
@@ -202,9 +195,6 @@
   std::erase_if(unconfirmed_, [now](const UnconfirmedAnswer& answer) {
     return now - answer.at >= kAnswerMemory;
   });
-  std::erase_if(trials_, [now](const auto& item) {
-    return HasExpired(item.second, now);
-  });
   if (PruneOwnReport(now)) {
     ++own_version_;
   }
@@ -233,16 +223,16 @@
 void PromptQuarantine::Rebuild(TimePoint now) {
   evidence_ = CrashEvidence();
   reported_answers_.clear();
-  const auto add = [&](const CrashReport& report, bool is_own) {
-    evidence_.Add(report, is_own, now);
+  const auto add = [&](const CrashReport& report) {
+    evidence_.Add(report, now);
     for (const AnsweredPart& item : report.answered) {
       TimePoint& at = reported_answers_[item.part];
       at = std::max(at, item.at);
     }
   };
-  add(own_report_, /*is_own=*/true);
+  add(own_report_);
   for (const auto& [node, report] : reports_) {
-    add(report, /*is_own=*/false);
+    add(report);
   }
   UpdateQuarantine(now);
   ReportAnswers();
@@ -256,7 +246,10 @@
   };
   std::map<std::string, Quarantine> quarantined;
   for (const CrashEvidence::Accused& accused : evidence_.FindAccused(answers)) {
-    const Quarantine quarantine = MakeQuarantine(accused);
+    const Quarantine quarantine{
+        .until = accused.crashes.back() + kCrashLifetime,
+        .together = accused.parts,
+        .crashes = accused.crashes};
     for (const std::string& part : accused.parts) {
       quarantined.emplace(part, quarantine);
     }
@@ -272,7 +265,7 @@
   for (const auto& [part, quarantine] : quarantined_) {
     if (!before.contains(part)) {
       LogDecision(LogEvent::kPromptQuarantined, "part", part, "crashes",
-                  quarantine.crashes, "for_ms",
+                  quarantine.crashes.size(), "for_ms",
                   ToMilliseconds(quarantine.until - now));
     }
   }
@@ -287,25 +280,6 @@
   }
 }
 
-PromptQuarantine::Quarantine PromptQuarantine::MakeQuarantine(
-    const CrashEvidence::Accused& accused) {
-  const TimePoint newest = accused.crashes.back();
-  Quarantine quarantine{.until = newest + kCrashLifetime,
-                        .together = accused.parts,
-                        .crashes = accused.crashes.size(),
-                        .newest_crash = newest,
-                        .is_own = accused.is_own};
-  size_t failed_trials = 0;
-  for (size_t i = 1; i < accused.crashes.size(); ++i) {
-    failed_trials +=
-        accused.crashes[i] - accused.crashes[i - 1] >= kTrialGap ? 1 : 0;
-  }
-  if (failed_trials < kTrialDelays.size()) {
-    quarantine.trial_at = newest + kTrialDelays[failed_trials];
-  }
-  return quarantine;
-}
-
 void PromptQuarantine::ReportAnswers() {
   for (const std::string& part : evidence_.Suspects()) {
     const TimePoint reported_at = ReportedAnswerAt(part);
@@ -345,31 +319,15 @@
     const auto it = quarantined_.find(part);
     if (it != quarantined_.end() &&
         std::ranges::all_of(it->second.together, is_requested)) {
-      return Match{.part = part, .until = it->second.until};
+      return Match{.part = part,
+                   .until = it->second.until,
+                   .together = it->second.together,
+                   .crashes = it->second.crashes};
     }
   }
   return std::nullopt;
 }
 
-PromptQuarantine::Verdict PromptQuarantine::Admit(const PromptParts& parts,
-                                                  TimePoint now) {
-  const std::optional<Match> match = Find(parts);
-  if (!match) {
-    return Admitted{};
-  }
-  const Quarantine& quarantine = quarantined_.at(match->part);
-  TimePoint& tried = trials_[match->part];
-  if (!quarantine.is_own || !quarantine.trial_at ||
-      now < *quarantine.trial_at ||
-      std::chrono::abs(quarantine.newest_crash - tried) < kSameCrash) {
-    return *match;
-  }
-  tried = quarantine.newest_crash;
-  LogDecision(LogEvent::kPromptTried, "part", match->part, "crashes",
-              quarantine.crashes);
-  return AdmittedAsTrial{};
-}
-
 std::vector<std::string> PromptQuarantine::ExpiredReports(TimePoint now) const {
   const auto has_expired = [now](const auto& item) {
     return HasExpired(item.at, now);
--- a/src/process/quarantine/prompt_quarantine.h
+++ b/src/process/quarantine/prompt_quarantine.h
@@ -7,7 +7,6 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <variant>
 #include <vector>
 
 #include "process/quarantine/crash_evidence.h"
@@ -31,8 +30,8 @@
 // requests with all of them are refused, so that the sound ones are still
 // answered.
 //
-// A quarantined part is tried again a few times, by one process at a time: the
-// one that saw the newest crash.
+// PromptTrials decides which requests with a quarantined part are sent all the
+// same, to learn whether it still crashes backend servers.
 //
 // Not thread-safe: used on the event loop thread, with the time passed in.
 class PromptQuarantine {
@@ -40,15 +39,15 @@
   // An answer that is under way for this long is reported as progress.
   static constexpr std::chrono::milliseconds kLongAnswer{1000};
 
-  // A quarantined part, and when it may be tried again.
+  // A quarantined part.
   struct Match {
     std::string part;
+    // When the quarantine ends without an answer on the part.
     TimePoint until{};
+    // The quarantined parts that the same crashes name, itself included.
+    std::set<std::string> together;
+    std::vector<TimePoint> crashes;  // in order
   };
-  struct Admitted {};
-  // The request tries a quarantined part again.
-  struct AdmittedAsTrial {};
-  using Verdict = std::variant<Admitted, AdmittedAsTrial, Match>;
 
   // Records that a backend server sent a whole answer.
   void NoteAnswer(const PromptParts& parts, TimePoint now);
@@ -82,9 +81,6 @@
 
   // Returns a quarantined part for which a request with these parts is refused.
   std::optional<Match> Find(const PromptParts& parts) const;
-  // Decides whether a request with these parts may be sent. A trial counts as
-  // sent.
-  Verdict Admit(const PromptParts& parts, TimePoint now);
   // Number of quarantined parts.
   size_t size() const { return quarantined_.size(); }
 
@@ -100,13 +96,7 @@
     // The quarantined parts that the same crashes name, itself included.
     // Requests without one of them are served.
     std::set<std::string> together;
-    size_t crashes = 0;
-    // When the process that saw the newest crash may try the part again;
-    // nullopt after the last trial.
-    std::optional<TimePoint> trial_at;
-    TimePoint newest_crash{};
-    // Whether this process saw the newest crash.
-    bool is_own = false;
+    std::vector<TimePoint> crashes;  // in order
   };
 
   // An answer of which it is not known yet whether it is whole.
@@ -125,7 +115,6 @@
   // Collects the evidence of all reports and updates the quarantine.
   void Rebuild(TimePoint now);
   void UpdateQuarantine(TimePoint now);
-  static Quarantine MakeQuarantine(const CrashEvidence::Accused& accused);
   void LogChanges(const std::map<std::string, Quarantine>& before,
                   TimePoint now) const;
   // Tells the others of answers that clear a suspect.
@@ -143,9 +132,6 @@
   std::map<std::string, TimePoint> reported_answers_;
   std::map<std::string, Quarantine> quarantined_;              // by part
   std::map<std::string, CrashEvidence::Answers> own_answers_;  // by part
-  // The newest crash of each part when this process tried it. The time of a
-  // crash that others reported too is only known to some milliseconds.
-  std::map<std::string, TimePoint> trials_;
   std::vector<UnconfirmedAnswer> unconfirmed_;
   TimePoint next_prune_{};
 };
--- a/src/process/serving/frontend_process.cc
+++ b/src/process/serving/frontend_process.cc
@@ -113,8 +113,8 @@
                   health_->detector().NoteSilence(backend_id, at);
                 }
               }},
-      core_->backends(), rates_, core_->quarantine(), core_->calls(),
-      core_->clock(), send_response);
+      core_->backends(), rates_, core_->quarantine(), core_->trials(),
+      core_->calls(), core_->clock(), send_response);
   rate_member_reporter_ = std::make_unique<RateMemberReporter>(
       RateMemberReporter::Options{.node = settings_.node,
                                   .address = settings_.listen_peers,
--- a/src/process/serving/serving_core.h
+++ b/src/process/serving/serving_core.h
@@ -9,6 +9,7 @@
 #include "process/jobs/job_writer.h"
 #include "process/quarantine/crash_report_exchange.h"
 #include "process/quarantine/prompt_quarantine.h"
+#include "process/quarantine/prompt_trials.h"
 #include "process/rollout/rollout_follower.h"
 #include "process/serving/event_loop_clock.h"
 #include "process/serving/serving_event.h"
@@ -64,6 +65,7 @@
   OperatorWatch& operators() { return operators_; }
   BackendDirectory& backends() { return backends_; }
   PromptQuarantine& quarantine() { return quarantine_; }
+  PromptTrials& trials() { return trials_; }
   JobTable& jobs() { return jobs_; }
   JobWriter& writer() { return writer_; }
   // Returns nullptr if there are no rollouts.
@@ -110,6 +112,7 @@
   BackendDirectory backends_;
   PromptQuarantine quarantine_;
   CrashReportExchange crash_reports_;
+  PromptTrials trials_;
   JobTable jobs_;
   JobWriter writer_;
   OperatorWatch operators_;
--- a/src/process/serving/worker_process.cc
+++ b/src/process/serving/worker_process.cc
@@ -76,7 +76,8 @@
                           .reserved_slots = settings_.reserved_slots,
                           .seed = seed_},
       core_->jobs(), core_->writer(), core_->store(), core_->transfers(),
-      core_->backends(), core_->quarantine(), core_->calls(), core_->clock());
+      core_->backends(), core_->quarantine(), core_->trials(), core_->calls(),
+      core_->clock());
   if (!settings_.listen_metrics.empty()) {
     BOOST_OUTCOME_TRY(
         metrics_server_,
--- a/src/process/telemetry/events.cc
+++ b/src/process/telemetry/events.cc
@@ -56,6 +56,10 @@
       return "crash_refuted";
     case LogEvent::kPromptTried:
       return "prompt_tried";
+    case LogEvent::kPromptTrialDelayed:
+      return "prompt_trial_delayed";
+    case LogEvent::kTrialRecordUnreadable:
+      return "trial_record_unreadable";
     case LogEvent::kPromptQuarantined:
       return "prompt_quarantined";
     case LogEvent::kPromptReleased:
--- a/src/process/telemetry/events.h
+++ b/src/process/telemetry/events.h
@@ -82,6 +82,8 @@
   kRequestEnded = 1934,
   kCrashRefuted = 1936,
   kPromptTried = 1937,
+  kPromptTrialDelayed = 1938,
+  kTrialRecordUnreadable = 1939,
   kJobSubmitted = 1941,
   kJobRefused = 1942,
   kJobStoreRetry = 1943,
--- a/tests/serving/crashing_prompt_test.cc
+++ b/tests/serving/crashing_prompt_test.cc
@@ -17,10 +17,12 @@
     Frontend(CrashingPromptFixture& fixture, const std::string& node)
         : rates(node, 1, [](const std::string&, const RateMessage&) {}),
           reports(node, quarantine, fixture.store, fixture.clock),
+          trials(node, quarantine, fixture.store, fixture.clock),
           forwarder({.zone = "zone-1", .max_reservation_attempts = 0},
                     backends,
                     rates,
                     quarantine,
+                    trials,
                     fixture.calls,
                     fixture.clock,
                     [&fixture](ClientCallId, ClientResponseEvent response) {
@@ -34,6 +36,7 @@
     RateAdmission rates;
     PromptQuarantine quarantine;
     CrashReportExchange reports;
+    PromptTrials trials;
     OnlineForwarder forwarder;
   };
 
--- a/tests/serving/item_worker_pace_test.cc
+++ b/tests/serving/item_worker_pace_test.cc
@@ -16,6 +16,7 @@
 struct ItemWorkerPaceFixture : JobFixture {
   BackendDirectory backends{1};
   PromptQuarantine quarantine;
+  PromptTrials trials{"node", quarantine, store, clock};
   ItemWorker worker{{.node = "side-1",
                      .backend_address = kOwnAddress,
                      .seed = 3,
@@ -26,6 +27,7 @@
                     transfers,
                     backends,
                     quarantine,
+                    trials,
                     calls,
                     clock};
   // Fourth figure of the load header of reports; none if empty.
--- a/tests/serving/item_worker_test.cc
+++ b/tests/serving/item_worker_test.cc
@@ -14,6 +14,7 @@
 struct ItemWorkerFixture : JobFixture {
   BackendDirectory backends{1};
   PromptQuarantine quarantine;
+  PromptTrials trials{"node", quarantine, store, clock};
   ItemWorker worker{
       {.node = "side-1", .backend_address = kLocalAddress, .seed = 3},
       jobs,
@@ -22,6 +23,7 @@
       transfers,
       backends,
       quarantine,
+      trials,
       calls,
       clock};
   int running = 0;
@@ -392,6 +394,7 @@
       transfers,
       backends,
       quarantine,
+      trials,
       calls,
       clock};
   restarted.SetConfig(
--- a/tests/serving/online_forwarder_test.cc
+++ b/tests/serving/online_forwarder_test.cc
@@ -14,6 +14,7 @@
   RateAdmission rates{"node-0", 1,
                       [](const std::string&, const RateMessage&) {}};
   PromptQuarantine quarantine;
+  PromptTrials trials{"node", quarantine, store, clock};
   std::vector<ClientResponseEvent> responses;
   std::vector<AttemptOutcome> outcomes;
   OnlineForwarder forwarder{
@@ -24,6 +25,7 @@
       backends,
       rates,
       quarantine,
+      trials,
       calls,
       clock,
       [this](ClientCallId, ClientResponseEvent response) {
@@ -436,6 +438,7 @@
       backends,
       rates,
       quarantine,
+      trials,
       calls,
       clock,
       [this](ClientCallId, ClientResponseEvent response) {
--- a/tests/serving/pace_prober_test.cc
+++ b/tests/serving/pace_prober_test.cc
@@ -14,10 +14,12 @@
   RateAdmission rates{"node-0", 1,
                       [](const std::string&, const RateMessage&) {}};
   PromptQuarantine quarantine;
+  PromptTrials trials{"node", quarantine, store, clock};
   OnlineForwarder forwarder{{.zone = "zone-1", .max_reservation_attempts = 0},
                             backends,
                             rates,
                             quarantine,
+                            trials,
                             calls,
                             clock,
                             [](ClientCallId, ClientResponseEvent) {}};
--- a/tests/serving/worker_fleet_fixture.h
+++ b/tests/serving/worker_fleet_fixture.h
@@ -8,6 +8,7 @@
 
 #include "process/jobs/item_worker.h"
 #include "process/quarantine/crash_report_exchange.h"
+#include "process/quarantine/prompt_trials.h"
 #include "serving/job_fixture.h"
 
 namespace carawayrelay {
@@ -19,6 +20,10 @@
   static constexpr std::chrono::milliseconds kStep{20};
   static constexpr double kLinkBytesPerSecond = 80e6;
 
+  // Workers start no runs while their watch of the jobs is old, so watch calls
+  // get responses without changes too.
+  WorkerFleetFixture() { ends_watches = true; }
+
   // What a worker process consists of, without threads.
   struct Worker {
     Worker(WorkerFleetFixture& fixture, int number)
@@ -31,6 +36,10 @@
                         quarantine,
                         fixture.store,
                         fixture.clock),
+          trials("side-" + std::to_string(number),
+                 quarantine,
+                 fixture.store,
+                 fixture.clock),
           watch({.table = job_rows::kStates,
                  .parts = job_rows::Parts(),
                  .wait = std::chrono::milliseconds(1000),
@@ -49,6 +58,7 @@
                  transfers,
                  backends,
                  quarantine,
+                 trials,
                  fixture.calls,
                  fixture.clock) {
       backends.Apply({BackendRow("server-" + std::to_string(number), address)},
@@ -73,6 +83,7 @@
     BackendDirectory backends{1};
     PromptQuarantine quarantine;
     CrashReportExchange crash_reports;
+    PromptTrials trials;
     TableWatch watch;
     ItemWorker worker;
   };
