ItemWorker: a claim without a new event is released

What callers could see: an item stays with a worker whose backend server accepts runs and sends nothing, or declines each of them while its load report shows free slots, or whose writes of long texts fail. The worker began the run anew and renewed its claim without end, beside idle workers.

Cause: the limits were on one state of one run (silence, pause), and each new run began them again. Nothing bounded the time in which a claim gets its item on.

--- a/src/process/jobs/item_worker.cc
+++ b/src/process/jobs/item_worker.cc
@@ -115,9 +115,28 @@
       ReleaseClaim(key, run, "no free slot within the pause limit", now);
     }
   }
+  ReleaseStalledRuns(now);
   RequestLoadReport(now);
 }
 
+void ItemWorker::ReleaseStalledRuns(TimePoint now) {
+  bool is_any_stalled = false;
+  for (auto& [key, run] : runs_) {
+    const bool waits_for_events =
+        run.state == RunState::kRunning || run.state == RunState::kPaused;
+    if (!waits_for_events ||
+        now - run.last_event_at < options_.progress_limit) {
+      continue;
+    }
+    is_any_stalled = true;
+    failed_locally_[key] = now + kLocalRetryDelay;
+    ReleaseClaim(key, run, "no new event within the progress limit", now);
+  }
+  if (is_any_stalled) {
+    PauseClaims(now);
+  }
+}
+
 void ItemWorker::RequestLoadReport(TimePoint now) {
   if (is_report_pending_ || now < next_report_) {
     return;
@@ -244,6 +263,10 @@
 
 void ItemWorker::NoteRunFailed(const ItemKey& key, TimePoint now) {
   failed_locally_[key] = now + kLocalRetryDelay;
+  PauseClaims(now);
+}
+
+void ItemWorker::PauseClaims(TimePoint now) {
   next_claim_ =
       now + kFirstFailurePause * (1 << std::min(consecutive_failures_,
                                                 kMaxFailurePauseDoublings));
--- a/src/process/jobs/item_worker.h
+++ b/src/process/jobs/item_worker.h
@@ -64,6 +64,10 @@
     std::chrono::milliseconds hold_time{10000};
     // A run without progress for this long is stopped and resumed.
     std::chrono::milliseconds silence_limit{2500};
+    // The claim of an item that gets no new event for this long is released,
+    // whatever its runs do, and the item is left to other workers at first.
+    // Longer than two runs that make no progress.
+    std::chrono::milliseconds progress_limit{6000};
   };
 
   struct Counters {
@@ -112,6 +116,7 @@
   struct Run {
     RunState state = RunState::kLoading;
     TimePoint state_since{};
+    TimePoint last_event_at{};  // of the item; before the first, of the claim
     platform::SubmittedItem item;
     PromptParts prompt_parts;
     bool has_item = false;
@@ -237,6 +242,11 @@
   // the backend server crashes on the item.
   static bool IsBrokenBeforeEvent(const Run& run, const CallEnd& end);
   void Pause(Run& run, TimePoint now);
+  // Releases the claims of items that do not get on here, so that a worker
+  // whose runs all fail does not keep them.
+  void ReleaseStalledRuns(TimePoint now);
+  // Claims nothing for a time that grows with each call since the last success.
+  void PauseClaims(TimePoint now);
   // Records that the local backend server failed to run the item.
   void NoteRunFailed(const ItemKey& key, TimePoint now);
   void FinishItem(const ItemKey& key,
--- a/src/process/jobs/item_worker_claims.cc
+++ b/src/process/jobs/item_worker_claims.cc
@@ -195,6 +195,7 @@
   for (const size_t index : items) {
     Run& run = runs_[{job, index}];
     run.state_since = now;
+    run.last_event_at = now;
     run.lease_end = store_.StoreTime(now) + options_.lease;
     bool has_partial = false;
     if (entry != nullptr) {
--- a/src/process/jobs/item_worker_runs.cc
+++ b/src/process/jobs/item_worker_runs.cc
@@ -196,6 +196,7 @@
       quarantine_.NoteProgress(run.prompt_parts, now);
     }
     run.last_progress_at = now;
+    run.last_event_at = now;
     run.has_run_event = true;
     run.early_breaks = 0;
     if (progress.text.size() > options_.max_text_bytes) {
@@ -327,9 +328,11 @@
           storing->state = RunState::kListing;
           ListResult(key, result);
         } else {
-          // The text is complete, so the resumed run ends at once and the
-          // result is written again.
-          Pause(*storing, clock_.now());
+          // The connection to the store may be at fault, so another worker
+          // gets the item.
+          const TimePoint at = clock_.now();
+          NoteRunFailed(key, at);
+          ReleaseClaim(key, *storing, "its text could not be stored", at);
         }
       });
 }
