Batch dispatcher: chunks whose models no agent here serves are released

What callers could see (role entry): a chunk of a job stands still while the entry that claimed it has lost its agents and another entry has some.

Cause: the session of the entry renews the claim, and idle chunks were released only when the entry held as many chunks as it may.

Change: a chunk that makes no progress for 10 s is released when no agent of this entry serves its pending models in that time. Chunks of busy agents are kept.

Evidence: "BatchDispatcher, last agent of a model is lost, its chunks are released" fails with the call taken out (0 releases), passes with it.

--- a/src/process/batch/batch_dispatcher.cc
+++ b/src/process/batch/batch_dispatcher.cc
@@ -264,6 +264,7 @@
   if (now < held_until_) {
     if (!stopping_) {
       SubmitItems(now);
+      ReleaseUnservedChunk(now);
       FindChunksToClaim(now);
     }
     CommitChunks(now);
@@ -374,7 +375,7 @@
   if (const auto due = jobs_.NextDueCheck(held_jobs, now)) {
     request_scan(due->job, due->workspace, due->state_only);
   }
-  const std::set<std::string> routes = RoutesWithFreeSlots();
+  const std::set<std::string> routes = ServedRoutes(/*free_slots=*/1);
   if (routes.empty()) {
     return;
   }
@@ -417,6 +418,14 @@
   }
 }
 
+void BatchDispatcher::ReleaseUnservedChunk(TimePoint now) {
+  held_chunks_.NoteServedRoutes(ServedRoutes(/*free_slots=*/0), now);
+  if (const auto unserved =
+          held_chunks_.FindUnservedChunk(now - options_.idle_release_delay)) {
+    ReleaseChunk(*unserved);
+  }
+}
+
 void BatchDispatcher::ReleaseChunks() {
   for (const ChunkId& id : held_chunks_.Ids()) {
     if (!held_chunks_.IsComplete(id)) {
@@ -470,10 +479,10 @@
   });
 }
 
-std::set<std::string> BatchDispatcher::RoutesWithFreeSlots() const {
+std::set<std::string> BatchDispatcher::ServedRoutes(int free_slots) const {
   std::set<std::string> routes;
   for (const auto& [id, connection] : connections_) {
-    if (connection.free_slots > 0 && IsUsable(connection)) {
+    if (connection.free_slots >= free_slots && IsUsable(connection)) {
       routes.insert(connection.routes.begin(), connection.routes.end());
     }
   }
--- a/src/process/batch/batch_dispatcher.h
+++ b/src/process/batch/batch_dispatcher.h
@@ -32,8 +32,9 @@
     // Time limit of one attempt, in case a backend server hangs.
     std::chrono::milliseconds attempt_timeout{900000};
     std::chrono::milliseconds commit_retry_delay{1000};
-    // When `max_chunks` is reached, a chunk without running items that made no
-    // progress for this time is released to make space for other chunks.
+    // A chunk without running items that made no progress for this time is
+    // released when no agent here serves its models, since another entry may
+    // have one, and when `max_chunks` is reached, to make space for others.
     std::chrono::milliseconds idle_release_delay{10000};
     // Delay before this entry scans the job of such a chunk for claims again.
     std::chrono::milliseconds idle_job_delay{60000};
@@ -101,6 +102,8 @@
   bool SubmitItem(ConnectionId id, Connection& connection, TimePoint now);
   void CommitChunks(TimePoint now);
   void FindChunksToClaim(TimePoint now);
+  // Releases a chunk that this entry holds and cannot run.
+  void ReleaseUnservedChunk(TimePoint now);
   void ReleaseChunks();
   void ReleaseChunk(const ChunkId& id);
 
@@ -115,8 +118,8 @@
   // Removes a running attempt and returns it.
   Attempt ExtractAttempt(AttemptId id);
   void CancelAttempts(const ChunkId& chunk);
-  // Returns the routes served by usable connections with free slots.
-  std::set<std::string> RoutesWithFreeSlots() const;
+  // Returns the routes served by usable connections with at least `free_slots`.
+  std::set<std::string> ServedRoutes(int free_slots) const;
   // False when the configuration takes the connection's zone out of service.
   bool IsUsable(const Connection& connection) const;
   // Returns the configured weight, or 1 for an unknown workspace.
--- a/src/process/batch/held_chunk_table.cc
+++ b/src/process/batch/held_chunk_table.cc
@@ -38,7 +38,8 @@
     work_done_[workspace] = std::max(work_done_[workspace], least);
   }
   HeldChunk chunk{.items = std::vector<ItemState>(claimed.items.size()),
-                  .last_progress = now};
+                  .last_progress = now,
+                  .last_served = now};
   for (size_t i = 0; i < claimed.items.size(); ++i) {
     chunk.pending[claimed.items[i].model].push_back(i);
   }
@@ -213,11 +214,34 @@
       }));
 }
 
+bool HeldChunkTable::IsIdle(const HeldChunk& chunk, TimePoint limit) {
+  return chunk.running == 0 && chunk.finished < chunk.items.size() &&
+         chunk.last_progress < limit;
+}
+
+void HeldChunkTable::NoteServedRoutes(const std::set<std::string>& routes,
+                                      TimePoint now) {
+  for (auto& [id, chunk] : chunks_) {
+    if (FindPending(chunk.pending, routes) != nullptr) {
+      chunk.last_served = now;
+    }
+  }
+}
+
+std::optional<ChunkId> HeldChunkTable::FindUnservedChunk(
+    TimePoint limit) const {
+  for (const auto& [id, chunk] : chunks_) {
+    if (IsIdle(chunk, limit) && chunk.last_served < limit) {
+      return id;
+    }
+  }
+  return std::nullopt;
+}
+
 std::optional<ChunkId> HeldChunkTable::FindIdleChunk(TimePoint limit) const {
   std::optional<ChunkId> best;
   for (const auto& [id, chunk] : chunks_) {
-    if (chunk.running == 0 && chunk.finished < chunk.items.size() &&
-        chunk.last_progress < limit &&
+    if (IsIdle(chunk, limit) &&
         (!best || chunk.finished < chunks_.at(*best).finished)) {
       best = id;
     }
--- a/src/process/batch/held_chunk_table.h
+++ b/src/process/batch/held_chunk_table.h
@@ -85,6 +85,11 @@
   // Returns the chunk with the fewest outcomes among the incomplete chunks
   // without running items that made no progress since `limit`.
   std::optional<ChunkId> FindIdleChunk(TimePoint limit) const;
+  // Records which routes the agents of this entry serve now.
+  void NoteServedRoutes(const std::set<std::string>& routes, TimePoint now);
+  // Returns an incomplete chunk without running items that made no progress
+  // since `limit`, and of whose pending items no model was served since then.
+  std::optional<ChunkId> FindUnservedChunk(TimePoint limit) const;
 
  private:
   struct ItemState {
@@ -104,8 +109,11 @@
     size_t finished = 0;                                // items
     // Last time an item was submitted or finished.
     TimePoint last_progress;
+    // Last time an agent served the model of a pending item.
+    TimePoint last_served;
   };
 
+  static bool IsIdle(const HeldChunk& chunk, TimePoint limit);
   // Counts the end of an attempt. Returns an error when the item has reached a
   // limit.
   std::optional<ItemError> CountAttempt(ItemState& item,
