Quarantine: a crash late in an answer does not accuse its prompt

What callers could see: sound prompts with long answers are held or refused after crashes of backend servers that had nothing to do with them.

Cause: a crash accused the prompts of all answers that it cut, however long they had gone on. A prompt that crashes servers does so when its answer begins.

Change: an answer that has gone on for 0.5 s since its first event is cut without accusing its own prompt. The same time (1 s before) makes it a hint of progress. A part that crashes servers later than that is not found any more.

Evidence: "ItemWorkers, servers crash late in its answers, the item is not held" fails with the change taken out (held after 3 of 6 crashes), passes with it.

--- a/src/process/forward/online_forwarder_attempts.cc
+++ b/src/process/forward/online_forwarder_attempts.cc
@@ -119,7 +119,10 @@
   if (!end.was_sent) {
     quarantine_.NoteUnreachable(request.backend_id, now);
   } else if (end.was_dropped || end.is_complete) {
-    quarantine_.NoteCrash(request.backend_id, request.call.prompt_parts, now);
+    quarantine_.NoteCrash(
+        request.backend_id,
+        request.is_progress_noted ? PromptParts() : request.call.prompt_parts,
+        now);
   }
 }
 
--- a/src/process/jobs/item_worker_runs.cc
+++ b/src/process/jobs/item_worker_runs.cc
@@ -110,7 +110,9 @@
   if (!end.was_sent) {
     quarantine_.NoteUnreachable(run.backend_id, now);
   } else if (IsAnswerCut(run, end)) {
-    quarantine_.NoteCrash(run.backend_id, run.prompt_parts, now);
+    quarantine_.NoteCrash(
+        run.backend_id,
+        run.is_progress_noted ? PromptParts() : run.prompt_parts, now);
   } else if (!end.is_complete || run.is_declined || run.is_response_invalid) {
     return;
   } else if (run.ends_with_connection) {
--- a/src/process/quarantine/prompt_quarantine.h
+++ b/src/process/quarantine/prompt_quarantine.h
@@ -36,8 +36,9 @@
 // Not thread-safe: used on the event loop thread, with the time passed in.
 class PromptQuarantine {
  public:
-  // An answer that is under way for this long is reported as progress.
-  static constexpr std::chrono::milliseconds kLongAnswer{1000};
+  // An answer that is under way for this long is reported as progress. A part
+  // that crashes backend servers does so when its answer begins.
+  static constexpr std::chrono::milliseconds kLongAnswer{500};
 
   // A quarantined part.
   struct Match {
@@ -58,7 +59,8 @@
                              const PromptParts& parts,
                              TimePoint now);
   // Records that an answer has gone on for kLongAnswer since its first event.
-  // This is a hint that its parts are sound, and no proof.
+  // This is a hint that its parts are sound, and no proof. What cuts the answer
+  // later accuses other prompts, not its own.
   void NoteProgress(const PromptParts& parts, TimePoint now);
   // Records that the backend server closed or reset the connection of a request
   // before its answer was whole.
--- a/tests/serving/crashing_item_test.cc
+++ b/tests/serving/crashing_item_test.cc
@@ -153,6 +153,42 @@
   CHECK(CountListed("j") == 1);
 }
 
+// Guards against a sound item that is held because servers crash under its long
+// answers, though a crashing prompt ends its answer at the start.
+TEST_CASE_FIXTURE(CrashingItemFixture,
+                  "ItemWorkers, servers crash late in its answers, the item is "
+                  "not held") {
+  std::map<OutboundCallId, TimePoint> begun;
+  std::map<OutboundCallId, int> sent;
+  on_run = [&](const OutboundCall& call) {
+    const auto [it, is_new] = begun.try_emplace(call.id, now());
+    if (is_new) {
+      Head(call.id, 200, SignedFor(call));
+      const std::string last = FindHeader(call.headers, "last-event-id");
+      sent[call.id] = last.empty() ? 0 : std::stoi(last);
+    }
+    const std::string id = std::to_string(++sent[call.id]);
+    Data(call.id, "id: " + id + "\ndata: x\n\n");
+    if (crashes.size() < 6 && now() - it->second >= milliseconds(600)) {
+      Fail(call.id, /*was_sent=*/true, "Connection reset by peer");
+      Crash(call.address);
+    } else if (now() - it->second >= seconds(1)) {
+      End(call.id);
+    }
+    return true;
+  };
+  RunFor(milliseconds(500));
+  Submit("j", SubmissionWithParts({"aa:1"}));
+  RunWithRestarts(seconds(45));
+  REQUIRE(crashes.size() == 6);
+  std::uint64_t held = 0;
+  for (const auto& worker : workers) {
+    held += worker->worker.counters().held;
+  }
+  CHECK(held == 0);
+  CHECK(CountListed("j") == 1);
+}
+
 // Guards against sound items that are held because servers drop connections
 // without crashing: once a part of all items was held everywhere and never
 // answered again.
