--- a/src/process/jobs/item_worker.h
+++ b/src/process/jobs/item_worker.h
@@ -215,6 +215,10 @@
   // Whether the run may be sent. If backend servers crash on its prompt, holds
   // the item, or asks for the right to try it again.
   bool IsAdmitted(const ItemKey& key, Run& run, TimePoint now);
+  // Whether another item runs that crashes accuse together with this one. The
+  // items are run one after the other, or on different backend servers, so that
+  // the next crash or answer tells which of them is sound.
+  bool RunsBesideSuspect(const Run& run) const;
   void OnTrialAnswer(const ItemKey& key, const PromptTrials::Answer& answer);
   // Ends the trial of the run. Its right is given back if no backend server got
   // the request.
--- a/src/process/jobs/item_worker_holds.cc
+++ b/src/process/jobs/item_worker_holds.cc
@@ -24,6 +24,9 @@
   if (run.trial) {
     return true;
   }
+  if (RunsBesideSuspect(run)) {
+    return false;
+  }
   const PromptTrials::Verdict verdict = trials_.Admit(run.prompt_parts, now);
   return std::visit(Overloaded{
                         [](const PromptTrials::Admitted&) { return true; },
@@ -45,6 +48,14 @@
                     verdict);
 }
 
+bool ItemWorker::RunsBesideSuspect(const Run& run) const {
+  return std::ranges::any_of(runs_, [&](const auto& item) {
+    const Run& other = item.second;
+    return other.state == RunState::kRunning &&
+           quarantine_.IsAccusedWith(run.prompt_parts, other.prompt_parts);
+  });
+}
+
 void ItemWorker::OnTrialAnswer(const ItemKey& key,
                                const PromptTrials::Answer& answer) {
   const TimePoint now = clock_.now();
--- a/src/process/quarantine/prompt_quarantine.cc
+++ b/src/process/quarantine/prompt_quarantine.cc
@@ -328,6 +328,17 @@
   return std::nullopt;
 }
 
+bool PromptQuarantine::IsAccusedWith(const PromptParts& parts,
+                                     const PromptParts& other) const {
+  return std::ranges::any_of(parts, [&](const std::string& part) {
+    const auto it = quarantined_.find(part);
+    return it != quarantined_.end() &&
+           std::ranges::any_of(other, [&](const std::string& other_part) {
+             return it->second.together.contains(other_part);
+           });
+  });
+}
+
 std::vector<std::string> PromptQuarantine::ExpiredReports(TimePoint now) const {
   const auto has_expired = [now](const auto& item) {
     return HasExpired(item.at, now);
--- a/src/process/quarantine/prompt_quarantine.h
+++ b/src/process/quarantine/prompt_quarantine.h
@@ -83,6 +83,9 @@
 
   // Returns a quarantined part for which a request with these parts is refused.
   std::optional<Match> Find(const PromptParts& parts) const;
+  // Whether crashes accuse a part of each of two different requests together.
+  // Run at the same time on one backend server, these cannot be told apart.
+  bool IsAccusedWith(const PromptParts& parts, const PromptParts& other) const;
   // Number of quarantined parts.
   size_t size() const { return quarantined_.size(); }
 
--- a/tests/serving/serving_fixture.h
+++ b/tests/serving/serving_fixture.h
@@ -112,7 +112,11 @@
         started, [id](const OutboundCall& call) { return call.id == id; });
   }
 
-  void Deliver(CallEvent event) { calls.Deliver(event); }
+  void Deliver(CallEvent event) {
+    if (!deliver_to_owner || !deliver_to_owner(event)) {
+      calls.Deliver(event);
+    }
+  }
   void RemovePendingCall(OutboundCallId id) {
     std::erase_if(started, [&](const auto& c) { return c.id == id; });
   }
@@ -172,6 +176,9 @@
   // Whether watch calls get a response even if there are no changes.
   bool ends_watches = false;
   int store_calls = 0;
+  // Delivers an event to the process that began the call, if it is not this
+  // one, and returns true; may be empty.
+  std::function<bool(CallEvent&)> deliver_to_owner;
   OutboundCalls calls{[this](OutboundCall call) {
                         started.push_back(std::move(call));
                         return true;
--- a/tests/serving/stalled_claim_test.cc
+++ b/tests/serving/stalled_claim_test.cc
@@ -9,24 +9,16 @@
 // Workers of which the first one cannot finish an item, though its backend
 // server answers load reports.
 struct StalledClaimFixture : WorkerFleetFixture {
-  StalledClaimFixture() { AddWorkers(4); }
-
-  // Submits a job that only the first worker sees at first, so that it claims
+  // Submits a job before the other workers start, so that the first one claims
   // all items.
   void SubmitToFirst(const std::string& body) {
-    std::vector<std::unique_ptr<Worker>> others;
-    while (workers.size() > 1) {
-      others.push_back(std::move(workers.back()));
-      workers.pop_back();
-    }
+    AddWorkers(1);
     RunFor(milliseconds(500));
     Submit("j", body);
     RunFor(seconds(2));
     REQUIRE(CountListed("j") == 0);
     REQUIRE(StoredState("j").items[0].owner == "side-1");
-    for (auto& worker : others) {
-      workers.push_back(std::move(worker));
-    }
+    AddWorkers(3);
   }
   bool IsFirst(const OutboundCall& call) const {
     return call.address == workers[0]->address;
--- a/tests/serving/worker_fleet_fixture.h
+++ b/tests/serving/worker_fleet_fixture.h
@@ -22,29 +22,56 @@
 
   // Workers start no runs while their watch of the jobs is old, so watch calls
   // get responses without changes too.
-  WorkerFleetFixture() { ends_watches = true; }
+  WorkerFleetFixture() {
+    ends_watches = true;
+    deliver_to_owner = [this](CallEvent& event) {
+      return DeliverToWorker(event);
+    };
+  }
+
+  // The ids of the calls of all workers differ: each worker counts its own.
+  static constexpr std::uint64_t kCallsOfWorker = 1'000'000'000;
+  static OutboundCallId FleetCallId(int number, OutboundCallId id) {
+    return OutboundCallId{static_cast<std::uint64_t>(number) * kCallsOfWorker +
+                          static_cast<std::uint64_t>(id)};
+  }
+  // Returns the number of the worker that began the call, or 0.
+  static int OwnerOf(OutboundCallId id) {
+    return static_cast<int>(static_cast<std::uint64_t>(id) / kCallsOfWorker);
+  }
 
   // What a worker process consists of, without threads.
   struct Worker {
     Worker(WorkerFleetFixture& fixture, int number)
-        : address("10.0.1." + std::to_string(number) + ":80"),
-          writer(jobs, fixture.store.sender(), fixture.clock),
+        : worker_number(number),
+          address("10.0.1." + std::to_string(number) + ":80"),
+          calls(
+              [&fixture, number](OutboundCall call) {
+                call.id = FleetCallId(number, call.id);
+                fixture.started.push_back(std::move(call));
+                return true;
+              },
+              [&fixture, number](OutboundCallId id) {
+                fixture.RemovePendingCall(FleetCallId(number, id));
+              }),
+          store(kStoreAddress, calls, fixture.clock),
+          writer(jobs, store.sender(), fixture.clock),
           transfers({.seed = static_cast<std::uint64_t>(number)},
-                    fixture.store.sender(),
+                    store.sender(),
                     fixture.clock),
           crash_reports("side-" + std::to_string(number),
                         quarantine,
-                        fixture.store,
+                        store,
                         fixture.clock),
           trials("side-" + std::to_string(number),
                  quarantine,
-                 fixture.store,
+                 store,
                  fixture.clock),
           watch({.table = job_rows::kStates,
                  .parts = job_rows::Parts(),
                  .wait = std::chrono::milliseconds(1000),
                  .min_interval = std::chrono::milliseconds(400)},
-                fixture.store.sender(),
+                store.sender(),
                 fixture.clock,
                 [this](const std::vector<StoredRow>& rows,
                        bool is_full,
@@ -54,12 +81,12 @@
                   .seed = static_cast<std::uint64_t>(number)},
                  jobs,
                  writer,
-                 fixture.store,
+                 store,
                  transfers,
                  backends,
                  quarantine,
                  trials,
-                 fixture.calls,
+                 calls,
                  fixture.clock) {
       backends.Apply({BackendRow("server-" + std::to_string(number), address)},
                      true, std::nullopt, fixture.now());
@@ -76,7 +103,10 @@
       transfers.Tick(now);
     }
 
+    const int worker_number;
     const std::string address;
+    OutboundCalls calls;
+    StoreClient store;
     JobTable jobs;
     JobWriter writer;
     StoreTransferQueue transfers;
@@ -89,8 +119,9 @@
   };
 
   void AddWorkers(int count) {
-    for (int i = 1; i <= count; ++i) {
-      workers.push_back(std::make_unique<Worker>(*this, i));
+    const int first = static_cast<int>(workers.size()) + 1;
+    for (int number = first; number < first + count; ++number) {
+      workers.push_back(std::make_unique<Worker>(*this, number));
     }
   }
   void RunFor(std::chrono::milliseconds time) {
@@ -110,6 +141,33 @@
       AnswerBackendCalls();
     }
   }
+  // Passes an event to the worker that began the call. Returns false if no
+  // worker did.
+  bool DeliverToWorker(CallEvent& event) {
+    OutboundCallId& id =
+        std::visit([](auto& e) -> OutboundCallId& { return e.id; }, event);
+    const int number = OwnerOf(id);
+    if (number == 0) {
+      return false;
+    }
+    id = OutboundCallId{static_cast<std::uint64_t>(id) % kCallsOfWorker};
+    for (const auto& worker : workers) {
+      if (worker->worker_number == number) {
+        worker->calls.Deliver(event);
+        return true;
+      }
+    }
+    return true;  // the worker has ended
+  }
+  // Ends a worker without notice, as a crash of its VM does.
+  void KillWorker(int number) {
+    std::erase_if(started, [number](const OutboundCall& call) {
+      return OwnerOf(call.id) == number;
+    });
+    std::erase_if(workers, [number](const auto& worker) {
+      return worker->worker_number == number;
+    });
+  }
   size_t CountListed(const std::string& job) const {
     return StoredState(job).listed;
   }
