--- a/src/process/telemetry/log_timeline.cc
+++ b/src/process/telemetry/log_timeline.cc
@@ -57,6 +57,9 @@
        "item {item} finished: {outcome}, events: {events}, failures: "
        "{failures}"},
       {"item_returned", "released the claim on item {item}: {reason}"},
+      {"item_held",
+       "holds item {item} for {for_ms} ms: backend servers crash on prompt "
+       "part {part}"},
       {"item_dropped", "stopped running item {item}: {reason}"},
       {"slow_start_began",
        "slow start of backend server {runner}, limit {limit}: {reason}"},
@@ -94,6 +97,11 @@
       {"prompt_quarantined",
        "refuses requests with prompt part {part} for {for_ms} ms after "
        "{crashes} crashes"},
+      {"prompt_tried",
+       "may send one request with the quarantined prompt parts {parts}, "
+       "trials in five minutes: {grants}"},
+      {"prompt_trial_delayed",
+       "could not get the right to try the prompt parts {parts}: {reason}"},
       {"prompt_released",
        "serves requests with prompt part {part} again: {reason}"},
       {"runner_replaced",
