PromptTrials: a part that is released while the store is asked admits the request

A request that asked for a trial was refused, and an item held for a moment, when another process's answer released the part before the store had decided. The answer to an ask now says so ("PromptTrials, part is released meanwhile, request is admitted"). The row key is no static object any more, and the record has no size limit of its own beside that of the store's rows, which rejects a larger one.

--- a/src/process/forward/online_forwarder_attempts.cc
+++ b/src/process/forward/online_forwarder_attempts.cc
@@ -154,17 +154,23 @@
 void OnlineForwarder::OnTrialAnswer(ClientCallId client,
                                     const PromptTrials::Answer& answer) {
   const auto it = requests_.find(client);
+  if (it != requests_.end()) {
+    it->second.asking_since.reset();
+  }
   std::visit(Overloaded{
+                 [&](const PromptTrials::Admitted&) {
+                   if (it != requests_.end()) {
+                     ChooseAndSend(it->second, clock_.now());
+                   }
+                 },
                  [&](const TrialGrant& grant) {
                    if (it == requests_.end()) {
                      trials_.Return(grant);
                      return;
                    }
-                   Request& request = it->second;
-                   request.asking_since.reset();
-                   request.trial = grant;
-                   request.is_trial_sent = false;
-                   ChooseAndSend(request, clock_.now());
+                   it->second.trial = grant;
+                   it->second.is_trial_sent = false;
+                   ChooseAndSend(it->second, clock_.now());
                  },
                  [&](const PromptTrials::Refused& refusal) {
                    if (it != requests_.end()) {
--- a/src/process/jobs/item_worker_holds.cc
+++ b/src/process/jobs/item_worker_holds.cc
@@ -61,6 +61,11 @@
   const TimePoint now = clock_.now();
   Run* run = FindRun(key, RunState::kAsking);
   std::visit(Overloaded{
+                 [&](const PromptTrials::Admitted&) {
+                   if (run != nullptr) {
+                     StartRun(key, *run, now);
+                   }
+                 },
                  [&](const TrialGrant& grant) {
                    if (run == nullptr) {
                      trials_.Return(grant);
--- a/src/process/quarantine/prompt_trials.cc
+++ b/src/process/quarantine/prompt_trials.cc
@@ -10,17 +10,15 @@
 
 using std::chrono::milliseconds;
 
-// The row has a part of its own, because the store limits the writes to one
-// part.
-const RowKey kRecordKey{.table = "prompt_trials",
-                        .part = "trials",
-                        .key = "all"};
 // How often a write is repeated after another process has changed the row.
 constexpr int kMaxWrites = 4;
 constexpr milliseconds kAskPause{1000};
-// Limit of the record, so that it fits into a row. Nothing is tried while it is
-// reached; grants expire after some minutes.
-constexpr size_t kMaxRecordBytes = 45'000;
+
+// The row has a part of its own, because the store limits the writes to one
+// part.
+RowKey RecordKey() {
+  return {.table = "prompt_trials", .part = "trials", .key = "all"};
+}
 
 PromptParts PartsOf(const PromptQuarantine::Match& match) {
   return {match.together.begin(), match.together.end()};
@@ -111,41 +109,43 @@
     return;
   }
   if (response.status != StoreStatus::kConditionFailed) {
+    // The store also rejects a record that has outgrown a row; grants expire.
     LogDecision(LogEvent::kPromptTrialDelayed, "parts", JoinIds(ask.tried),
                 "reason", response.reason);
-    Postpone(ask, now);
+    EndAsk(ask, now);
     return;
   }
   ApplyCurrentRow(response);
   const auto match = quarantine_.Find(ask.parts);
   const std::optional<TimePoint> next =
       match ? NextTrial(*match, now) : std::nullopt;
-  const bool fits = EncodeTrialRecord(record_).size() < kMaxRecordBytes;
-  if (next && now >= *next && fits && ask.writes < kMaxWrites) {
+  if (next && now >= *next && ask.writes < kMaxWrites) {
     WriteGrant(std::move(ask));
     return;
   }
-  Postpone(ask, now);
+  EndAsk(ask, now);
 }
 
-void PromptTrials::Postpone(const AskState& ask, TimePoint now) {
-  std::erase_if(postponed_,
-                [now](const auto& item) { return now >= item.second; });
+void PromptTrials::EndAsk(const AskState& ask, TimePoint now) {
   for (const std::string& part : ask.tried) {
     asking_.erase(part);
-    postponed_[part] = now + kAskPause;
   }
+  Postpone(ask.tried, now);
   const Verdict verdict = Admit(ask.parts, now);
   const auto* refused = std::get_if<Refused>(&verdict);
-  // Without a quarantine the request is sent on its next attempt.
-  ask.callback(refused != nullptr ? *refused : Refused{.retry_at = now});
+  ask.callback(refused != nullptr ? Answer(*refused) : Answer(Admitted{}));
 }
 
-void PromptTrials::Return(const TrialGrant& grant) {
-  const TimePoint now = clock_.now();
-  for (const std::string& part : grant.parts) {
+void PromptTrials::Postpone(const PromptParts& parts, TimePoint now) {
+  std::erase_if(postponed_,
+                [now](const auto& item) { return now >= item.second; });
+  for (const std::string& part : parts) {
     postponed_[part] = now + kAskPause;
   }
+}
+
+void PromptTrials::Return(const TrialGrant& grant) {
+  Postpone(grant.parts, clock_.now());
   WriteReturn(grant, /*writes=*/0);
 }
 
@@ -170,9 +170,9 @@
 void PromptTrials::Write(const TrialRecord& record, StoreCallback callback) {
   RowsTransaction transaction;
   transaction.expected.push_back(
-      {.key = kRecordKey, .version = record_version_});
+      {.key = RecordKey(), .version = record_version_});
   transaction.writes.push_back(
-      {.key = kRecordKey, .value = EncodeTrialRecord(record)});
+      {.key = RecordKey(), .value = EncodeTrialRecord(record)});
   store_.Send(std::move(transaction), std::move(callback));
 }
 
@@ -180,7 +180,7 @@
   record_ = TrialRecord();
   record_version_ = 0;
   for (const StoredRow& row : response.rows) {
-    if (row.key != kRecordKey || row.is_removed) {
+    if (row.key != RecordKey() || row.is_removed) {
       continue;
     }
     record_version_ = row.version;
--- a/src/process/quarantine/prompt_trials.h
+++ b/src/process/quarantine/prompt_trials.h
@@ -39,7 +39,8 @@
   // The request may be a trial if Ask() gets the right to it.
   struct TrialDue {};
   using Verdict = std::variant<Admitted, Refused, TrialDue>;
-  using Answer = std::variant<TrialGrant, Refused>;
+  // What Ask() found out. Admitted: the part is no longer in quarantine.
+  using Answer = std::variant<Admitted, TrialGrant, Refused>;
   using Callback = std::function<void(const Answer&)>;
 
   // `node` is the name of this process. The referenced objects must outlive
@@ -75,7 +76,9 @@
                       const TrialRecord& written,
                       const StoreResponse& response);
   // Ends an ask without a grant; the next one is sent after a pause.
-  void Postpone(const AskState& ask, TimePoint now);
+  void EndAsk(const AskState& ask, TimePoint now);
+  // Does not ask for these parts until a pause is over.
+  void Postpone(const PromptParts& parts, TimePoint now);
   void WriteReturn(TrialGrant grant, int writes);
   void Write(const TrialRecord& record, StoreCallback callback);
   // Takes over the row that a failed condition returned.
--- a/tests/serving/prompt_trials_test.cc
+++ b/tests/serving/prompt_trials_test.cc
@@ -226,6 +226,21 @@
   CHECK(Sends(c, {"rare"}));
 }
 
+// Guards against a sound request that is refused although its part was released
+// while the store was asked.
+TEST_CASE_FIXTURE(PromptTrialsFixture,
+                  "PromptTrials, part is released meanwhile, request is "
+                  "admitted") {
+  CrashThrice({"rare"});
+  Advance(seconds(11));
+  const AnswerSlot first = Ask(b, {"rare"});
+  const AnswerSlot second = Ask(c, {"rare"});
+  c.quarantine.NoteAnswer({"rare"}, now());
+  RunStore();
+  CHECK(std::holds_alternative<TrialGrant>(**first));
+  CHECK(std::holds_alternative<PromptTrials::Admitted>(**second));
+}
+
 // Guards against a record that grows without a limit, and against one that
 // cannot be read and ends all trials.
 TEST_CASE_FIXTURE(PromptTrialsFixture,
