--- a/tests/serving/crashing_prompt_test.cc
+++ b/tests/serving/crashing_prompt_test.cc
@@ -61,16 +61,22 @@
                                       .prompt_parts = parts,
                                       .arrived = now()},
                                      route, nullptr, now());
+    if (BackendCalls().empty()) {
+      RunStore();  // a trial waits for the store
+    }
     // Backend servers crash on the part "dead" and answer all other prompts.
     for (const OutboundCall& call : BackendCalls()) {
-      if (std::ranges::find(parts, "dead") != parts.end()) {
+      if (std::ranges::find(parts, "dead") != parts.end() && !is_dead_sound) {
         ++runs_of_dead;
         Crash(call, id);
         continue;
       }
-      Head(call.id, 200,
-           {{"x-carawayrelay-request-id", id},
-            {"x-carawayrelay-server-stamp", "s"}});
+      HeaderList headers = {{"x-carawayrelay-request-id", id},
+                            {"x-carawayrelay-server-stamp", "s"}};
+      if (is_dead_sound) {
+        headers.emplace_back("transfer-encoding", "chunked");
+      }
+      Head(call.id, 200, std::move(headers));
       Data(call.id, "id: 1\ndata: a\n\n");
       End(call.id);
     }
@@ -150,6 +156,7 @@
   Frontend second{*this, "edge-2"};
   std::uint64_t requests = 0;
   int runs_of_dead = 0;
+  bool is_dead_sound = false;   // servers answer prompts with the part "dead"
   bool is_undelimited = false;  // whether crashes come within such an answer
   int events_before_crash = 0;
 };
@@ -256,5 +263,59 @@
   CHECK(runs_of_dead == before);
 }
 
+// Guards against a sound prompt that is refused for minutes after crashes by
+// chance: the frontend that saw the newest one may get no more requests with
+// it.
+TEST_CASE_FIXTURE(CrashingPromptFixture,
+                  "Frontends, servers crashed by chance, another frontend "
+                  "tries the part and all serve it") {
+  Run(milliseconds(500));
+  for (int i = 0; i < 3; ++i) {
+    Send(first, {"caller", "dead"});
+  }
+  is_dead_sound = true;
+  Send(second, {"caller", "dead"});
+  REQUIRE_FALSE(IsServed());
+  const auto* refusal = std::get_if<Refusal>(&responses.back());
+  REQUIRE(refusal);
+  REQUIRE(refusal->retry_after);
+  CHECK(*refusal->retry_after <= milliseconds(10000));
+  Run(milliseconds(10000));
+  Send(second, {"caller", "dead"});
+  CHECK(IsServed());
+  Send(first, {"caller", "dead"});
+  CHECK(IsServed());
+}
+
+// Guards against a request that waits for a store that does not answer, and
+// against a right that is lost because its request has ended meanwhile.
+TEST_CASE_FIXTURE(CrashingPromptFixture,
+                  "Frontend, store is slow to decide on a trial, request is "
+                  "refused and the right is given back") {
+  Run(milliseconds(500));
+  for (int i = 0; i < 3; ++i) {
+    Send(first, {"caller", "dead"});
+  }
+  is_dead_sound = true;
+  Run(milliseconds(10000));
+  is_held = [](const OutboundCall& call) {
+    return call.target.starts_with("/rows-tx");
+  };
+  const size_t before = responses.size();
+  Send(second, {"caller", "dead"});
+  CHECK(responses.size() == before);
+  second.forwarder.Tick(now());
+  REQUIRE(responses.size() == before + 1);
+  const auto* refusal = std::get_if<Refusal>(&responses.back());
+  REQUIRE(refusal);
+  CHECK(refusal->code == RefusalCode::kQuarantined);
+  CHECK(refusal->run_state == RunState::kNotRun);
+  is_held = nullptr;
+  RunStore();
+  CHECK(BackendCalls().empty());
+  Send(first, {"caller", "dead"});
+  CHECK(IsServed());
+}
+
 }  // namespace
 }  // namespace carawayrelay
