ItemWorker: an item that waits for a trial gets on when its part is released

An item whose part was released while the store was asked for a trial kept the state of asking if another run stood in its way, and its claim was renewed without end. Found by reading. It waits for a slot now, and the limit of claims without a new event holds for items that wait for the store, too.

--- a/src/process/jobs/item_worker.cc
+++ b/src/process/jobs/item_worker.cc
@@ -122,8 +122,9 @@
 void ItemWorker::ReleaseStalledRuns(TimePoint now) {
   bool is_any_stalled = false;
   for (auto& [key, run] : runs_) {
-    const bool waits_for_events =
-        run.state == RunState::kRunning || run.state == RunState::kPaused;
+    const bool waits_for_events = run.state == RunState::kRunning ||
+                                  run.state == RunState::kPaused ||
+                                  run.state == RunState::kAsking;
     if (!waits_for_events ||
         now - run.last_event_at < options_.progress_limit) {
       continue;
--- a/src/process/jobs/item_worker_holds.cc
+++ b/src/process/jobs/item_worker_holds.cc
@@ -63,7 +63,7 @@
   std::visit(Overloaded{
                  [&](const PromptTrials::Admitted&) {
                    if (run != nullptr) {
-                     StartRun(key, *run, now);
+                     Pause(*run, now);  // starts with the next free slot
                    }
                  },
                  [&](const TrialGrant& grant) {
